--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,926 @@
+// The interface of this package (Config, Event, Action) is in balance/types.go.
+// This file holds every decision and every tuning constant.
+
+package balance
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// ---- Constants ----
+
+const (
+	// probesPerTick is d: servers probed in each tick with arrivals, where probes are cheap. probeSpend
+	// is what they may take off the result; a dear probe is sent on a part of the arrivals only.
+	probesPerTick, probeSpend = 3, 0.004
+	// holdMost is the part of the aim for which an arrival may be held for its probes. pairsMost times a node
+	// asks a server twice in a row, to learn the time between its reports.
+	holdMost, pairsMost = 0.05, 16
+	// coldMargin is the part of the cold-start budget that is spent: the rest is for uneven work. An old peak
+	// of the warm rate fades by rateDecay, once a window.
+	coldMargin, rateDecay = 0.3, 0.9
+	// A node keeps to partServers of each zone, or to as many as it has requests in partSpan seconds.
+	partServers, partSpan = 8, 0.5
+	// The mean of what a zone's servers hold is learned over meanSpan seconds, what is usual at one of them
+	// over usualSpan, but by meanMost and usualMost a report at most: a single look is chance.
+	meanSpan, meanMost, usualSpan, usualMost = 4.0, 0.25, 15.0, 0.1
+	// retryEarn is what a first send adds to the retry budget, retryMost the most that it holds.
+	retryEarn, retryMost = 0.1, 20.0
+	// firstPace, in aims, stands for a pace and the time of a request until there is one. A new answer weighs
+	// paceWeight; a server without answers goes forget of the way to its peers' pace, a window.
+	firstPace, paceWeight, forget = 0.1, 0.05, 0.3
+	// failAims is what a certain failure costs, in aims. failWeight is the weight of a new outcome in a
+	// server's rate of failures; the rate also fades by failFade each window, so that traffic returns.
+	failAims, failWeight, failFade = 3.0, 0.1, 0.25
+	// crossAims is the wait, in aims, that costs as much as a request's whole worth.
+	crossAims = 1.5
+	// shareSpan is the time, in seconds, over which a share may be used unevenly, and shareLeast what may
+	// come at once: of a share spread over hundreds of nodes each sees a request now and then, by chance.
+	shareSpan, shareLeast = 1.0, 4.0
+	// valueWeight is the weight of a request in the mean worth, leanMost the most that the bound leans.
+	valueWeight, leanMost = 0.01, 2.0
+	// failsHigh and failsLow are the rates of failures that the log tells: above a single one, and none. A
+	// silence is charged beyond silentQueues times what the queue should take.
+	failsHigh, failsLow, silentQueues = 0.11, 0.02, 2
+	// The part of the slack that queues may take up follows how answers come, at partSpeed a second but by
+	// partStep an answer at most, and rests where one in lateOnce is late. One in scoutOnce that would be
+	// refused is sent all the same: its answer shows whether the node is right to refuse.
+	partSpeed, partStep, lateOnce, scoutOnce = 2.0, 0.1, 20, 20
+	partFirst, partLeast, partMost           = 0.3, 0.12, 4.0
+	// idleEntry: a server whose entry is no higher is idle. An answer that met freeEntry or less tells the
+	// time without a queue, by baseWeight.
+	idleEntry, freeEntry, baseWeight = 0.1, 1.0, 0.03
+	// fallWeight and riseWeight draw the time between reports to a shorter or longer one.
+	fallWeight, riseWeight = 0.3, 0.01
+	// rewatchParts: a refused call is repeated after AskEvery over this and up to as much again, by chance.
+	rewatchParts = 20
+)
+
+// ---- State ----
+
+// Balancer decides for one node.
+type Balancer struct {
+	cfg                        Config
+	rng                        *rand.Rand
+	now                        time.Duration
+	out                        []Action
+	servers                    map[BackendID]*server
+	ready                      []*server // servers that may be sent to, by id
+	requests                   map[string]*request
+	timers                     map[uint64]timer
+	held                       []*request // arrivals that wait for the probes of their tick
+	refused                    int        // requests that no server was good enough for
+	asked                      int        // probes of held requests that are out
+	pairs                      int        // servers asked twice in a row
+	lastMark                   uint64
+	probedAt                   time.Duration // the last tick that sent probes
+	classes                    []classStats
+	warmRate                   float64 // work a second that this node gets done by one warm server
+	rolledAt                   time.Duration
+	probeDue                   float64 // probes that arrivals have paid for
+	part                       float64 // part of the slack that queues may take up
+	partSize                   int     // servers of a zone that this node keeps to
+	gap                        float64 // mean time between answers, seconds
+	judgedAt                   time.Duration
+	shares                     []share
+	crowded                    bool    // answers come late, as logged
+	blind                      bool    // discovery was refused, as logged
+	allFail                    float64 // rate of failures over all servers
+	meanValue                  float64 // running mean of what requests are worth for each unit of work
+	meanAim                    float64 // mean aim of the classes, seconds
+	peerPace                   float64 // pace over all answers, and the means that it comes from
+	allTime, allDepth, answers float64
+	all                        crowd // what other nodes have at a server, over all and by zone
+	zones                      map[int]crowd
+	retries                    float64 // attempts that may be sent again
+	probes                     float64 // probes sent
+	refresh                    float64 // seconds between two reports of a server that differ
+}
+
+// server is one backend in the list.
+type server struct {
+	Member
+	more   float64 // what other nodes usually have there, beyond the mean of its zone
+	told   float64 // what they had by the last report or probe
+	toldAt time.Duration
+	fails  float64       // rate of failures
+	failed bool          // traffic is withheld, as logged
+	owesAt time.Duration // its last sign, or the send since when something is out
+	out    float64       // attempts of this node that are out
+	stuck  float64       // attempts not accepted since the last report
+	seen   float64       // the last queue reported
+	seenAt time.Duration // when it was first seen
+	time   float64       // running mean of the time of an answer, seconds
+	depth  float64       // running mean of the entry that those answers met
+	heard  time.Duration // last answer
+	credit float64       // work that may be sent while cold, in this window
+	served float64       // work answered since the last roll of the warm rate
+	since  time.Duration
+	rank   uint64 // place in this node's own order of the servers
+}
+
+// request is one client request that this node has taken.
+type request struct {
+	id       string
+	class    *Class
+	stats    *classStats
+	tenant   int
+	hint     time.Duration
+	arrived  time.Duration
+	deadline time.Duration
+	attempts []attempt
+	pending  int
+	ended    bool // the final answer is out
+	streamed bool // the answer has started: it belongs to the client
+}
+
+// timer is what is due then: the end of a request or of its hold, another probe, or a call to discovery.
+type timer struct {
+	end, hold *request
+	again     *server
+}
+
+// attempt is one copy of a request at a server.
+type attempt struct {
+	to      *server
+	at      time.Duration
+	met     float64 // the entry when it was sent
+	wait    float64 // and the time that it took to clear, seconds
+	pending bool
+	mayRun  bool // it may have run, or may still run
+}
+
+// classStats is what a node has learned of a class.
+type classStats struct {
+	base float64 // mean time of an answer that met no queue, seconds
+	seen float64 // answers that told of it
+	free float64 // those that met no queue
+}
+
+// share is what is left of a tenant's share at this node.
+type share struct {
+	left float64 // requests
+	at   time.Duration
+}
+
+// ---- Entry points ----
+
+// New returns a Balancer for one node. The seed is the instance's own; the
+// same seed and events give the same actions.
+func New(cfg Config, seed uint64) (*Balancer, error) {
+	if cfg.Instances < 0 || cfg.Index < 0 || cfg.Limits.MaxAttempts < 0 {
+		return nil, errors.New("balance: negative count in Config")
+	}
+	var aim mean
+	for _, c := range cfg.Classes {
+		if c.Deadline < 0 || c.Aim < 0 || c.Window < 0 {
+			return nil, errors.New("balance: negative time in a Class")
+		}
+		aim.add(c.Aim.Seconds())
+	}
+	cfg.Instances, cfg.Limits.MaxAttempts = max(cfg.Instances, 1), max(cfg.Limits.MaxAttempts, 1)
+	var perSecond float64
+	for _, t := range cfg.Tenants {
+		perSecond += t.QuotaPerSecond / float64(cfg.Instances)
+	}
+	if perSecond == 0 {
+		perSecond = math.MaxInt32 // not told: all servers
+	}
+	shares := make([]share, len(cfg.Tenants))
+	for i := range shares {
+		shares[i].left = shareLeast
+	}
+	return &Balancer{
+		cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)),
+		servers: map[BackendID]*server{}, requests: map[string]*request{},
+		timers: map[uint64]timer{}, zones: map[int]crowd{}, probedAt: -1,
+		meanAim: aim.value(), gap: aim.value(), peerPace: firstPace * aim.value(), part: partFirst,
+		partSize: max(partServers, int(perSecond*partSpan)),
+		classes:  make([]classStats, len(cfg.Classes)), shares: shares,
+	}, nil
+}
+
+// Handle takes one event and appends the actions that answer it to out.
+func (b *Balancer) Handle(now time.Duration, ev Event, out []Action) []Action {
+	b.now, b.out = max(b.now, now), out // a clock that goes back is held
+	b.rollRates()
+	switch ev.Kind {
+	case MembersRemembered, MembersAll, MembersChanged, MembersRefused:
+		b.onMembers(&ev)
+	case RequestArrived:
+		b.onRequest(&ev)
+	case StreamStarted:
+		if r := b.requests[ev.Request]; r != nil {
+			r.streamed = true
+		}
+	case ClientGone:
+		if r := b.requests[ev.Request]; r != nil {
+			b.end(r)
+		}
+	case Timer:
+		b.onTimer(ev.Mark)
+	case Probed:
+		if s := b.servers[ev.Backend]; s != nil {
+			b.report(s, ev.Load)
+			if b.pairs < pairsMost && s.seen > 0 {
+				b.pairs++
+				gap := cmp.Or(b.refresh, 2*b.peerPace) / 2
+				b.setTimer(time.Duration(gap*float64(time.Second)), timer{again: s})
+			}
+		}
+		if b.asked--; b.asked <= 0 {
+			b.release()
+		}
+	case Outcome:
+		b.onOutcome(&ev)
+	}
+	out, b.out = b.out, nil
+	return out
+}
+
+func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
+
+func (b *Balancer) log(text string) { b.do(Action{Kind: Log, Text: text}) }
+
+// state logs when something begins and when it ends.
+func (b *Balancer) state(is *bool, begins, ends bool, begin, end string) {
+	switch {
+	case begins && !*is:
+		b.log(begin)
+	case ends && *is:
+		b.log(end)
+	}
+	*is = (*is || begins) && !ends
+}
+
+func (b *Balancer) setTimer(in time.Duration, t timer) {
+	b.lastMark++
+	b.timers[b.lastMark] = t
+	b.do(Action{Kind: SetTimer, In: in, Mark: b.lastMark})
+}
+
+func (b *Balancer) onTimer(mark uint64) {
+	t, ok := b.timers[mark]
+	delete(b.timers, mark)
+	switch {
+	case !ok:
+	case t.hold != nil:
+		if slices.Contains(b.held, t.hold) {
+			b.release() // a probe that stays out tells enough
+		}
+	case t.again != nil:
+		if t.again.Phase == Ready {
+			b.do(Action{Kind: Probe, Backend: t.again.Backend})
+		}
+	case t.end == nil:
+		b.do(Action{Kind: Watch})
+	case !t.end.ended && !t.end.streamed:
+		b.answer(t.end)
+	}
+}
+
+// ---- The list of servers ----
+
+func (b *Balancer) onMembers(ev *Event) {
+	if ev.Kind == MembersRefused {
+		// A refused or broken subscription leaves the node blind to drains: ask again.
+		if b.cfg.AskDiscovery {
+			b.state(&b.blind, true, false, "discovery refused: asking again", "")
+			wait := b.cfg.Rules.AskEvery / rewatchParts
+			b.setTimer(wait+time.Duration(b.rng.Float64()*float64(wait)), timer{})
+		}
+		return
+	}
+	b.blind = false
+	if ev.Kind != MembersChanged {
+		for _, s := range b.servers {
+			s.Phase = Gone // unless the full list names it, also one that this node does not keep to
+		}
+	}
+	for _, m := range ev.Members {
+		b.update(m)
+	}
+	b.choose()
+	if len(b.ready) == 0 {
+		b.log("no ready backend")
+	}
+	if ev.Kind == MembersRemembered && b.cfg.AskDiscovery {
+		b.do(Action{Kind: Watch})
+	}
+}
+
+// update takes in one line of the list. A changed start time is a new process with a new queue.
+func (b *Balancer) update(m Member) {
+	s := b.servers[m.Backend]
+	started := s == nil || s.Launched != m.Launched
+	if s == nil {
+		s = &server{toldAt: b.now, since: b.now, rank: mix(uint64(m.Backend) ^ mix(uint64(b.cfg.Index)))}
+		b.servers[m.Backend] = s
+	} else if started {
+		// What was out at the old process is lost with it; its outcomes are still to come.
+		s.more, s.told, s.stuck, s.credit, s.since, s.served = 0, 0, 0, 0, b.now, 0
+		s.time, s.fails, s.failed, s.owesAt = 0, 0, false, b.now
+	}
+	s.Member = m
+	if started {
+		b.grantCold(s)
+	}
+}
+
+// choose keeps the node to a part of the servers of each zone where its traffic is too little to see more of
+// them, and each needs a connection from every node. Servers that fail are kept beside the part. It is drawn
+// by hash, so that nodes differ.
+func (b *Balancer) choose() {
+	b.ready = b.ready[:0]
+	for _, s := range b.servers {
+		if s.Phase == Ready {
+			b.ready = append(b.ready, s)
+		}
+	}
+	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
+	count := map[int]int{}
+	b.ready = slices.DeleteFunc(b.ready, func(s *server) bool {
+		if !s.failed {
+			count[s.Zone]++
+		}
+		return count[s.Zone] > b.partSize
+	})
+	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.Backend, y.Backend) })
+}
+
+// ---- Requests ----
+
+func (b *Balancer) onRequest(ev *Event) {
+	if ev.Class < 0 || ev.Class >= len(b.cfg.Classes) || b.requests[ev.Request] != nil {
+		return
+	}
+	r := &request{
+		id: ev.Request, class: &b.cfg.Classes[ev.Class], stats: &b.classes[ev.Class], tenant: ev.Tenant,
+		hint: ev.Hint, arrived: b.now, deadline: b.now + ev.Budget,
+	}
+	b.requests[r.id] = r
+	// Every request is answered by its deadline, whatever becomes of its attempts.
+	b.setTimer(ev.Budget, timer{end: r})
+	b.probe()
+	b.meanValue = cmp.Or(b.meanValue, b.value(r))
+	b.meanValue += valueWeight * (b.value(r) - b.meanValue)
+	if b.asked > 0 {
+		b.held = append(b.held, r)
+		b.setTimer(min(time.Duration(holdMost*float64(r.class.Aim)), ev.Budget), timer{hold: r})
+		return
+	}
+	b.place(r)
+}
+
+// release places what was held. Where a node sees little traffic its entries are older than a queue, and only
+// the probes of the tick tell anything: then the request waits for them, which takes one round trip.
+func (b *Balancer) release() {
+	held := slices.DeleteFunc(b.held, func(r *request) bool { return r.ended })
+	b.held, b.asked = nil, 0
+	for _, r := range held {
+		b.place(r)
+	}
+}
+
+// place sends a request on its way, or answers it when nothing more can be done.
+func (b *Balancer) place(r *request) {
+	// Retries without a budget multiply the load just when the servers are full.
+	again := len(r.attempts) > 0
+	spent := b.now >= r.deadline || len(r.attempts) >= b.cfg.Limits.MaxAttempts || again && b.retries < 1
+	var s *server
+	if !spent {
+		s = b.pick(r, b.bound(r))
+	}
+	if s == nil && !spent && !again {
+		if b.refused++; b.refused%scoutOnce == 0 {
+			s = b.pick(r, math.Inf(1)) // refusing keeps a node from the answers that would correct it
+		}
+	}
+	if s == nil {
+		b.answer(r)
+		return
+	}
+	if again {
+		b.retries--
+	} else {
+		b.retries = min(b.retries+retryEarn, retryMost)
+		if left := b.shareLeft(r); left != nil {
+			*left = max(*left-1, 0)
+		}
+	}
+	b.send(r, s)
+}
+
+// pick returns the server of the smallest entry that may get the request, ties broken at random, or nil.
+func (b *Balancer) pick(r *request, bound float64) *server {
+	var best *server
+	least, ties := 0.0, 0
+	for _, s := range b.ready {
+		// An idle server makes nobody wait, however slow it has become.
+		full := b.entry(s) > idleEntry && b.wait(s) > bound
+		if full || r.tried(s) || !b.mayGo(r, s) || !b.coldAllows(r, s) {
+			continue
+		}
+		// Own attempts count twice: counted once, nothing keeps nodes from servers of their own.
+		entry := b.cost(s) + s.out*b.pace(s)
+		if best == nil || entry < least {
+			best, least, ties = s, entry, 1
+		} else if entry == least {
+			if ties++; b.rng.IntN(ties) == 0 {
+				best = s
+			}
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of x (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (r *request) tried(s *server) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == s })
+}
+
+func (b *Balancer) send(r *request, s *server) {
+	met := b.entry(s)
+	r.attempts = append(r.attempts, attempt{
+		to: s, at: b.now, met: met, wait: met * b.pace(s), pending: true, mayRun: true})
+	if s.out == 0 {
+		s.owesAt = b.now
+	}
+	s.out++
+	s.credit -= b.work(r)
+	r.pending++
+	b.do(Action{Kind: Send, Request: r.id, Backend: s.Backend, Attempt: len(r.attempts) - 1})
+}
+
+func (b *Balancer) onOutcome(ev *Event) {
+	r := b.requests[ev.Request]
+	if r == nil || ev.Attempt < 0 || ev.Attempt >= len(r.attempts) || !r.attempts[ev.Attempt].pending {
+		return
+	}
+	a := &r.attempts[ev.Attempt]
+	a.pending, a.mayRun = false, !ev.Status.NeverRan()
+	r.pending--
+	a.to.out--
+	if ev.Status != Delivered {
+		// Not accepted: it keeps its increment until a report, against a server that
+		// fails fast and so looks idle.
+		a.to.stuck++
+	}
+	// A time-out at a server that gave no sign in the meantime tells of that server, not of crowding.
+	if ev.Status != Expired || a.to.owesAt > a.at {
+		b.pressure(ev.Status, b.now-r.arrived-r.class.Aim, a.wait)
+	}
+	b.judge(a.to, ev.Status, a.at)
+	b.compare(a.to)
+	b.report(a.to, ev.Load)
+	if ev.Status == Delivered {
+		b.learnBase(r, a, ev.Spent.Seconds())
+		a.to.served += b.work(r)
+		b.learn(a.to, r, a, ev.Spent)
+	}
+	r.ended = r.ended || ev.NoMore
+	switch {
+	case r.ended:
+		b.end(r)
+	case r.streamed: // the client has the stream; nothing more is owed
+	case r.pending == 0:
+		b.place(r)
+	}
+}
+
+// answer gives the final answer that the rules allow: a refusal where trying again is harmless.
+func (b *Balancer) answer(r *request) {
+	if r.ended {
+		return
+	}
+	kind := Fail
+	if b.mayRefuse(r) {
+		kind = Refuse
+	}
+	b.do(Action{Kind: kind, Request: r.id})
+	b.end(r)
+}
+
+// end marks a request as over and forgets it once its last attempt is back.
+func (b *Balancer) end(r *request) {
+	r.ended = true
+	if r.pending == 0 {
+		delete(b.requests, r.id)
+	}
+}
+
+// ---- The rule on effects ----
+
+// firstRun returns the first attempt that may have run, or nil.
+func (r *request) firstRun() *attempt {
+	if i := slices.IndexFunc(r.attempts, func(a attempt) bool { return a.mayRun }); i >= 0 {
+		return &r.attempts[i]
+	}
+	return nil
+}
+
+// mayGo tells whether another attempt may go to s without an effect happening twice.
+func (b *Balancer) mayGo(r *request, s *server) bool {
+	first := r.firstRun()
+	if first == nil || r.class.Effect == Safe {
+		return true
+	}
+	if r.class.Effect == Unsafe || b.now >= first.at+r.class.Window {
+		return false
+	}
+	return r.class.Scope == ScopeAll ||
+		r.class.Scope == ScopeZone && s.Zone == first.to.Zone ||
+		r.class.Scope == ScopeCell && s.Cell == first.to.Cell
+}
+
+// mayRefuse tells whether it is harmless for the client to try again.
+func (b *Balancer) mayRefuse(r *request) bool {
+	first := r.firstRun()
+	return first == nil || r.class.Effect == Safe ||
+		r.class.Effect == Keyed && r.class.Scope == ScopeAll && b.now < first.at+r.class.Window
+}
+
+// ---- The estimate ----
+
+// probe asks distinct servers, drawn at random, once in a tick with arrivals.
+func (b *Balancer) probe() {
+	due := min(probesPerTick, probeSpend/max(b.cfg.Prices.Probe, 1e-9))
+	if b.probes < float64(len(b.ready)) {
+		due = max(due, 1) // a node that has just started knows nothing
+	}
+	b.probeDue = min(b.probeDue+due, 2*probesPerTick)
+	if !b.cfg.Limits.Probing || b.probedAt == b.now {
+		return
+	}
+	b.probedAt = b.now
+	d := min(int(b.probeDue), probesPerTick, len(b.ready))
+	b.probeDue -= float64(d)
+	for _, i := range b.rng.Perm(len(b.ready))[:d] {
+		b.probes++
+		b.do(Action{Kind: Probe, Backend: b.ready[i].Backend})
+	}
+	if d > 1 && b.refresh < b.peerPace {
+		b.asked += d
+	}
+}
+
+// entry is the queue estimate: what other nodes have there, what this node has out, and what
+// was not accepted.
+func (b *Balancer) entry(s *server) float64 { return b.others(s) + s.out + s.stuck }
+
+// cost is the entry weighed by the time that one place in this server's queue has taken lately: the time in
+// which an average request would be answered, with the time that failures are worth.
+func (b *Balancer) cost(s *server) float64 {
+	queue := (b.entry(s) + 1) * b.pace(s)
+	failing := max(0, s.fails-b.allFail) * failAims * b.meanAim
+	silent := max(0, b.silence(s)-silentQueues*queue)
+	return queue + failing + silent + b.handicap(s)
+}
+
+// handicap is the time that crossing zones must save to be worth its price. Times include the way already.
+func (b *Balancer) handicap(s *server) float64 {
+	if s.Zone == b.cfg.Zone {
+		return 0
+	}
+	return b.cfg.Prices.CrossZone * crossAims * b.meanAim
+}
+
+// silence is how long a server has owed this node an answer without any sign. One that hangs keeps a bearable
+// queue while it takes everything sent to it.
+func (b *Balancer) silence(s *server) float64 {
+	if s.out == 0 {
+		return 0
+	}
+	return (b.now - s.owesAt).Seconds()
+}
+
+// pace is the time for each place in the queue by now: a server that warms up gets quicker.
+func (b *Balancer) pace(s *server) float64 { return b.warmPace(s) / b.warmth(s) }
+
+// warmPace is the time for each place that a server takes, or will take, when warm. One without a history
+// has that of its peers.
+func (b *Balancer) warmPace(s *server) float64 {
+	if s.time == 0 {
+		return b.peerPace
+	}
+	return s.time / (s.depth + 1)
+}
+
+// wait is the time that an average request would lose at a server, crossing aside.
+func (b *Balancer) wait(s *server) float64 {
+	return b.cost(s) - b.handicap(s) - b.meanBase()
+}
+
+// slack is the longest wait that still lets an average request be answered within its aim. Longer queues
+// serve no one in time and clear only by refusing: overload jams without this.
+func (b *Balancer) slack() float64 { return max(b.meanAim-b.meanBase(), 0) }
+
+// bound is the longest wait at which a request is still sent: a part of the slack, or of the time without a
+// queue where that is more, since with all servers slow at once there is no slack, and shorter queues would
+// leave them idle and make no answer come sooner.
+func (b *Balancer) bound(r *request) float64 {
+	lean := min(max(b.lean(r), 1/leanMost), leanMost)
+	return b.part * max(b.slack(), b.meanBase()) * lean
+}
+
+// lean is how the bound for a request compares with that of others: what is worth more for its work waits
+// longer, so that it is served where not all can be.
+// Traffic beyond its tenant's share is the first to be refused, as it earns little. Only what was sent
+// counts: what was refused comes back, often several times.
+func (b *Balancer) lean(r *request) float64 {
+	lean := 1.0
+	if b.meanValue > 0 {
+		lean = b.value(r) / b.meanValue
+		if left := b.shareLeft(r); left != nil && *left < 1 {
+			lean *= b.cfg.OverShareWorth
+		}
+	}
+	return lean
+}
+
+// value is what a request is worth for each unit of work, which is that of a mean class.
+func (b *Balancer) value(r *request) float64 {
+	if b.cfg.WorthByWork || b.work(r) == 0 {
+		return r.class.Points
+	}
+	return r.class.Points * b.meanBase() / b.work(r)
+}
+
+// shareLeft returns how many requests this node's part of a tenant's share still holds, brought up to
+// now, or nil where there are no shares.
+func (b *Balancer) shareLeft(r *request) *float64 {
+	if r.tenant < 0 || r.tenant >= len(b.shares) || b.cfg.Tenants[r.tenant].QuotaPerSecond <= 0 {
+		return nil
+	}
+	share := &b.shares[r.tenant]
+	rate := b.cfg.Tenants[r.tenant].QuotaPerSecond / float64(b.cfg.Instances)
+	share.left = min(share.left+rate*(b.now-share.at).Seconds(), max(rate*shareSpan, shareLeast))
+	share.at = b.now
+	return &share.left
+}
+
+// pressure moves the bound on the wait. Crowded servers can work so badly that a bearable queue never clears,
+// and only lateness shows it. Only what the queue made late counts: a heavy request is late in any queue.
+func (b *Balancer) pressure(st Status, late time.Duration, queued float64) {
+	if b.judgedAt > 0 { // a clock that starts anywhere tells nothing of the first gap
+		b.gap += paceWeight * ((b.now - b.judgedAt).Seconds() - b.gap)
+	}
+	b.judgedAt = b.now
+	step := min(partSpeed*b.gap, partStep) * b.part
+	switch {
+	case st == Expired || st == Delivered && late > 0 && late.Seconds() <= queued:
+		b.part -= step
+	case st == Delivered && late <= 0:
+		b.part += step / lateOnce
+	}
+	b.part = min(max(b.part, partLeast), partMost)
+	b.state(&b.crowded, b.part == partLeast, b.part >= partFirst,
+		"answers come late: refusing early", "answers in time again")
+}
+
+// learnBase takes in the time of an answer that met no queue. Crowded servers drain under early refusal
+// and then show that they are quick, slow ones that they are slow: nothing else tells the two apart. Until
+// one is met, the hint stands for it: a node that starts among queues must not take them for the work.
+func (b *Balancer) learnBase(r *request, a *attempt, spent float64) {
+	c, w := r.stats, baseWeight
+	switch {
+	case a.met > freeEntry && c.free > 0:
+		return
+	case a.met > freeEntry && r.hint > 0:
+		spent = r.hint.Seconds()
+	case a.met <= freeEntry:
+		c.free++
+		w = max(w, 1/c.free)
+	}
+	c.seen++
+	c.base += max(w, 1/c.seen) * (spent - c.base)
+}
+
+// learn takes in how long an answer took, against the time of its class, and the queue it met.
+func (b *Balancer) learn(s *server, r *request, a *attempt, spent time.Duration) {
+	if r.stats.base == 0 {
+		return
+	}
+	took := spent.Seconds() / r.stats.base * b.meanBase() * b.warmth(s)
+	if s.time == 0 {
+		s.time, s.depth = b.peerPace*(a.met+1), a.met
+	}
+	s.heard = b.now
+	// An answer out of a long queue tells more of the pace: a short one is no load to a server of many cores.
+	w := min(paceWeight*(a.met+1)/(s.depth+1), 1)
+	s.time += w * (took - s.time)
+	s.depth += w * (a.met - s.depth)
+	b.answers++ // one server may see few answers of this node: the pace of all comes from all alike
+	w = max(w/float64(len(b.ready)+1), 1/b.answers)
+	b.allTime, b.allDepth = b.allTime+w*(took-b.allTime), b.allDepth+w*(a.met-b.allDepth)
+	b.peerPace = b.allTime / (b.allDepth + 1)
+}
+
+// judge keeps a server's rate of failures, by this node's own attempts: one that fails fast looks
+// idle to any probe. Cancelled and unsent attempts say nothing.
+func (b *Balancer) judge(s *server, st Status, sent time.Duration) {
+	switch st {
+	case Delivered, Shed:
+		s.fails -= failWeight * s.fails
+		s.owesAt = b.now
+	case Expired:
+		// A try that ran out of time says little while others are answered.
+		if s.out == 0 && s.owesAt <= sent {
+			s.fails = 1 // nothing came back at all
+		}
+	case AppError, Dropped, DialFailed:
+		s.owesAt = b.now
+		s.fails += failWeight * (1 - s.fails)
+	}
+}
+
+// compare sets a server's rate of failures beside that of all, and logs when traffic is withheld.
+func (b *Balancer) compare(s *server) {
+	// What all servers have in common makes none of them an outlier, and is no reason to refuse.
+	b.allFail += failWeight * (s.fails - b.allFail) / float64(len(b.ready)+1)
+	name := fmt.Sprintf("backend %d ", s.Backend)
+	b.state(&s.failed, s.fails > failsHigh, s.fails < failsLow,
+		name+"fails: traffic withheld", name+"answers again")
+}
+
+// report overwrites an entry with what the server says it holds. A report is old: it tells of this
+// node's own part too, so that part is taken off and what is out now stays counted.
+func (b *Balancer) report(s *server, l Load) {
+	queue := l.Active
+	switch {
+	case l.Has&(HasActive|HasWaiting) == 0:
+		return
+	case l.Has&HasActive == 0:
+		queue = l.Waiting
+	}
+	s.stuck = 0
+	age, first := (b.now - s.seenAt).Seconds(), s.seenAt == 0
+	switch {
+	case first:
+	case queue != s.seen && (b.refresh == 0 || age < 2*b.refresh):
+		b.refresh = cmp.Or(b.refresh, age)
+		b.refresh += fallWeight * (age - b.refresh)
+	case age < b.refresh:
+		return // the same report again; past its time an equal one is news: an idle server says 0 for ever
+	case queue > 0 && age < 2*b.refresh:
+		b.refresh += riseWeight * (age - b.refresh)
+	}
+	s.seen, s.seenAt = queue, b.now
+	b.tell(s, max(0, queue-s.out), b.refresh)
+}
+
+// tell takes in what other nodes had at a server some seconds ago.
+func (b *Balancer) tell(s *server, others, ago float64) {
+	at := b.now - time.Duration(ago*float64(time.Second))
+	s.more += min(usualMost, max(0, at-s.toldAt).Seconds()/usualSpan) * (others - b.mean(s) - s.more)
+	s.told, s.toldAt = others, at
+	b.all.learn(b.now, others)
+	zone := b.zones[s.Zone]
+	zone.learn(b.now, others)
+	b.zones[s.Zone] = zone
+}
+
+// crowd is the mean of what other nodes have at some servers by the latest reports.
+type crowd struct {
+	others, reports float64
+	at              time.Duration
+}
+
+func (c *crowd) learn(now time.Duration, others float64) {
+	c.reports++
+	w := min(meanMost, (now-c.at).Seconds()/meanSpan)
+	c.others, c.at = c.others+max(paceWeight, 1/c.reports, w)*(others-c.others), now
+}
+
+// mean is what other nodes have at a server of the zone: one zone may have more traffic than it can carry.
+func (b *Balancer) mean(s *server) float64 {
+	if c := b.zones[s.Zone]; c.reports > 0 {
+		return c.others
+	}
+	return b.all.others // nothing heard of this zone yet
+}
+
+// others is the part of other nodes by now: what was told fades into what is usual, as a queue turns over.
+// Taken at its word, an old report makes all nodes rush at once to the server that was idle then, and in a
+// large fleet the smallest entry is the oldest one. So the usual follows the mean of what all servers say.
+func (b *Balancer) others(s *server) float64 {
+	usual := b.usual(s)
+	return usual + (s.told-usual)*b.fresh(s, usual)
+}
+
+// usual is what other nodes have at a server when nothing newer is known.
+func (b *Balancer) usual(s *server) float64 { return max(0, b.mean(s)+s.more) }
+
+// fresh is the part of what was told last that still holds, squared where other nodes act on the same report.
+func (b *Balancer) fresh(s *server, usual float64) float64 {
+	turn := (usual + 1) * b.pace(s)
+	return math.Pow(turn/(turn+(b.now-s.toldAt).Seconds()), 2)
+}
+
+// ---- Cold servers ----
+
+// warmth returns the part of its capacity that a server surely has by now.
+func (b *Balancer) warmth(s *server) float64 {
+	age, rules := b.now-s.Launched, &b.cfg.Rules
+	if s.Launched == 0 || age >= rules.WarmWithin {
+		return 1
+	}
+	return rules.ColdShare + (1-rules.ColdShare)*max(0, age.Seconds())/rules.WarmWithin.Seconds()
+}
+
+// work returns what a request costs a server, in seconds: what its hint says, else the time of its
+// class where it does not queue. Queueing makes the mean times of light and heavy classes alike.
+func (b *Balancer) work(r *request) float64 {
+	switch {
+	case r.hint > 0:
+		return r.hint.Seconds()
+	case r.stats.base > 0:
+		return r.stats.base
+	}
+	return b.meanBase()
+}
+
+// meanBase is the mean of the times without a queue of the classes met so far.
+func (b *Balancer) meanBase() float64 {
+	var m mean
+	for i := range b.classes {
+		if b.classes[i].base > 0 {
+			m.add(b.classes[i].base)
+		}
+	}
+	if m.n == 0 {
+		return firstPace * b.meanAim
+	}
+	return m.value()
+}
+
+// rollRates measures, once a window, the work that warm servers do for this node.
+// Summed over the nodes it is at most what such a server can do, so each node may spend its own.
+func (b *Balancer) rollRates() {
+	span := (b.now - b.rolledAt).Seconds()
+	if span < max(b.cfg.Rules.OverloadFor.Seconds(), 1) {
+		return
+	}
+	var warm mean
+	for _, s := range b.ready {
+		if b.warmth(s) == 1 && s.since <= b.rolledAt {
+			warm.add(s.served / span)
+		}
+		s.served = 0
+	}
+	if warm.n > 0 {
+		b.warmRate = max(b.warmRate*rateDecay, warm.value())
+	}
+	for _, s := range b.ready {
+		b.grantCold(s)
+		s.fails -= failFade * s.fails
+		if !b.cfg.Limits.Probing {
+			s.stuck -= failFade * s.stuck // no report will clear it
+		}
+		if s.heard < b.rolledAt && s.time > 0 {
+			// A server that looked slow gets no traffic, so nothing would ever clear its name.
+			s.time += forget * (b.peerPace*(s.depth+1) - s.time)
+		}
+	}
+	b.rolledAt = b.now
+	b.choose()
+}
+
+// grantCold guards against pushing over a server that has just started: for each window it grants this node's
+// part of what warm servers do, or of one request at a time. In a large fleet that is less than one request,
+// and one from each node would push the server over: then it is one by chance.
+func (b *Balancer) grantCold(s *server) {
+	if b.warmth(s) == 1 {
+		return
+	}
+	rules, unit := &b.cfg.Rules, max(b.meanBase(), 1e-6)
+	rate := max(b.warmRate, 1/float64(b.cfg.Instances))
+	units := coldMargin * rules.FallMultiple * b.warmth(s) * rate * rules.OverloadFor.Seconds() / unit
+	s.credit = min(s.credit, 0) + unit*math.Floor(units+b.rng.Float64())
+}
+
+// coldAllows tells whether a server is warm, or has grant left for most of the request: two heavy ones on the
+// rests of two grants would be as much as two windows may hold.
+func (b *Balancer) coldAllows(r *request, s *server) bool {
+	return b.warmth(s) == 1 || s.credit > b.work(r)/2
+}
+
+// mean is a plain mean; 0 when nothing was added.
+type mean struct{ sum, n float64 }
+
+func (m *mean) add(x float64) { m.sum, m.n = m.sum+x, m.n+1 }
+
+func (m *mean) value() float64 { return m.sum / max(m.n, 1) }
--- /dev/null
+++ b/balance/bench_test.go
@@ -0,0 +1,31 @@
+package balance
+
+import (
+	"strconv"
+	"testing"
+	"time"
+)
+
+// One request with its probes and its answer, in a fleet of full size that the node keeps to whole.
+func BenchmarkRequestAtFullSize(b *testing.B) {
+	cfg := site()
+	cfg.Instances, cfg.Prices.Probe = 600, 0.001
+	cfg.Tenants = nil
+	members := make([]Member, 250)
+	for i := range members {
+		members[i] = member(BackendID(i+1), 0, i/5)
+	}
+	r := newRig(b, cfg, members...)
+	for i := 0; b.Loop(); i++ {
+		id := strconv.Itoa(i)
+		r.wait(200 * time.Millisecond)
+		r.do(Event{Kind: RequestArrived, Request: id, Hint: 20 * ms, Budget: time.Second})
+		for _, a := range of(Probe, r.last) {
+			r.do(report(a.Backend, 1))
+			for _, s := range of(Send, r.last) {
+				r.do(Event{Kind: Outcome, Request: id, Backend: s.Backend, Spent: 20 * ms, NoMore: true})
+			}
+		}
+		r.do(Event{Kind: Timer, Mark: r.b.lastMark})
+	}
+}
--- /dev/null
+++ b/cmd/simhost/main_test.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+const conf = `{"nInstances":2,"classes":[{"aim":300000000,"deadline":1200000000,"effect":"pure","keyScope":"all",` +
+	`"points":5}],"limits":{"maxAttempts":3,"probing":true},"obligations":{"overloadFor":1500000000},` +
+	`"loadReport":{"source":"on_probe"},"prices":{"probe":0.01}}`
+
+func runInput(t *testing.T, input string) (out, notes string, err error) {
+	t.Helper()
+	var o, n bytes.Buffer
+	err = run(strings.NewReader(input), &o, &n)
+	return o.String(), n.String(), err
+}
+
+// spawned starts the nodes on a list of one server each, by way of the same list number.
+func spawned(nodes ...int) string {
+	var b strings.Builder
+	b.WriteString("clock atTime=1000000000\n")
+	for _, n := range nodes {
+		fmt.Fprintf(&b, "spawn node=node_%d salt=%d conf=%s\n", n, n, conf)
+		fmt.Fprintf(&b, "list sheet=0 elements=1\nentry backend=%d phase=ready\n", 100+n)
+		fmt.Fprintf(&b, "backends_changed node=node_%d kind=remembered stamp=1 sheet=0\n", n)
+	}
+	b.WriteString("your_turn\n")
+	return b.String()
+}
+
+func arrival(node int, id string) string {
+	return fmt.Sprintf("work_item node=node_%d requestId=%s band=0 timeBudget=1000000000\n", node, id)
+}
+
+func TestEmptyBatches(t *testing.T) {
+	out, _, err := runInput(t, "clock atTime=1\nyour_turn\nclock atTime=1\nyour_turn\n")
+	if err != nil || out != "ack\nack\n" {
+		t.Fatalf("%q %v", out, err)
+	}
+}
+
+// A list number used twice in one batch means another list for each node.
+func TestListNumbersAreResolvedInOrder(t *testing.T) {
+	out, _, err := runInput(t, spawned(1, 2)+"clock atTime=2000000000\n"+arrival(1, "a")+arrival(2, "b")+"your_turn\n")
+	if err != nil || !strings.Contains(out, "call_out node=node_1 requestId=a backend=101") ||
+		!strings.Contains(out, "call_out node=node_2 requestId=b backend=102") {
+		t.Fatalf("%s %v", out, err)
+	}
+}
+
+func lines(text, node string) (out []string) {
+	for _, l := range strings.Split(text, "\n") {
+		if strings.Contains(l, "node="+node+" ") {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func TestNodesActAsTheyWouldAlone(t *testing.T) {
+	var both, alone strings.Builder
+	both.WriteString(spawned(1, 2))
+	alone.WriteString(spawned(2))
+	for i := range 50 {
+		clock := fmt.Sprintf("clock atTime=%d\n", 2000000000+i*3000000)
+		mine := arrival(2, fmt.Sprint("b", i))
+		both.WriteString(clock + arrival(1, fmt.Sprint("a", i)) + mine + "your_turn\n")
+		alone.WriteString(clock + mine + "your_turn\n")
+	}
+	x, _, err1 := runInput(t, both.String())
+	y, _, err2 := runInput(t, alone.String())
+	if err1 != nil || err2 != nil {
+		t.Fatal(err1, err2)
+	}
+	if a, b := strings.Join(lines(x, "node_2"), "\n"), strings.Join(lines(y, "node_2"), "\n"); a != b || a == "" {
+		t.Errorf("together:\n%s\nalone:\n%s", a, b)
+	}
+}
+
+func TestRestartForgets(t *testing.T) {
+	out, _, err := runInput(t, spawned(1)+"clock atTime=2000000000\n"+arrival(1, "a")+"teardown node=node_1\n"+
+		strings.TrimPrefix(spawned(1), "clock atTime=1000000000\n")+
+		"clock atTime=4000000000\nbell node=node_1 mark=1\nyour_turn\n")
+	if err != nil || !strings.HasSuffix(out, "ack\nack\n") {
+		t.Fatalf("a timer of the earlier life was answered: %s %v", out, err)
+	}
+}
+
+func TestEventsForTheDeadAreNoted(t *testing.T) {
+	out, notes, err := runInput(t, "clock atTime=1\nbell node=node_9 mark=1\nweather sky=blue\nyour_turn\n")
+	if err != nil || out != "ack\n" || !strings.Contains(notes, "node_9") || !strings.Contains(notes, "weather") {
+		t.Fatalf("%q %q %v", out, notes, err)
+	}
+}
+
+// Only whole replies go out: a batch that breaks off leaves nothing of itself.
+func TestBadInputEndsWithoutAPartOfAReply(t *testing.T) {
+	for _, bad := range []string{
+		"clock atTime=2000000000\n" + arrival(1, "a") + "bell node=node_1\nyour_turn\n",
+		"clock atTime=2000000000\n" + arrival(1, "a"),
+		"clock atTime=1\nyour_turn\n",
+		arrival(1, "a"),
+		"clock atTime=2000000000\nspawn node=node_1 salt=1 conf={\"nInstances\":-1}\nyour_turn\n",
+	} {
+		want, _, _ := runInput(t, spawned(1))
+		out, _, err := runInput(t, spawned(1)+bad)
+		if err == nil || out != want {
+			t.Errorf("%q: %v, output %q", bad, err, strings.TrimPrefix(out, want))
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,646 @@
+// Package wire reads and writes the line protocol between the bench and the
+// adapter. It holds no policy. Malformed lines are errors that name the line
+// and the field; unknown messages, fields and settings are skipped.
+package wire
+
+import (
+	"bufio"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"aspentiller/balance"
+)
+
+// Kind says what a message is.
+type Kind uint8
+
+// Kinds of messages.
+const (
+	Clock    Kind = iota // At
+	Turn                 // the batch is complete: reply now
+	Spawn                // Node, Salt, Config
+	Teardown             // Node
+	List                 // Sheet, Members
+	Happened             // Node, Event; Sheet if UsesSheet
+	Unknown              // Name: a message this version does not know
+)
+
+// MaxSheet is the highest number of a list.
+const MaxSheet = 15
+
+// Message is one message from the bench.
+type Message struct {
+	Kind      Kind
+	Line      int
+	Name      string
+	Node      string
+	At        time.Duration
+	Salt      uint64
+	Config    balance.Config
+	Sheet     int
+	UsesSheet bool // Event.Members is to be taken from list Sheet
+	Members   []balance.Member
+	Event     balance.Event
+}
+
+// Reader reads messages.
+type Reader struct {
+	in   *bufio.Reader
+	line int
+}
+
+// NewReader returns a Reader on r.
+func NewReader(r io.Reader) *Reader { return &Reader{in: bufio.NewReaderSize(r, 1<<16)} }
+
+// readLine returns the next line without its end; io.EOF only at a clean end.
+func (r *Reader) readLine() (string, error) {
+	s, err := r.in.ReadString('\n')
+	if err == io.EOF && s != "" {
+		return "", fmt.Errorf("line %d: cut short", r.line+1)
+	}
+	if err != nil {
+		return "", err
+	}
+	r.line++
+	return s[:len(s)-1], nil
+}
+
+// Next returns the next message; io.EOF at the end of input.
+func (r *Reader) Next() (Message, error) {
+	s, err := r.readLine()
+	if err != nil {
+		return Message{}, err
+	}
+	f, err := split(s, r.line)
+	if err != nil {
+		return Message{}, err
+	}
+	m := Message{Line: r.line, Name: f.name}
+	r.decode(&m, f)
+	return m, f.err
+}
+
+// decode fills in m from its fields; errors stay in f.
+func (r *Reader) decode(m *Message, f *fields) {
+	switch f.name {
+	case "clock":
+		m.Kind, m.At = Clock, f.duration("atTime")
+		return
+	case "your_turn":
+		m.Kind = Turn
+		return
+	case "list":
+		m.Kind, m.Sheet = List, f.sheet()
+		m.Members = r.entries(f)
+		return
+	case "spawn":
+		m.Kind, m.Node, m.Salt = Spawn, f.text("node"), f.unsigned("salt", math.MaxUint64)
+		m.Config = f.settings("conf")
+		return
+	case "teardown":
+		m.Kind, m.Node = Teardown, f.text("node")
+		return
+	}
+	m.Kind = Happened
+	e := &m.Event
+	switch f.name {
+	case "backends_changed":
+		e.Kind = memberKinds[f.oneOf("kind", memberKindNames)]
+		f.unsigned("stamp", math.MaxInt64)
+		if m.UsesSheet = e.Kind != balance.MembersRefused; m.UsesSheet {
+			m.Sheet = f.sheet()
+		}
+	case "work_item":
+		e.Kind, e.Request = balance.RequestArrived, f.text("requestId")
+		e.Class, e.Budget = f.index("band"), f.duration("timeBudget")
+		f.optional(func() {
+			e.Tenant, e.Hint = f.index("userGroup"), f.duration("predicted")
+			e.Repeat, e.Write = f.flag("againByClient"), f.flag("mutates")
+			if e.HasKey = f.has("routeKey"); e.HasKey {
+				e.Key = f.unsigned("routeKey", 1<<53-1)
+			}
+		})
+	case "first":
+		e.Kind, e.Request, e.Backend = balance.StreamStarted, f.text("requestId"), f.backend()
+		e.Attempt, e.Spent = f.index("attempt"), f.duration("spent")
+	case "bell":
+		e.Kind, e.Mark = balance.Timer, f.unsigned("mark", math.MaxInt64)
+	case "probe_result":
+		e.Kind, e.Backend, e.Spent = balance.Probed, f.backend(), f.duration("spent")
+		e.Status, e.Load = f.status(), f.load()
+	case "client_gone":
+		e.Kind, e.Request = balance.ClientGone, f.text("requestId")
+	case "from_peer":
+		e.Kind, e.Peer, e.Payload = balance.PeerMessage, f.index("by"), f.bytes("raw")
+	case "answer":
+		e.Kind, e.Request, e.Backend = balance.Outcome, f.text("requestId"), f.backend()
+		e.Attempt, e.Spent, e.Status = f.index("attempt"), f.duration("spent"), f.status()
+		e.Load = f.load()
+		f.optional(func() { e.NoMore = f.flag("noMore") })
+	default:
+		m.Kind = Unknown
+		return
+	}
+	m.Node = f.text("node")
+}
+
+// entries reads the lines of a list.
+func (r *Reader) entries(f *fields) []balance.Member {
+	n := f.index("elements")
+	if f.err != nil {
+		return nil
+	}
+	list := make([]balance.Member, 0, min(n, 1<<12))
+	for range n {
+		s, err := r.readLine()
+		if err != nil {
+			f.fail("elements", fmt.Sprintf("%d announced, %d found", n, len(list)))
+			return nil
+		}
+		e, err := split(s, r.line)
+		if err == nil && e.name != "entry" {
+			err = fmt.Errorf("line %d: %q where an entry is due", r.line, e.name)
+		}
+		if err != nil {
+			f.err = err
+			return nil
+		}
+		m := balance.Member{Backend: e.backend(), Weight: 1}
+		m.Phase = balance.Phase(e.oneOf("phase", phaseNames))
+		e.optional(func() {
+			m.Zone, m.Cell, m.Kind = e.index("rackZone"), e.index("stripe"), e.index("generationHw")
+			m.Launched = e.duration("launched")
+			if e.has("nominal") {
+				m.Weight = e.number("nominal")
+			}
+		})
+		if e.err != nil {
+			f.err = e.err
+			return nil
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+var (
+	memberKindNames = []string{"changes", "all", "remembered", "refused"}
+	memberKinds     = []balance.EventKind{balance.MembersChanged, balance.MembersAll,
+		balance.MembersRemembered, balance.MembersRefused}
+	phaseNames  = []string{"ready", "draining", "gone"}
+	statusNames = []string{"delivered", "app_error", "shed", "expired", "dial_failed", "dropped",
+		"revoked", "unused"}
+	loadNames = []string{"active", "waiting", "cpu", "avg_ms", "rps", "err_rps"}
+)
+
+// fields are the parts of one line. The first failure stays in err.
+type fields struct {
+	line  int
+	name  string
+	kv    []field
+	loose bool // missing fields read as zero
+	err   error
+}
+
+type field struct{ key, value string }
+
+// split cuts a line at its spaces. A text field runs to the end of the line.
+func split(s string, line int) (*fields, error) {
+	name, rest, more := strings.Cut(s, " ")
+	f := &fields{line: line, name: name, kv: make([]field, 0, 12)}
+	if name == "" || strings.Contains(name, "=") {
+		return nil, fmt.Errorf("line %d: no message name", line)
+	}
+	for more {
+		var part string
+		if strings.HasPrefix(rest, "conf=") || strings.HasPrefix(rest, "bodyText=") {
+			part, more = rest, false
+		} else {
+			part, rest, more = strings.Cut(rest, " ")
+		}
+		key, value, ok := strings.Cut(part, "=")
+		if !ok || key == "" {
+			return nil, fmt.Errorf("line %d: %s: part %q is not name=value", line, name, part)
+		}
+		if f.has(key) {
+			return nil, fmt.Errorf("line %d: %s: field %s given twice", line, name, key)
+		}
+		f.kv = append(f.kv, field{key, value})
+	}
+	return f, nil
+}
+
+func (f *fields) fail(key, why string) {
+	if f.err == nil {
+		f.err = fmt.Errorf("line %d: %s: field %s: %s", f.line, f.name, key, why)
+	}
+}
+
+func (f *fields) has(key string) bool {
+	for i := range f.kv {
+		if f.kv[i].key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// optional runs read with missing fields taken as zero.
+func (f *fields) optional(read func()) {
+	f.loose = true
+	read()
+	f.loose = false
+}
+
+// get returns the value of a field; ok is false if there is nothing to parse.
+func (f *fields) get(key string) (value string, ok bool) {
+	for i := range f.kv {
+		if f.kv[i].key == key {
+			return f.kv[i].value, true
+		}
+	}
+	if !f.loose {
+		f.fail(key, "missing")
+	}
+	return "", false
+}
+
+func (f *fields) text(key string) string {
+	s, ok := f.get(key)
+	if ok && s == "" {
+		f.fail(key, "empty")
+	}
+	return s
+}
+
+func (f *fields) unsigned(key string, most uint64) uint64 {
+	s, ok := f.get(key)
+	if !ok {
+		return 0
+	}
+	v, err := strconv.ParseUint(s, 10, 64)
+	if err != nil || v > most {
+		f.fail(key, fmt.Sprintf("%q is not a whole number up to %d", s, most))
+		return 0
+	}
+	return v
+}
+
+func (f *fields) index(key string) int { return int(f.unsigned(key, math.MaxInt32)) }
+
+func (f *fields) duration(key string) time.Duration {
+	return time.Duration(f.unsigned(key, math.MaxInt64))
+}
+
+func (f *fields) backend() balance.BackendID {
+	return balance.BackendID(f.unsigned("backend", math.MaxUint32))
+}
+
+func (f *fields) sheet() int { return int(f.unsigned("sheet", MaxSheet)) }
+
+func (f *fields) flag(key string) bool { return f.unsigned(key, 1) == 1 }
+
+func (f *fields) number(key string) float64 {
+	s, _ := f.get(key)
+	return f.parseNumber(key, s)
+}
+
+func (f *fields) parseNumber(key, s string) float64 {
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+		f.fail(key, fmt.Sprintf("%q is not a number", s))
+		return 0
+	}
+	return v
+}
+
+func (f *fields) oneOf(key string, names []string) int {
+	s, ok := f.get(key)
+	if !ok {
+		return 0
+	}
+	for i, n := range names {
+		if s == n {
+			return i
+		}
+	}
+	f.fail(key, fmt.Sprintf("%q is not one of %s", s, strings.Join(names, ", ")))
+	return 0
+}
+
+func (f *fields) status() balance.Status { return balance.Status(f.oneOf("status", statusNames)) }
+
+func (f *fields) bytes(key string) []byte {
+	s, ok := f.get(key)
+	if !ok || s == "-" {
+		return nil
+	}
+	b, err := base64.StdEncoding.Strict().DecodeString(s)
+	if err != nil {
+		f.fail(key, "not base64")
+	}
+	return b
+}
+
+// load reads a load report. Values of other names are skipped.
+func (f *fields) load() balance.Load {
+	var l balance.Load
+	if !f.has("load") {
+		return l
+	}
+	s, _ := f.get("load")
+	if s == "" || s == "-" {
+		return l
+	}
+	into := [...]*float64{&l.Active, &l.Waiting, &l.CPU, &l.AvgMs, &l.RPS, &l.ErrRPS}
+	for _, pair := range strings.Split(s, ",") {
+		name, value, ok := strings.Cut(pair, ":")
+		if !ok {
+			f.fail("load", fmt.Sprintf("%q is not name:value", pair))
+			return l
+		}
+		for i, n := range loadNames {
+			if n == name {
+				*into[i] = f.parseNumber("load", value)
+				l.Has |= 1 << i
+			}
+		}
+	}
+	return l
+}
+
+// settings reads the settings object.
+func (f *fields) settings(key string) balance.Config {
+	s, ok := f.get(key)
+	if !ok {
+		return balance.Config{}
+	}
+	var c conf
+	if err := json.Unmarshal([]byte(s), &c); err != nil {
+		f.fail(key, err.Error())
+		return balance.Config{}
+	}
+	cfg, err := c.config()
+	if err != nil {
+		f.fail(key, err.Error())
+	}
+	return cfg
+}
+
+// conf is the settings object as the wire spells it.
+type conf struct {
+	NInstances int `json:"nInstances"`
+	Index      int `json:"index"`
+	Zone       int `json:"zone"`
+	Classes    []struct {
+		Aim        int64   `json:"aim"`
+		AimStretch float64 `json:"aimStretch"`
+		Deadline   int64   `json:"deadline"`
+		Effect     string  `json:"effect"`
+		KeyScope   string  `json:"keyScope"`
+		Window     int64   `json:"window"`
+		LateWorth  float64 `json:"lateWorth"`
+		Points     float64 `json:"points"`
+		Stream     bool    `json:"stream"`
+	} `json:"classes"`
+	Tenants []struct {
+		QuotaPerS float64 `json:"quotaPerS"`
+		Share     float64 `json:"share"`
+	} `json:"tenants"`
+	OverShareWorth float64 `json:"overShareWorth"`
+	WorthBy        string  `json:"worthBy"`
+	Domain         struct {
+		WarmKeys       bool `json:"warmKeys"`
+		PassesDeadline bool `json:"passesDeadline"`
+	} `json:"domain"`
+	Callers struct {
+		MarksRetry bool `json:"marksRetry"`
+	} `json:"callers"`
+	MembershipMode string `json:"membershipMode"`
+	LoadReport     struct {
+		Source  string   `json:"source"`
+		Columns []string `json:"columns"`
+	} `json:"loadReport"`
+	WeightKind string `json:"weightKind"`
+	Limits     struct {
+		Cancelling     bool  `json:"cancelling"`
+		Probing        bool  `json:"probing"`
+		Peers          bool  `json:"peers"`
+		SecondCopies   bool  `json:"secondCopies"`
+		RetryAfter     bool  `json:"retryAfter"`
+		MaxAttempts    int   `json:"maxAttempts"`
+		MaxRetryAfter  int64 `json:"maxRetryAfter"`
+		ConnectTimeout int64 `json:"connectTimeout"`
+		IdleClose      int64 `json:"idleClose"`
+		StreamsPerConn int   `json:"streamsPerConn"`
+		MaxOpen        int   `json:"maxOpen"`
+
+		CPUPerSecond  float64 `json:"cpuUsPerS"`
+		CPUPerRequest float64 `json:"cpuUsPerRequest"`
+	} `json:"limits"`
+	Prices struct {
+		CrossZone float64 `json:"crossZone"`
+		Waste     float64 `json:"waste"`
+		LateFail  float64 `json:"lateFail"`
+		Probe     float64 `json:"probe"`
+		Peer      float64 `json:"peer"`
+		Handshake float64 `json:"handshake"`
+
+		Connection float64 `json:"connection"`
+		Discovery  float64 `json:"membershipMode"`
+		Moves      float64 `json:"moves"`
+		Origin     float64 `json:"origin"`
+		Fleet      float64 `json:"fleet"`
+	} `json:"prices"`
+	Obligations struct {
+		GraceToAnswer int64   `json:"graceToAnswer"`
+		DrainGrace    int64   `json:"drainGrace"`
+		AskEvery      int64   `json:"askEvery"`
+		ColdShare     float64 `json:"coldShare"`
+		WarmWithin    int64   `json:"warmWithin"`
+		FallMultiple  float64 `json:"fallMultiple"`
+		OverloadFor   int64   `json:"overloadFor"`
+	} `json:"obligations"`
+	Goal struct {
+		Whole       float64 `json:"whole"`
+		WorstClass  float64 `json:"worstClass"`
+		WorstTenant float64 `json:"worstTenant"`
+		WorstWindow float64 `json:"worstWindow"`
+	} `json:"goal"`
+	Tick        int64    `json:"tick"`
+	Stage       int      `json:"stage"`
+	Zones       []string `json:"zones"`
+	Tiers       []string `json:"tiers"`
+	SKUs        []string `json:"skus"`
+	ServiceType string   `json:"serviceType"`
+}
+
+// check reports what cannot be a setting, whether or not the module uses it.
+func (c *conf) check() error {
+	switch l, p := c.Limits, c.Prices; {
+	case c.NInstances < 0:
+		return errors.New("nInstances: negative")
+	case c.Index < 0 || c.Index >= max(c.NInstances, 1):
+		return errors.New("index: not below nInstances")
+	case c.Zone < 0 || len(c.Zones) > 0 && c.Zone >= len(c.Zones):
+		return errors.New("zone: not one of zones")
+	case c.Stage < 0 || len(c.Tiers) > 0 && c.Stage >= len(c.Tiers):
+		return errors.New("stage: not one of tiers")
+	case min(l.MaxAttempts, l.MaxOpen, l.StreamsPerConn) < 0:
+		return errors.New("limits: a negative count")
+	case min(l.CPUPerSecond, l.CPUPerRequest) < 0:
+		return errors.New("limits: a negative CPU limit")
+	case min(l.MaxRetryAfter, l.ConnectTimeout, l.IdleClose) < 0:
+		return errors.New("limits: a negative time")
+	case min(p.CrossZone, p.Waste, p.LateFail, p.Probe, p.Peer, p.Handshake, p.Connection, p.Discovery,
+		p.Moves, p.Origin, p.Fleet) < 0:
+		return errors.New("prices: a negative price")
+	case len(c.LoadReport.Columns) > 4:
+		return errors.New("loadReport.columns: more than four")
+	}
+	return nil
+}
+
+// config turns the settings into a balance.Config.
+func (c *conf) config() (balance.Config, error) {
+	errs := []error{c.check()}
+	pick := func(what, s string, names ...string) int {
+		for i, n := range names {
+			if s == n {
+				return i
+			}
+		}
+		if s != "" {
+			errs = append(errs, fmt.Errorf("%s: %q is not one of %s", what, s, strings.Join(names, ", ")))
+		}
+		return 0
+	}
+	cfg := balance.Config{
+		Index: c.Index, Instances: c.NInstances, Zone: c.Zone,
+		OverShareWorth: c.OverShareWorth, WarmKeys: c.Domain.WarmKeys, ClientsMark: c.Callers.MarksRetry,
+		WorthByWork:  pick("worthBy", c.WorthBy, "request", "work") == 1,
+		AskDiscovery: pick("membershipMode", c.MembershipMode, "push", "ask") == 1,
+		Reports:      balance.ReportSource(pick("loadReport.source", c.LoadReport.Source, "off", "on_probe", "inline")),
+		Weights:      balance.WeightKind(pick("weightKind", c.WeightKind, "off", "nominal", "rough", "live")),
+		Tick:         time.Duration(c.Tick), PassesDeadline: c.Domain.PassesDeadline, Stage: c.Stage,
+	}
+	for i, name := range loadNames {
+		if slices.Contains(c.LoadReport.Columns, name) {
+			cfg.Columns |= 1 << i
+		}
+	}
+	for _, k := range c.Classes {
+		cfg.Classes = append(cfg.Classes, balance.Class{
+			Aim: time.Duration(k.Aim), AimStretch: k.AimStretch, Deadline: time.Duration(k.Deadline),
+			Effect: balance.Effect(pick("effect", k.Effect, "side_effect", "token", "pure")),
+			Scope:  balance.Scope(pick("keyScope", k.KeyScope, "cell", "zone", "all")),
+			Window: time.Duration(k.Window), LateWorth: k.LateWorth, Points: k.Points, Stream: k.Stream,
+		})
+	}
+	for _, t := range c.Tenants {
+		cfg.Tenants = append(cfg.Tenants, balance.Tenant{QuotaPerSecond: t.QuotaPerS, Share: t.Share})
+	}
+	l, p, o := c.Limits, c.Prices, c.Obligations
+	cfg.Limits = balance.Limits{
+		Cancelling: l.Cancelling, Probing: l.Probing, Peers: l.Peers, SecondCopies: l.SecondCopies,
+		RetryAfter: l.RetryAfter, MaxAttempts: l.MaxAttempts, MaxRetryAfter: time.Duration(l.MaxRetryAfter),
+		ConnectTimeout: time.Duration(l.ConnectTimeout), IdleClose: time.Duration(l.IdleClose),
+		StreamsPerConn: l.StreamsPerConn, MaxOpen: l.MaxOpen,
+		CPUPerSecond:  time.Duration(l.CPUPerSecond * float64(time.Microsecond)),
+		CPUPerRequest: time.Duration(l.CPUPerRequest * float64(time.Microsecond)),
+	}
+	cfg.Prices = balance.Prices{CrossZone: p.CrossZone, Waste: p.Waste, LateFail: p.LateFail,
+		Probe: p.Probe, Peer: p.Peer, Handshake: p.Handshake,
+		Connection: p.Connection, Discovery: p.Discovery}
+	cfg.Rules = balance.Rules{
+		GraceToAnswer: time.Duration(o.GraceToAnswer), DrainGrace: time.Duration(o.DrainGrace),
+		AskEvery: time.Duration(o.AskEvery), ColdShare: o.ColdShare, WarmWithin: time.Duration(o.WarmWithin),
+		FallMultiple: o.FallMultiple, OverloadFor: time.Duration(o.OverloadFor),
+	}
+	cfg.Goal = balance.Goal{Whole: c.Goal.Whole, WorstClass: c.Goal.WorstClass,
+		WorstTenant: c.Goal.WorstTenant, WorstWindow: c.Goal.WorstWindow}
+	return cfg, errors.Join(errs...)
+}
+
+// AppendAction appends an action of a node as a line of a reply.
+func AppendAction(b []byte, node string, a *balance.Action) []byte {
+	num := func(key string, v int64) {
+		b = append(append(b, ' '), key...)
+		b = strconv.AppendInt(append(b, '='), v, 10)
+	}
+	str := func(key, v string) {
+		b = append(append(b, ' '), key...)
+		b = append(append(b, '='), v...)
+	}
+	verb := func(name string) {
+		b = append(b, name...)
+		str("node", node)
+	}
+	switch a.Kind {
+	case balance.Send:
+		verb("call_out")
+		str("requestId", a.Request)
+		num("backend", int64(a.Backend))
+		if a.Limit != 0 {
+			num("limit", int64(a.Limit))
+		}
+	case balance.Cancel:
+		verb("abandon")
+		str("requestId", a.Request)
+		num("attempt", int64(a.Attempt))
+	case balance.Refuse:
+		verb("decline")
+		str("requestId", a.Request)
+		if a.RetryIn > 0 {
+			num("retryIn", int64(a.RetryIn))
+		}
+	case balance.Fail:
+		verb("give_up")
+		str("requestId", a.Request)
+	case balance.Probe:
+		verb("test")
+		num("backend", int64(a.Backend))
+	case balance.SetTimer:
+		verb("schedule")
+		num("in", int64(a.In))
+		num("mark", int64(a.Mark))
+	case balance.Watch:
+		verb("subscribe")
+		num("active", 1)
+	case balance.Unwatch:
+		verb("subscribe")
+		num("active", 0)
+	case balance.Fetch:
+		verb("query_all")
+	case balance.Tell:
+		verb("say")
+		if a.Peer == balance.AllPeers {
+			str("target", "all")
+		} else {
+			num("target", int64(a.Peer))
+		}
+		if len(a.Payload) == 0 {
+			str("raw", "-")
+		} else {
+			str("raw", base64.StdEncoding.EncodeToString(a.Payload))
+		}
+	case balance.Close:
+		verb("disconnect")
+		num("backend", int64(a.Backend))
+	case balance.Log:
+		verb("say_log")
+		str("bodyText", strings.NewReplacer("\n", " ", "\r", " ").Replace(a.Text))
+	}
+	return append(b, '\n')
+}
+
+// AppendAck appends the end of a reply.
+func AppendAck(b []byte) []byte { return append(b, "ack\n"...) }
