--- /dev/null
+++ b/internal/node/backend.go
@@ -0,0 +1,276 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"aspentiller/balance"
+	"aspentiller/internal/settings"
+)
+
+const (
+	// bodyMost bounds the body of a message, headMost its head.
+	bodyMost, headMost = 64 << 10, 16 << 10
+	// informMost is how many 1xx answers may come ahead of the one that counts.
+	informMost = 8
+	// probeWithin is how long a probe may take: an answer that comes later tells of the past.
+	probeWithin = 150 * time.Millisecond
+	// reportHeader carries a load report, neverRanHeader tells that a request never ran.
+	reportHeader, neverRanHeader = "Endpoint-Load-Metrics", "X-Never-Ran"
+)
+
+// exchanges sends attempts and probes to backends. Each runs in a goroutine of its own on one connection.
+//
+// The connections are not net/http's own. Its Transport sends a request again when a reused connection breaks,
+// and its ClientConn, which does not, reports a request as written (httptrace.WroteRequest) while it still
+// stands in a buffer: neither tells whether the last byte has left, which decides if an attempt may have run.
+// Here a request goes out whole in one Write. net/http still words it and reads the answer.
+type exchanges struct {
+	pool     *pool
+	host     string
+	inline   bool // answers carry load reports
+	complain *limited
+}
+
+func newExchanges(p *pool, inline bool, log *slog.Logger) *exchanges {
+	return &exchanges{pool: p, inline: inline, complain: &limited{log: log}}
+}
+
+// message is what a client asked for, as it goes on to backends.
+type message struct {
+	method string
+	url    *url.URL
+	host   string
+	header http.Header
+	body   []byte
+}
+
+// result is how an exchange ended.
+type result struct {
+	status      balance.Status
+	load        balance.Load
+	spent       time.Duration
+	body        []byte
+	contentType string
+}
+
+// call is an exchange under way.
+type call struct {
+	cancel context.CancelFunc
+	state  atomic.Int32
+}
+
+// States of a call: its first byte has not been written, or it may have been, or it never will be.
+const (
+	callQueued int32 = iota
+	callWriting
+	callBarred
+)
+
+// bar keeps a call that has not begun to write from ever doing so: a send counts for a drain from its first
+// byte, and a dial may outlast the grace. It tells whether it came in time.
+func (c *call) bar() bool { return c.state.CompareAndSwap(callQueued, callBarred) }
+
+// attempt sends a message to an endpoint and calls done, from another goroutine, with how it ended. What is not
+// over by the deadline is ended then, and its connection with it.
+func (x *exchanges) attempt(to endpoint, m *message, deadline time.Time, done func(result)) *call {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	c := &call{cancel: cancel}
+	go func() {
+		defer cancel()
+		start := time.Now()
+		r := x.exchange(ctx, c, to, m, deadline)
+		r.spent = time.Since(start)
+		done(r)
+	}()
+	return c
+}
+
+// exchange carries out one attempt on one connection, once.
+func (x *exchanges) exchange(ctx context.Context, c *call, to endpoint, m *message, deadline time.Time) result {
+	cn, err := x.pool.get(ctx, to)
+	switch {
+	case errors.Is(err, errNoRoom):
+		return result{status: balance.Unused} // says nothing of the backend
+	case err != nil:
+		return result{status: balance.DialFailed}
+	}
+	if ctx.Err() != nil || !c.state.CompareAndSwap(callQueued, callWriting) {
+		x.pool.put(cn)
+		return result{status: balance.Unused}
+	}
+	text, err := m.wire(to.addr, time.Until(deadline))
+	if err != nil {
+		x.pool.put(cn)
+		return result{status: balance.Unused}
+	}
+	// Given up means closed, at once: nothing that comes later can reach anyone.
+	stop := context.AfterFunc(ctx, func() { cn.Close() })
+	defer stop()
+	cn.SetDeadline(deadline)
+	if n, err := cn.Write(text); err != nil {
+		x.pool.discard(cn)
+		if n < len(text) {
+			return result{status: balance.DialFailed} // the last byte never left
+		}
+		return result{status: x.broken(ctx, err)}
+	}
+	resp, body, err := cn.answer(m.method)
+	if err != nil {
+		x.pool.discard(cn)
+		return result{status: x.broken(ctx, err)}
+	}
+	if resp.Close || cn.read.Buffered() > 0 || !stop() {
+		x.pool.discard(cn)
+	} else {
+		cn.SetDeadline(time.Time{})
+		x.pool.put(cn)
+	}
+	r := result{status: outcome(resp), body: body, contentType: resp.Header.Get("Content-Type")}
+	if text := resp.Header.Get(reportHeader); text != "" && x.inline {
+		r.load = x.report(text)
+	}
+	return r
+}
+
+// broken tells how an attempt ended that was written whole and got no whole answer. It may have run.
+func (x *exchanges) broken(ctx context.Context, err error) balance.Status {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return balance.Expired
+	case ctx.Err() != nil:
+		return balance.Revoked
+	}
+	return balance.Dropped
+}
+
+// outcome reads a whole answer's status.
+func outcome(resp *http.Response) balance.Status {
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return balance.Delivered
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		if resp.Header.Get(neverRanHeader) == "1" {
+			return balance.Shed
+		}
+	}
+	return balance.AppError
+}
+
+// wire words the message for a backend, in one piece.
+func (m *message) wire(addr string, left time.Duration) ([]byte, error) {
+	header := m.header.Clone()
+	header.Set("X-Expires-In", strconv.FormatFloat(max(left, 0).Seconds(), 'f', 3, 64))
+	req := http.Request{Method: m.method, URL: m.url, Host: m.host, Header: header,
+		ContentLength: int64(len(m.body))}
+	if len(m.body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(m.body))
+	} else {
+		req.Body = http.NoBody
+	}
+	var b bytes.Buffer
+	b.Grow(len(m.body) + 1<<10)
+	err := req.Write(&b)
+	return b.Bytes(), err
+}
+
+// answer reads one whole answer.
+func (c *conn) answer(method string) (*http.Response, []byte, error) {
+	c.limit.N = headMost + bodyMost + 1
+	req := &http.Request{Method: method}
+	for range informMost {
+		resp, err := http.ReadResponse(c.read, req)
+		if err != nil {
+			return nil, nil, err
+		}
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		if resp.ContentLength > bodyMost {
+			return nil, nil, errors.New("answer too long")
+		}
+		body, err := io.ReadAll(io.LimitReader(resp.Body, bodyMost+1))
+		switch {
+		case err != nil:
+			return nil, nil, err
+		case len(body) > bodyMost:
+			return nil, nil, errors.New("answer too long")
+		case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+			// It ended with its connection: nothing tells whether it is whole.
+			return nil, nil, io.ErrUnexpectedEOF
+		}
+		return resp, body, nil
+	}
+	return nil, nil, errors.New("too many 1xx answers")
+}
+
+// probe asks an endpoint for its load report.
+func (x *exchanges) probe(to endpoint, done func(result)) {
+	x.attempt(to, &message{method: http.MethodGet, url: &url.URL{Path: "/stats"}, host: to.addr, header: http.Header{}},
+		time.Now().Add(probeWithin), func(r result) {
+			if r.status == balance.Delivered && r.load.Has == 0 {
+				r.load = x.report(string(r.body))
+			}
+			if r.status == balance.AppError {
+				r.status = balance.Shed // a probe that is turned away
+			}
+			done(r)
+		})
+}
+
+// report reads a load report and complains, at a bounded rate, of one that can't be read.
+func (x *exchanges) report(text string) balance.Load {
+	l, err := parseReport(text)
+	if err != nil {
+		x.complain.warn("malformed load report", "error", err)
+	}
+	return l
+}
+
+// reportNames are the names of the values on sockets where they differ from those of the settings.
+var reportNames = map[string]string{"inflight": "active", "queue": "waiting", "util": "cpu",
+	"latency_ms": "avg_ms", "qps": "rps", "eps": "err_rps"}
+
+// parseReport reads "TEXT name=value, name=value". Values of other names are skipped; one malformed value
+// spoils the report.
+func parseReport(text string) (balance.Load, error) {
+	var l balance.Load
+	into := [...]*float64{&l.Active, &l.Waiting, &l.CPU, &l.AvgMs, &l.RPS, &l.ErrRPS}
+	text = strings.TrimSpace(text)
+	text = strings.TrimSpace(strings.TrimPrefix(text, "TEXT"))
+	if text == "" {
+		return l, nil // a backend that has just started has none yet
+	}
+	for pair := range strings.SplitSeq(text, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
+		if !ok {
+			return balance.Load{}, fmt.Errorf("%.40q is not name=value", pair)
+		}
+		if n, ok := reportNames[name]; ok {
+			name = n
+		}
+		for i, n := range settings.LoadNames {
+			if n != name {
+				continue
+			}
+			v, err := strconv.ParseFloat(value, 64)
+			if err != nil || !(v >= 0 && v < 1e9) {
+				return balance.Load{}, fmt.Errorf("%s: %.40q is not a figure", name, value)
+			}
+			*into[i] = v
+			l.Has |= 1 << i
+		}
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/node/client.go
@@ -0,0 +1,264 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"aspentiller/balance"
+	"aspentiller/internal/settings"
+)
+
+const (
+	// headWithin and bodyWithin are how long a client may take to send a head and a body, and idleWithin how
+	// long it may keep a connection without a request.
+	headWithin, bodyWithin, idleWithin = 3 * time.Second, 3 * time.Second, 30 * time.Second
+	// answerWithin is how long a client may take to read its answer.
+	answerWithin = 5 * time.Second
+	// early is how much sooner than the client's deadline a request ends: its way here and the answer's way
+	// back take part of the time, and neither can be seen from here.
+	early = 8 * time.Millisecond
+	// fullRetry is when a client may come back that was refused because the node is full.
+	fullRetry = 250 * time.Millisecond
+)
+
+// front is the client side: it reads requests, has the loop decide and writes the answers.
+type front struct {
+	loop     *loop
+	names    settings.Settings
+	log      *slog.Logger
+	most     int64 // requests at once
+	inFlight atomic.Int64
+	conns    atomic.Int64 // connections of clients
+	crowded  int64        // so many connections that answers close theirs
+	leaving  atomic.Bool  // the node is about to end
+}
+
+// newFront returns the client side for a node that may hold so many connections of clients.
+func newFront(l *loop, names settings.Settings, conns int, log *slog.Logger) *front {
+	// Each request in flight may need a connection to a backend, beside those of probes.
+	return &front{loop: l, names: names, log: log, most: int64(conns) * 7 / 8, crowded: int64(conns) * 3 / 4}
+}
+
+// server returns the HTTP server of the client side.
+func (f *front) server() *http.Server {
+	var longest time.Duration
+	for _, c := range f.names.Config.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return &http.Server{
+		Handler:           f,
+		ReadHeaderTimeout: headWithin,
+		IdleTimeout:       idleWithin,
+		WriteTimeout:      bodyWithin + longest + answerWithin,
+		MaxHeaderBytes:    headMost,
+		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
+		ConnState: func(_ net.Conn, s http.ConnState) {
+			switch s {
+			case http.StateNew:
+				f.conns.Add(1)
+			case http.StateClosed, http.StateHijacked:
+				f.conns.Add(-1)
+			}
+		},
+	}
+}
+
+// ServeHTTP answers one request of a client.
+func (f *front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	received := time.Now()
+	if f.leaving.Load() || f.conns.Load() > f.crowded {
+		// Closing after an answer crosses no request, as closing an idle connection may.
+		w.Header().Set("Connection", "close")
+	}
+	switch hr.URL.Path {
+	case "/health/ready":
+		f.health(w, f.loop.ready.Load() && !f.leaving.Load())
+		return
+	case "/health/live":
+		f.health(w, true)
+		return
+	}
+	if f.inFlight.Add(1) > f.most {
+		f.inFlight.Add(-1)
+		w.Header().Set("Connection", "close")
+		refuse(w, fullRetry)
+		return
+	}
+	defer f.inFlight.Add(-1)
+	r, status, err := f.read(w, hr, received)
+	if err != nil {
+		if status >= http.StatusRequestTimeout {
+			w.Header().Set("Connection", "close") // the rest of the body is of no use
+		}
+		http.Error(w, err.Error(), status)
+		return
+	}
+	f.serve(w, hr.Context(), r)
+}
+
+func (f *front) health(w http.ResponseWriter, ok bool) {
+	status, text := http.StatusOK, "ok\n"
+	if !ok {
+		status, text = http.StatusServiceUnavailable, "not ready\n"
+	}
+	w.Header().Set("Content-Type", "text/plain")
+	w.WriteHeader(status)
+	io.WriteString(w, text)
+}
+
+// serve has the loop decide on a request and passes on the one final answer.
+func (f *front) serve(w http.ResponseWriter, ctx context.Context, r *request) {
+	taken := make(chan bool, 1)
+	if !f.loop.post(func() { taken <- f.loop.arrive(r) }) {
+		fail(w, http.StatusBadGateway) // the node is ending
+		return
+	}
+	if !<-taken {
+		http.Error(w, "another request with this id is open", http.StatusConflict)
+		return
+	}
+	select {
+	case a := <-r.reply:
+		write(w, a)
+	case <-ctx.Done():
+		f.loop.post(func() { f.loop.gone(r) })
+		// Returning would have the library word an empty 200.
+		panic(http.ErrAbortHandler)
+	case <-f.loop.done:
+		fail(w, http.StatusBadGateway)
+	}
+}
+
+func write(w http.ResponseWriter, a answer) {
+	switch a.kind {
+	case served:
+		if a.contentType != "" {
+			w.Header().Set("Content-Type", a.contentType)
+		} else {
+			w.Header()["Content-Type"] = nil // none was given: guess none
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+		w.WriteHeader(http.StatusOK)
+		w.Write(a.body)
+	case refused:
+		refuse(w, a.retryIn)
+	case failed:
+		status := http.StatusBadGateway
+		if a.late {
+			status = http.StatusGatewayTimeout
+		}
+		fail(w, status)
+	}
+}
+
+// refuse tells the client that trying again is harmless, and when it may do so.
+func refuse(w http.ResponseWriter, retryIn time.Duration) {
+	if retryIn > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(retryIn.Seconds(), 'f', 3, 64))
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// fail promises nothing.
+func fail(w http.ResponseWriter, status int) {
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+// hopByHop are the headers that belong to one connection, beside those that Connection names.
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length"}
+
+// read checks a request and reads its body. An error comes with the status to answer.
+func (f *front) read(w http.ResponseWriter, hr *http.Request, received time.Time) (*request, int, error) {
+	bad := func(format string, args ...any) (*request, int, error) {
+		return nil, http.StatusBadRequest, fmt.Errorf(format, args...)
+	}
+	h := hr.Header
+	for _, name := range []string{"X-Trace-Id", "X-Qos", "X-Customer", "X-Expires-In", "Idempotency-Key"} {
+		if len(h[name]) > 1 {
+			return bad("%s: given more than once", name)
+		}
+	}
+	r := &request{id: h.Get("X-Trace-Id"), reply: make(chan answer, 1), repeat: h.Get("X-Second-Try") == "1"}
+	if r.id == "" {
+		return bad("X-Trace-Id: missing")
+	}
+	if r.class = slices.Index(f.names.Classes, h.Get("X-Qos")); r.class < 0 {
+		return bad("X-Qos: no such class")
+	}
+	if len(f.names.Tenants) > 0 {
+		if r.tenant = slices.Index(f.names.Tenants, h.Get("X-Customer")); r.tenant < 0 {
+			return bad("X-Customer: no such customer")
+		}
+	}
+	class := &f.names.Config.Classes[r.class]
+	method, keyed := http.MethodPost, false
+	switch class.Effect {
+	case balance.Safe:
+		method = http.MethodGet
+	case balance.Keyed:
+		keyed = true
+	}
+	switch {
+	case hr.Method != method:
+		return nil, http.StatusMethodNotAllowed, fmt.Errorf("requests of this class use %s", method)
+	case keyed && h.Get("Idempotency-Key") == "":
+		return bad("Idempotency-Key: missing")
+	}
+	left := class.Deadline
+	if text := h.Get("X-Expires-In"); text != "" {
+		s, err := strconv.ParseFloat(text, 64)
+		if err != nil || math.IsNaN(s) || s < 0 {
+			return bad("X-Expires-In: not a time in seconds")
+		}
+		left = min(left, time.Duration(min(s, 1e6)*float64(time.Second)))
+	}
+	r.deadline = received.Add(left - early)
+	if us, err := strconv.ParseFloat(h.Get("X-Size-Hint"), 64); err == nil && us > 0 && us < 1e12 {
+		r.hint = time.Duration(us * float64(time.Microsecond))
+	}
+	if key := path.Base(hr.URL.Path); key != "/" && key != "." {
+		sum := fnv.New64a()
+		io.WriteString(sum, key)
+		r.key, r.hasKey = sum.Sum64()>>11, true
+	}
+	if hr.ContentLength > bodyMost {
+		return nil, http.StatusRequestEntityTooLarge, errors.New("body too long")
+	}
+	rc := http.NewResponseController(w)
+	rc.SetReadDeadline(received.Add(bodyWithin))
+	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, bodyMost))
+	if err != nil {
+		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
+			return nil, http.StatusRequestEntityTooLarge, errors.New("body too long")
+		}
+		return nil, http.StatusRequestTimeout, errors.New("body cut short")
+	}
+	// A deadline that passes while the request is served would look as if the client had gone.
+	rc.SetReadDeadline(time.Time{})
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+	r.message = message{method: method, url: hr.URL, host: hr.Host, header: h, body: body}
+	return r, 0, nil
+}
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"aspentiller/internal/settings"
+)
+
+// Config is what a node is told at its start.
+type Config struct {
+	Name       string
+	Listen     string
+	Discovery  string
+	Seed       uint64
+	Limits     Limits
+	PeerListen string
+	Peers      []string
+	PeersAll   string
+	Known      List
+	Settings   settings.Settings
+}
+
+// Limits are those of the machine that a node runs on. Zero: not told.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// LoadConfig reads the configuration from a file.
+func LoadConfig(path string) (Config, error) {
+	if path == "" {
+		return Config{}, errors.New("configuration: no file named")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	cfg, err := ParseConfig(text)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %s: %w", path, err)
+	}
+	return cfg, nil
+}
+
+// ParseConfig decodes and checks a configuration. Unknown keys are skipped.
+func ParseConfig(text []byte) (Config, error) {
+	var raw struct {
+		Name       string          `json:"name"`
+		Listen     string          `json:"listen"`
+		Discovery  string          `json:"discovery"`
+		Seed       string          `json:"seed"`
+		Limits     Limits          `json:"limits"`
+		PeerListen string          `json:"peer_listen"`
+		Peers      []string        `json:"peers"`
+		PeersAll   string          `json:"peers_all"`
+		Known      json.RawMessage `json:"known"`
+		Settings   json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return Config{}, err
+	}
+	cfg := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Limits: raw.Limits,
+		PeerListen: raw.PeerListen, Peers: raw.Peers, PeersAll: raw.PeersAll}
+	var err error
+	if raw.Seed != "" {
+		if cfg.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
+			return Config{}, fmt.Errorf("seed: %q is not a 64-bit hexadecimal number", raw.Seed)
+		}
+	}
+	if len(raw.Settings) == 0 || bytes.Equal(raw.Settings, []byte("null")) {
+		return Config{}, errors.New("settings: missing")
+	}
+	if cfg.Settings, err = settings.Parse(raw.Settings); err != nil {
+		return Config{}, fmt.Errorf("settings: %w", err)
+	}
+	if len(cfg.Settings.Classes) == 0 {
+		return Config{}, errors.New("settings: no classes")
+	}
+	if len(raw.Known) > 0 && !bytes.Equal(raw.Known, []byte("null")) {
+		if cfg.Known, err = parseList(raw.Known, cfg.Settings); err != nil {
+			return Config{}, fmt.Errorf("known: %w", err)
+		}
+	}
+	return cfg, cfg.check()
+}
+
+func (c *Config) check() error {
+	for _, a := range []struct {
+		name, addr string
+		needed     bool
+	}{
+		{"listen", c.Listen, true}, {"discovery", c.Discovery, true},
+		{"peer_listen", c.PeerListen, false}, {"peers_all", c.PeersAll, false},
+	} {
+		if a.addr == "" && !a.needed {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(a.addr); err != nil {
+			return fmt.Errorf("%s: %q is not an address with a port", a.name, a.addr)
+		}
+	}
+	for _, p := range c.Peers {
+		if _, err := netip.ParseAddrPort(p); err != nil {
+			return fmt.Errorf("peers: %q is not an address with a port", p)
+		}
+	}
+	if c.Limits.Cores < 0 || c.Limits.MemoryMB < 0 || c.Limits.Sockets < 0 {
+		return errors.New("limits: a negative limit")
+	}
+	if s := c.Limits.Sockets; s > 0 && s < leastSockets {
+		return fmt.Errorf("limits: %d sockets are too few, %d are needed", s, leastSockets)
+	}
+	return nil
+}
+
+const (
+	// leastSockets is the smallest limit on descriptors that a node starts with, otherSockets what it keeps
+	// for all but clients and backends: listeners, discovery, standard streams, the runtime's own.
+	leastSockets, otherSockets = 64, 32
+	// usualSockets stands for a limit that is not told.
+	usualSockets = 1024
+)
+
+// share divides the descriptors: so many connections of clients, and so many to backends. A request in flight
+// holds one of each; backends get the rest as idle ones are kept there and probes need some.
+func (l Limits) share() (clients, backends int) {
+	n := l.Sockets
+	if n == 0 {
+		n = usualSockets
+	}
+	n -= otherSockets
+	return n / 2, n - n/2
+}
--- /dev/null
+++ b/internal/node/discovery.go
@@ -0,0 +1,250 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"aspentiller/balance"
+	"aspentiller/internal/settings"
+)
+
+const (
+	// watchWait is how long a watch asks discovery to wait. A cut-off discovery says nothing, so it is short:
+	// news is then late by no more than this and callSlack.
+	watchWait = 2 * time.Second
+	// callSlack is how long an answer may take beyond that.
+	callSlack = time.Second
+	// watchGap is the longest time between two calls of a watch for which nothing can have been missed; it
+	// stays below the 200 ms after which discovery ends one.
+	watchGap = 150 * time.Millisecond
+	// The wait after a failed call doubles from retryLeast to retryMost.
+	retryLeast, retryMost = 50 * time.Millisecond, time.Second
+	// listMost bounds the text of a list.
+	listMost = 4 << 20
+)
+
+// List is a list of backends, or of changes to one.
+type List struct {
+	Revision int64
+	Complete bool
+	Members  []Member
+}
+
+// Member is one backend in a List.
+type Member struct {
+	ID   string
+	Addr string
+	balance.Member
+}
+
+// parseList decodes a list as discovery words it. One malformed entry spoils the whole list: half a list
+// could hide a drain.
+func parseList(text []byte, names settings.Settings) (List, error) {
+	var raw struct {
+		Revision *int64 `json:"revision"`
+		Complete bool   `json:"complete"`
+		Members  []struct {
+			ID       string   `json:"id"`
+			HostPort string   `json:"host_port"`
+			Locality string   `json:"locality"`
+			Flavor   string   `json:"flavor"`
+			Cell     int      `json:"cell"`
+			Phase    string   `json:"phase"`
+			Size     *float64 `json:"size"`
+			Up       int64    `json:"up_since_ms"`
+		} `json:"members"`
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return List{}, err
+	}
+	if raw.Revision == nil {
+		return List{}, errors.New("revision: missing")
+	}
+	list := List{Revision: *raw.Revision, Complete: raw.Complete}
+	for i, m := range raw.Members {
+		phase := slices.Index([]string{"ready", "draining", "gone"}, m.Phase)
+		_, addrErr := netip.ParseAddrPort(m.HostPort)
+		switch {
+		case m.ID == "":
+			return List{}, fmt.Errorf("member %d: no id", i)
+		case phase < 0:
+			return List{}, fmt.Errorf("member %s: phase %q", m.ID, m.Phase)
+		case addrErr != nil && balance.Phase(phase) != balance.Gone:
+			return List{}, fmt.Errorf("member %s: host_port %q", m.ID, m.HostPort)
+		case m.Up < 0 || m.Up > math.MaxInt64/int64(time.Millisecond):
+			return List{}, fmt.Errorf("member %s: up_since_ms %d", m.ID, m.Up)
+		}
+		weight := 1.0
+		if m.Size != nil {
+			weight = *m.Size
+		}
+		list.Members = append(list.Members, Member{ID: m.ID, Addr: m.HostPort, Member: balance.Member{
+			// An unknown locality is some other one than ours.
+			Zone: slices.Index(names.Zones, m.Locality), Cell: m.Cell, Kind: slices.Index(names.Kinds, m.Flavor),
+			Weight: weight, Launched: time.Duration(m.Up) * time.Millisecond, Phase: balance.Phase(phase),
+		}})
+	}
+	return list, nil
+}
+
+// discovery keeps the loop's list of backends up to date.
+type discovery struct {
+	url   string
+	names settings.Settings
+	http  *http.Client
+	log   *slog.Logger
+	news  func(List) // takes in a list
+	lost  func()     // a call failed
+
+	// Where discovery is asked only on the module's behalf, its Watch, Unwatch and Fetch come here; nil where
+	// lists are pushed, and the node follows on its own.
+	asked chan balance.ActionKind
+}
+
+func newDiscovery(addr string, names settings.Settings, log *slog.Logger, news func(List), lost func()) *discovery {
+	d := &discovery{
+		url: "http://" + addr + "/registry/instances", names: names, log: log, news: news, lost: lost,
+		http: &http.Client{
+			Transport: &http.Transport{
+				DialContext:            (&net.Dialer{Timeout: callSlack}).DialContext,
+				MaxIdleConnsPerHost:    1,
+				MaxConnsPerHost:        2,
+				IdleConnTimeout:        10 * time.Second,
+				MaxResponseHeaderBytes: 16 << 10,
+				DisableCompression:     true,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+	if names.Config.AskDiscovery {
+		d.asked = make(chan balance.ActionKind, 16)
+	}
+	return d
+}
+
+// ask passes on what the module wants of discovery. It never blocks.
+func (d *discovery) ask(kind balance.ActionKind) {
+	select {
+	case d.asked <- kind:
+	default: // nobody listens where lists are pushed; elsewhere a call is under way
+	}
+}
+
+// run follows discovery until ctx ends.
+func (d *discovery) run(ctx context.Context) {
+	defer d.http.CloseIdleConnections()
+	complain := limited{log: d.log}
+	wait := retryLeast
+	for ctx.Err() == nil {
+		watch := d.asked == nil
+		if d.asked != nil {
+			select {
+			case <-ctx.Done():
+				return
+			case kind := <-d.asked:
+				if kind == balance.Unwatch {
+					continue
+				}
+				watch = kind == balance.Watch
+			}
+		}
+		heard, err := d.follow(ctx, watch)
+		if ctx.Err() != nil || err == nil {
+			continue
+		}
+		complain.warn("discovery failed", "error", err)
+		d.lost()
+		if heard {
+			wait = retryLeast
+		}
+		// Nodes that lost discovery together must not come back to it in step.
+		pause(ctx, wait/2+rand.N(wait))
+		wait = min(2*wait, retryMost)
+	}
+}
+
+// follow reads the whole list and then, if it is to watch, the changes until a call fails.
+func (d *discovery) follow(ctx context.Context, watch bool) (heard bool, err error) {
+	query, within, after := "", callSlack, int64(math.MinInt64)
+	for ctx.Err() == nil {
+		list, err := d.call(ctx, query, within)
+		if err != nil {
+			return heard, err
+		}
+		if query == "" && !list.Complete {
+			return heard, errors.New("the whole list was asked for, and changes came")
+		}
+		answered := time.Now()
+		heard = true
+		d.news(list)
+		if !watch || d.unwatched() {
+			return true, nil
+		}
+		query, within = watchQuery(list.Revision), watchWait+callSlack
+		if time.Since(answered) > watchGap || !list.Complete && list.Revision < after {
+			// The watch has ended, or the versions went back: what changed in between may be missing.
+			query, within = "", callSlack
+		}
+		after = list.Revision
+	}
+	return heard, nil
+}
+
+func watchQuery(after int64) string {
+	return fmt.Sprintf("?after=%d&wait_ms=%d", after, watchWait.Milliseconds())
+}
+
+// unwatched tells whether the module has ended its subscription.
+func (d *discovery) unwatched() bool {
+	select {
+	case kind := <-d.asked:
+		return kind == balance.Unwatch
+	default:
+		return false
+	}
+}
+
+func (d *discovery) call(ctx context.Context, query string, within time.Duration) (List, error) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url+query, nil)
+	if err != nil {
+		return List{}, err
+	}
+	resp, err := d.http.Do(req)
+	if err != nil {
+		return List{}, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, listMost+1))
+	switch {
+	case err != nil:
+		return List{}, err
+	case resp.StatusCode != http.StatusOK:
+		return List{}, fmt.Errorf("status %d", resp.StatusCode)
+	case len(text) > listMost:
+		return List{}, errors.New("list too long")
+	}
+	return parseList(text, d.names)
+}
+
+// pause waits, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+
+	"aspentiller/balance"
+)
+
+// datagramMost is the longest datagram between nodes.
+const datagramMost = 256
+
+// peers exchanges datagrams with the other nodes.
+type peers struct {
+	conn  *net.UDPConn
+	addrs []netip.AddrPort // by number
+	all   netip.AddrPort
+	out   chan datagram
+}
+
+type datagram struct {
+	to      netip.AddrPort
+	payload []byte
+}
+
+// listenPeers opens the node's socket for datagrams.
+func listenPeers(cfg *Config) (*peers, error) {
+	addr, err := net.ResolveUDPAddr("udp", cfg.PeerListen)
+	if err != nil {
+		return nil, err
+	}
+	p := &peers{out: make(chan datagram, 64)}
+	for _, s := range cfg.Peers {
+		a, err := netip.ParseAddrPort(s)
+		if err != nil {
+			return nil, err
+		}
+		p.addrs = append(p.addrs, a)
+	}
+	if cfg.PeersAll != "" {
+		if p.all, err = netip.ParseAddrPort(cfg.PeersAll); err != nil {
+			return nil, err
+		}
+	}
+	p.conn, err = net.ListenUDP("udp", addr)
+	return p, err
+}
+
+// tell sends a datagram to one peer or to all of them. It never blocks: a datagram may be lost anyway.
+func (p *peers) tell(peer int, payload []byte) {
+	to := p.all
+	if peer != balance.AllPeers {
+		if peer < 0 || peer >= len(p.addrs) {
+			return
+		}
+		to = p.addrs[peer]
+	}
+	if !to.IsValid() || len(payload) > datagramMost {
+		return
+	}
+	select {
+	case p.out <- datagram{to, append([]byte(nil), payload...)}:
+	default:
+	}
+}
+
+// run passes on what other nodes say until ctx ends. What is too long, or from nobody known, is ignored.
+func (p *peers) run(ctx context.Context, heard func(peer int, payload []byte)) {
+	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
+	defer stop()
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case d := <-p.out:
+				p.conn.WriteToUDPAddrPort(d.payload, d.to)
+			}
+		}
+	}()
+	number := make(map[netip.AddrPort]int, len(p.addrs))
+	for i, a := range p.addrs {
+		number[a] = i
+	}
+	buf := make([]byte, datagramMost+1)
+	for {
+		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // what a peer's machine sent back for a datagram of ours
+		}
+		i, ok := number[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+		if ok && n <= datagramMost {
+			heard(i, append([]byte(nil), buf[:n]...))
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/pool.go
@@ -0,0 +1,218 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// endpoint is one process of a backend: the address, and when it started.
+type endpoint struct {
+	addr     string
+	launched time.Duration
+}
+
+// conn is a connection to a backend. It carries one request at a time.
+type conn struct {
+	net.Conn
+	to     endpoint
+	limit  io.LimitedReader // bounds what one answer may hold
+	read   *bufio.Reader
+	idleAt time.Time
+}
+
+// errNoRoom says that the node may open no more connections now.
+var errNoRoom = errors.New("no descriptor left for a connection to a backend")
+
+// pool keeps the connections to backends: the idle ones, and a count of all.
+type pool struct {
+	dialer net.Dialer
+	most   int           // connections, idle or not
+	keep   time.Duration // how long one may stand idle
+
+	mu   sync.Mutex
+	idle map[endpoint][]*conn // the one used last is at the end
+	open int
+}
+
+func newPool(most int, connectTimeout, idleClose time.Duration) *pool {
+	if connectTimeout <= 0 {
+		connectTimeout = time.Second
+	}
+	if idleClose <= 0 {
+		idleClose = 5 * time.Second
+	}
+	return &pool{
+		// A silent machine answers no SYN, and keep-alive packets notice nothing.
+		dialer: net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
+		most:   most,
+		// A backend closes an idle connection at idleClose at the latest, and a request that crosses that is
+		// a reset that may have run: stay well below.
+		keep: idleClose * 7 / 10,
+		idle: map[endpoint][]*conn{},
+	}
+}
+
+// get returns an idle connection, or dials one.
+func (p *pool) get(ctx context.Context, to endpoint) (*conn, error) {
+	for {
+		c := p.take(to)
+		if c == nil {
+			break
+		}
+		if c.usable() {
+			return c, nil
+		}
+		p.discard(c)
+	}
+	if !p.reserve() {
+		return nil, errNoRoom
+	}
+	nc, err := p.dialer.DialContext(ctx, "tcp", to.addr)
+	if err != nil {
+		p.release()
+		return nil, err
+	}
+	c := &conn{Conn: nc, to: to}
+	c.limit.R = nc
+	c.read = bufio.NewReaderSize(&c.limit, 2<<10)
+	return c, nil
+}
+
+func (p *pool) take(to endpoint) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		list := p.idle[to]
+		if len(list) == 0 {
+			return nil
+		}
+		c := list[len(list)-1]
+		list[len(list)-1] = nil
+		p.setIdle(to, list[:len(list)-1])
+		if time.Since(c.idleAt) < p.keep {
+			return c
+		}
+		c.Close()
+		p.open--
+	}
+}
+
+func (p *pool) setIdle(to endpoint, list []*conn) {
+	if len(list) == 0 {
+		delete(p.idle, to)
+	} else {
+		p.idle[to] = list
+	}
+}
+
+// reserve counts a connection to be dialed. At the limit the one that has been idle longest makes room.
+func (p *pool) reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open < p.most {
+		p.open++
+		return true
+	}
+	var oldest *conn
+	for _, list := range p.idle {
+		if oldest == nil || list[0].idleAt.Before(oldest.idleAt) {
+			oldest = list[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.setIdle(oldest.to, p.idle[oldest.to][1:])
+	oldest.Close()
+	return true
+}
+
+func (p *pool) release() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// put takes back a connection whose last answer came whole.
+func (p *pool) put(c *conn) {
+	c.idleAt = time.Now()
+	p.mu.Lock()
+	p.idle[c.to] = append(p.idle[c.to], c)
+	p.mu.Unlock()
+}
+
+// discard ends a connection.
+func (p *pool) discard(c *conn) {
+	c.Close()
+	p.release()
+}
+
+// drop ends the idle connections to an endpoint.
+func (p *pool) drop(to endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[to] {
+		c.Close()
+		p.open--
+	}
+	delete(p.idle, to)
+}
+
+// run ends connections that have been idle for long, until ctx ends, and then all idle ones.
+func (p *pool) run(ctx context.Context) {
+	t := time.NewTicker(p.keep / 8)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			p.sweep(0)
+		case <-t.C:
+			p.sweep(p.keep)
+		}
+	}
+}
+
+func (p *pool) sweep(keep time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for to, list := range p.idle {
+		n := 0
+		for n < len(list) && now.Sub(list[n].idleAt) >= keep {
+			list[n].Close()
+			p.open--
+			n++
+		}
+		p.setIdle(to, list[n:])
+	}
+}
+
+// usable tells whether an idle connection is still up, with nothing unread on it. A backend that was
+// restarted under its old address leaves connections behind that would swallow a request.
+func (c *conn) usable() bool {
+	if c.read.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	alive := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		alive = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && alive
+}
