Refusals say when to come back; test the node over loopback

balance/comeback.go: a refusal's Retry-After is the time in which the shortest queue falls to the bound.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,5 +1,5 @@
 // The interface of this package (Config, Event, Action) is in balance/types.go.
-// This file holds every decision and every tuning constant.
+// This file holds the decisions, but for comeback.go's, and every tuning constant.
 
 package balance
 
@@ -510,7 +510,7 @@
 	if b.mayRefuse(r) {
 		kind = Refuse
 	}
-	b.do(Action{Kind: kind, Request: r.id})
+	b.do(Action{Kind: kind, Request: r.id, RetryIn: b.comeBack(r)})
 	b.end(r)
 }
 
--- /dev/null
+++ b/balance/comeback.go
@@ -0,0 +1,23 @@
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+// comeBack is the advice that goes with a refusal: when the shortest queue will have fallen to what is sent to
+// now. Where a queue is not the reason it is the time of one place in a queue, and with no server an aim.
+func (b *Balancer) comeBack(r *request) time.Duration {
+	in, bound := math.Inf(1), b.bound(r)
+	for _, s := range b.ready {
+		in = min(in, b.wait(s)-bound)
+	}
+	if math.IsInf(in, 1) {
+		in = b.meanAim
+	}
+	in = max(in, b.peerPace)
+	if most := b.cfg.Limits.MaxRetryAfter.Seconds(); most > 0 {
+		in = min(in, most)
+	}
+	return time.Duration(in * float64(time.Second))
+}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -22,6 +23,8 @@
 const (
 	// bodyMost bounds the body of a message, headMost its head.
 	bodyMost, headMost = 64 << 10, 16 << 10
+	// answerMost bounds an answer as it comes: small chunks take several times their body.
+	answerMost = headMost + 4*bodyMost
 	// informMost is how many 1xx answers may come ahead of the one that counts.
 	informMost = 8
 	// probeWithin is how long a probe may take: an answer that comes later tells of the past.
@@ -106,13 +109,9 @@
 	case err != nil:
 		return result{status: balance.DialFailed}
 	}
-	if ctx.Err() != nil || !c.state.CompareAndSwap(callQueued, callWriting) {
-		x.pool.put(cn)
-		return result{status: balance.Unused}
-	}
 	text, err := m.wire(to.addr, time.Until(deadline))
-	if err != nil {
-		x.pool.put(cn)
+	if err != nil || ctx.Err() != nil || !c.state.CompareAndSwap(callQueued, callWriting) {
+		x.pool.discard(cn)
 		return result{status: balance.Unused}
 	}
 	// Given up means closed, at once: nothing that comes later can reach anyone.
@@ -172,7 +171,7 @@
 func (m *message) wire(addr string, left time.Duration) ([]byte, error) {
 	header := m.header.Clone()
 	header.Set("X-Expires-In", strconv.FormatFloat(max(left, 0).Seconds(), 'f', 3, 64))
-	req := http.Request{Method: m.method, URL: m.url, Host: m.host, Header: header,
+	req := http.Request{Method: m.method, URL: m.url, Host: cmp.Or(m.host, addr), Header: header,
 		ContentLength: int64(len(m.body))}
 	if len(m.body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(m.body))
@@ -187,7 +186,7 @@
 
 // answer reads one whole answer.
 func (c *conn) answer(method string) (*http.Response, []byte, error) {
-	c.limit.N = headMost + bodyMost + 1
+	c.limit.N = answerMost
 	req := &http.Request{Method: method}
 	for range informMost {
 		resp, err := http.ReadResponse(c.read, req)
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +15,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,15 +43,18 @@
 	log      *slog.Logger
 	most     int64 // requests at once
 	inFlight atomic.Int64
-	conns    atomic.Int64 // connections of clients
-	crowded  int64        // so many connections that answers close theirs
-	leaving  atomic.Bool  // the node is about to end
+	crowded  int         // so many connections that idle ones give way and answers close theirs
+	leaving  atomic.Bool // the node is about to end
+
+	mu    sync.Mutex
+	conns map[net.Conn]time.Time // connections of clients; since when one is idle, zero while it is not
 }
 
 // newFront returns the client side for a node that may hold so many connections of clients.
 func newFront(l *loop, names settings.Settings, conns int, log *slog.Logger) *front {
 	// Each request in flight may need a connection to a backend, beside those of probes.
-	return &front{loop: l, names: names, log: log, most: int64(conns) * 7 / 8, crowded: int64(conns) * 3 / 4}
+	return &front{loop: l, names: names, log: log, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
+		conns: map[net.Conn]time.Time{}}
 }
 
 // server returns the HTTP server of the client side.
@@ -65,21 +70,50 @@
 		WriteTimeout:      bodyWithin + longest + answerWithin,
 		MaxHeaderBytes:    headMost,
 		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
-		ConnState: func(_ net.Conn, s http.ConnState) {
-			switch s {
-			case http.StateNew:
-				f.conns.Add(1)
-			case http.StateClosed, http.StateHijacked:
-				f.conns.Add(-1)
-			}
-		},
+		ConnState:         f.track,
+	}
+}
+
+// track follows the connections of clients. When they become many, the one that has been idle longest is closed:
+// else a crowd that keeps its connections would lock out who has something to ask.
+func (f *front) track(c net.Conn, s http.ConnState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch s {
+	case http.StateNew, http.StateActive:
+		f.conns[c] = time.Time{}
+	case http.StateIdle:
+		f.conns[c] = time.Now()
+	case http.StateClosed, http.StateHijacked:
+		delete(f.conns, c)
+	}
+	if s != http.StateNew || len(f.conns) <= f.crowded {
+		return
+	}
+	var oldest net.Conn
+	var since time.Time
+	for c, at := range f.conns {
+		if !at.IsZero() && (oldest == nil || at.Before(since)) {
+			oldest, since = c, at
+		}
+	}
+	if oldest != nil {
+		f.conns[oldest] = time.Time{}
+		oldest.Close()
 	}
 }
 
+// isCrowded tells whether there are so many connections that answers should close theirs.
+func (f *front) isCrowded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns) > f.crowded
+}
+
 // ServeHTTP answers one request of a client.
 func (f *front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	received := time.Now()
-	if f.leaving.Load() || f.conns.Load() > f.crowded {
+	if f.leaving.Load() || f.isCrowded() {
 		// Closing after an answer crosses no request, as closing an idle connection may.
 		w.Header().Set("Connection", "close")
 	}
@@ -121,23 +155,18 @@
 
 // serve has the loop decide on a request and passes on the one final answer.
 func (f *front) serve(w http.ResponseWriter, ctx context.Context, r *request) {
-	taken := make(chan bool, 1)
-	if !f.loop.post(func() { taken <- f.loop.arrive(r) }) {
-		fail(w, http.StatusBadGateway) // the node is ending
-		return
-	}
-	if !<-taken {
-		http.Error(w, "another request with this id is open", http.StatusConflict)
-		return
-	}
+	f.loop.post(func() { f.loop.arrive(r) })
 	select {
 	case a := <-r.reply:
+		if f.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		write(w, a)
 	case <-ctx.Done():
 		f.loop.post(func() { f.loop.gone(r) })
 		// Returning would have the library word an empty 200.
 		panic(http.ErrAbortHandler)
-	case <-f.loop.done:
+	case <-f.loop.done: // the node is ending
 		fail(w, http.StatusBadGateway)
 	}
 }
@@ -161,6 +190,8 @@
 			status = http.StatusGatewayTimeout
 		}
 		fail(w, status)
+	case doubled:
+		http.Error(w, "another request with this id is open", http.StatusConflict)
 	}
 }
 
@@ -206,6 +237,7 @@
 			return bad("X-Customer: no such customer")
 		}
 	}
+	key := h.Get("Idempotency-Key")
 	class := &f.names.Config.Classes[r.class]
 	method, keyed := http.MethodPost, false
 	switch class.Effect {
@@ -217,13 +249,13 @@
 	switch {
 	case hr.Method != method:
 		return nil, http.StatusMethodNotAllowed, fmt.Errorf("requests of this class use %s", method)
-	case keyed && h.Get("Idempotency-Key") == "":
+	case keyed && key == "":
 		return bad("Idempotency-Key: missing")
 	}
-	left := class.Deadline
+	left := cmp.Or(class.Deadline, time.Minute)
 	if text := h.Get("X-Expires-In"); text != "" {
 		s, err := strconv.ParseFloat(text, 64)
-		if err != nil || math.IsNaN(s) || s < 0 {
+		if err != nil || math.IsNaN(s) || math.IsInf(s, 0) || s < 0 {
 			return bad("X-Expires-In: not a time in seconds")
 		}
 		left = min(left, time.Duration(min(s, 1e6)*float64(time.Second)))
@@ -232,9 +264,9 @@
 	if us, err := strconv.ParseFloat(h.Get("X-Size-Hint"), 64); err == nil && us > 0 && us < 1e12 {
 		r.hint = time.Duration(us * float64(time.Microsecond))
 	}
-	if key := path.Base(hr.URL.Path); key != "/" && key != "." {
+	if subject := path.Base(hr.URL.Path); subject != "/" && subject != "." {
 		sum := fnv.New64a()
-		io.WriteString(sum, key)
+		io.WriteString(sum, subject)
 		r.key, r.hasKey = sum.Sum64()>>11, true
 	}
 	if hr.ContentLength > bodyMost {
@@ -259,6 +291,11 @@
 	for _, name := range hopByHop {
 		h.Del(name)
 	}
+	// Whatever Connection named, a backend needs these to tell a request from its repeat.
+	h.Set("X-Trace-Id", r.id)
+	if key != "" {
+		h.Set("Idempotency-Key", key)
+	}
 	r.message = message{method: method, url: hr.URL, host: hr.Host, header: h, body: body}
 	return r, 0, nil
 }
--- /dev/null
+++ b/internal/node/client_test.go
@@ -0,0 +1,266 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+func TestServedAnswerIsTheBackendsOwn(t *testing.T) {
+	got := make(chan *http.Request, 1)
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string {
+		got <- r
+		return "HTTP/1.1 200 OK\r\nContent-Type: text/x-menu\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+	}))
+	n := startOn(t, b.Addr().String())
+	resp, body := do(t, ask(t, n.url+"/api/a%2Fb/7f3a?x=1&y=%20", "token", func(r *http.Request) {
+		r.Header.Set("X-Trace-Id", "trace-1")
+		r.Header.Set("Connection", "X-Trace-Id, X-Hop")
+		r.Header.Set("X-Hop", "1")
+	}))
+	if resp.StatusCode != 200 || body != "abcde" || resp.Header.Get("Content-Type") != "text/x-menu" {
+		t.Errorf("client got %d %q %v", resp.StatusCode, body, resp.Header)
+	}
+	r := receive(t, "the request at the backend", got)
+	payload, _ := io.ReadAll(r.Body)
+	if r.Method != "POST" || r.RequestURI != "/api/a%2Fb/7f3a?x=1&y=%20" || string(payload) != "payload" ||
+		r.Header.Get("Idempotency-Key") != "key-1" {
+		t.Errorf("backend got %s %s %q %v", r.Method, r.RequestURI, payload, r.Header)
+	}
+	// A client that lists the id among its connection's headers must not make it vanish on the way.
+	if r.Header.Get("X-Trace-Id") != "trace-1" || r.Header.Get("X-Hop") != "" {
+		t.Errorf("headers at the backend: %v", r.Header)
+	}
+	var left float64
+	if _, err := fmt.Sscan(r.Header.Get("X-Expires-In"), &left); err != nil || left <= 0 || left >= 9.5 {
+		t.Errorf("X-Expires-In at the backend: %q", r.Header.Get("X-Expires-In"))
+	}
+}
+
+// What can't be a request is answered with a 4xx at once and reaches no backend.
+func TestMalformedRequests(t *testing.T) {
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("") }))
+	n := startOn(t, b.Addr().String())
+	set := func(name, value string) func(*http.Request) {
+		return func(r *http.Request) { r.Header.Set(name, value) }
+	}
+	for name, tc := range map[string]struct {
+		class  string
+		change func(*http.Request)
+		want   int
+	}{
+		"no id":           {"read", set("X-Trace-Id", ""), 400},
+		"unknown class":   {"read", set("X-Qos", "gold"), 400},
+		"no class":        {"read", set("X-Qos", ""), 400},
+		"unknown tenant":  {"read", set("X-Customer", "nobody"), 400},
+		"no number":       {"read", set("X-Expires-In", "soon"), 400},
+		"NaN":             {"read", set("X-Expires-In", "NaN"), 400},
+		"infinite":        {"read", set("X-Expires-In", "Inf"), 400},
+		"negative time":   {"read", set("X-Expires-In", "-1"), 400},
+		"two ids":         {"read", func(r *http.Request) { r.Header.Add("X-Trace-Id", "again") }, 400},
+		"keyed, no key":   {"token", set("Idempotency-Key", ""), 400},
+		"unsafe as a GET": {"order", func(r *http.Request) { r.Method = "GET" }, 405},
+		"safe as a POST":  {"read", func(r *http.Request) { r.Method = "POST" }, 405},
+		"other method":    {"order", func(r *http.Request) { r.Method = "DELETE" }, 405},
+		"body too long": {"order", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", bodyMost+1))), bodyMost+1
+		}, 413},
+		"chunked body too long": {"order", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", bodyMost+1))), -1
+		}, 413},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if resp, _ := do(t, ask(t, n.url+"/api/x", tc.class, tc.change)); resp.StatusCode != tc.want {
+				t.Errorf("answered %d, want %d", resp.StatusCode, tc.want)
+			}
+		})
+	}
+	for name, text := range map[string]string{
+		"no HTTP":         "\x16\x03\x01 hello\r\n\r\n",
+		"negative length": "POST /api/x HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\n",
+		"two lengths":     "POST /api/x HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
+		"huge head":       "GET /api/x HTTP/1.1\r\nHost: x\r\nX-A: " + strings.Repeat("a", 2*headMost) + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := net.Dial("tcp", n.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(patience))
+			go io.WriteString(c, text)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err == nil && (resp.StatusCode < 400 || resp.StatusCode == 429 || resp.StatusCode >= 500) {
+				t.Errorf("answered %d", resp.StatusCode)
+			}
+			if err != nil && strings.Contains(err.Error(), "timeout") {
+				t.Error("no answer and no close")
+			}
+		})
+	}
+	if n := b.accepted.Load(); n != 0 {
+		t.Errorf("%d connections reached the backend", n)
+	}
+}
+
+// A backend that says nothing costs the attempt and not the answer: that comes before the client's time is up,
+// and is a failure for what may have run.
+func TestSilentBackendIsAnsweredInTime(t *testing.T) {
+	ended := make(chan error, 4)
+	b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err == nil {
+			io.Copy(io.Discard, br)
+			_, err = c.Read(make([]byte, 1))
+			ended <- err
+		}
+	})
+	n := startOn(t, b.Addr().String())
+	began := time.Now()
+	resp, _ := do(t, ask(t, n.url+"/api/x", "order", func(r *http.Request) { r.Header.Set("X-Expires-In", "0.300") }))
+	if resp.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	if d := time.Since(began); d < 200*time.Millisecond {
+		t.Errorf("given up after %v already", d)
+	}
+	// The attempt given up has really ended its connection.
+	receive(t, "the end of the backend's connection", ended)
+	eventually(t, "an empty table", func() bool { return n.open(t) == 0 })
+}
+
+// A client that goes away leaves nothing behind: no request, no attempt, no connection.
+func TestClientThatGoesAwayLeaksNothing(t *testing.T) {
+	begun, ended := make(chan struct{}, 1), make(chan struct{}, 1)
+	b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err == nil {
+			begun <- struct{}{}
+			io.Copy(io.Discard, br)
+			ended <- struct{}{}
+		}
+	})
+	n := startOn(t, b.Addr().String())
+	c, err := net.Dial("tcp", n.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(c, "GET /api/x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: gone-1\r\nX-Qos: read\r\nX-Customer: acme\r\nX-Expires-In: 9\r\n\r\n")
+	receive(t, "the request at the backend", begun)
+	c.Close()
+	receive(t, "the end of the attempt's connection", ended)
+	eventually(t, "an empty table", func() bool { return n.open(t) == 0 })
+	eventually(t, "no request in flight and no connection", func() bool {
+		return n.front.inFlight.Load() == 0 && n.front.connections() == 0
+	})
+}
+
+// Two open requests of one id could not be told apart at a backend.
+func TestIDOfAnOpenRequestIsTurnedAway(t *testing.T) {
+	hold, held := make(chan struct{}), make(chan struct{}, 4)
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string {
+		held <- struct{}{}
+		<-hold
+		return ok200("once")
+	}))
+	n := startOn(t, b.Addr().String())
+	same := func(r *http.Request) { r.Header.Set("X-Trace-Id", "same") }
+	first := make(chan string, 1)
+	go func() {
+		_, body := do(t, ask(t, n.url+"/api/x", "order", same))
+		first <- body
+	}()
+	receive(t, "the first at the backend", held)
+	if resp, _ := do(t, ask(t, n.url+"/api/x", "order", same)); resp.StatusCode != http.StatusConflict {
+		t.Errorf("the second: %d", resp.StatusCode)
+	}
+	close(hold)
+	if body := receive(t, "the first answer", first); body != "once" {
+		t.Errorf("the first: %q", body)
+	}
+}
+
+// At its limit the node refuses in order, and says when to come back.
+func TestFullNodeRefuses(t *testing.T) {
+	hold, held := make(chan struct{}), make(chan struct{}, 4)
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string {
+		held <- struct{}{}
+		<-hold
+		return ok200("x")
+	}))
+	n := startOn(t, b.Addr().String())
+	n.onLoop(t, func() {})
+	n.front.inFlight.Store(n.front.most - 1) // all places but one are taken
+	first := make(chan int, 1)
+	go func() {
+		resp, _ := do(t, ask(t, n.url+"/api/x", "order"))
+		first <- resp.StatusCode
+	}()
+	receive(t, "the last place taken", held)
+	resp, _ := do(t, ask(t, n.url+"/api/x", "order"))
+	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("%d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+	close(hold)
+	if status := receive(t, "the answer of the one taken", first); status != 200 {
+		t.Errorf("the one taken: %d", status)
+	}
+	n.front.inFlight.Add(1 - n.front.most)
+}
+
+// A crowd of idle connections gives way to clients that have something to ask.
+func TestIdleConnectionsGiveWay(t *testing.T) {
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("x") }))
+	text := listText(1, true, listed{"s", b.Addr().String(), "ready", 0})
+	cfg := testConfig(t, newRegistry(t, text).addr, text)
+	cfg.Limits.Sockets = leastSockets
+	n := start(t, cfg)
+	clients, _ := cfg.Limits.share()
+	var served atomic.Int64
+	for range 2 * clients {
+		tr := &http.Transport{} // its connection stays open
+		defer tr.CloseIdleConnections()
+		resp, err := tr.RoundTrip(ask(t, n.url+"/api/x", "read"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode == 200 {
+			served.Add(1)
+		}
+	}
+	if served.Load() != int64(2*clients) {
+		t.Errorf("%d of %d served", served.Load(), 2*clients)
+	}
+}
+
+// What no server can take is refused at once, and the refusal says when to come back.
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close() // nobody is there: connections are refused
+	n := startOn(t, addr)
+	began := time.Now()
+	resp, _ := do(t, ask(t, n.url+"/api/x", "order"))
+	var after float64
+	if _, err := fmt.Sscan(resp.Header.Get("Retry-After"), &after); resp.StatusCode != 503 || err != nil || after <= 0 || after > 2 {
+		t.Errorf("%d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+	if d := time.Since(began); d > 5*time.Second {
+		t.Errorf("the refusal was held back for %v", d)
+	}
+}
+
+func (f *front) connections() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
--- /dev/null
+++ b/internal/node/config_test.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const goodConfig = `{"name":"n3","listen":"127.0.0.4:8443","discovery":"127.0.0.5:8500","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":2048,"sockets":4096},"peer_listen":"127.0.0.4:7946","peers":["127.0.0.6:7946"],
+ "peers_all":"127.0.0.7:7946","known":{"revision":41,"complete":true,"members":[]},"settings":` + testSettings + `}`
+
+func TestConfig(t *testing.T) {
+	cfg, err := ParseConfig([]byte(goodConfig))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cfg.Seed != 0x8c1f30d27a5be964 || cfg.Limits.Sockets != 4096 || cfg.Known.Revision != 41 || len(cfg.Settings.Classes) != 3 {
+		t.Errorf("%+v", cfg)
+	}
+}
+
+// What is missing or malformed is one line that names it.
+func TestBadConfig(t *testing.T) {
+	for name, tc := range map[string]struct{ old, new, want string }{
+		"empty":          {goodConfig, "", "JSON"},
+		"no object":      {goodConfig, "[]", "array"},
+		"no listen":      {`"127.0.0.4:8443"`, `""`, "listen"},
+		"bad listen":     {`"127.0.0.4:8443"`, `"here"`, "listen"},
+		"bad discovery":  {`"127.0.0.5:8500"`, `"nowhere:x"`, "discovery"},
+		"bad seed":       {"8c1f30d27a5be964", "xyz", "seed"},
+		"bad peer":       {"127.0.0.6:7946", "peer", "peers"},
+		"bad peers_all":  {"127.0.0.7:7946", "all", "peers_all"},
+		"no settings":    {testSettings, "null", "settings"},
+		"no classes":     {testSettings, "{}", "settings"},
+		"bad effect":     {`"side_effect"`, `"sometimes"`, "effect"},
+		"bad known":      {`"members":[]`, `"members":[{}]`, "known"},
+		"negative limit": {`"memory_mb":2048`, `"memory_mb":-1`, "limits"},
+		"few sockets":    {`"sockets":4096`, `"sockets":8`, "sockets"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Replace(goodConfig, tc.old, tc.new, 1)
+			if text == goodConfig {
+				t.Fatal("nothing was changed")
+			}
+			_, err := ParseConfig([]byte(text))
+			if err == nil || !strings.Contains(err.Error(), tc.want) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("%v, want a line with %q", err, tc.want)
+			}
+		})
+	}
+	if _, err := LoadConfig(""); err == nil {
+		t.Error("no file, and no error")
+	}
+	if _, err := LoadConfig(filepath.Join(t.TempDir(), "none")); !os.IsNotExist(unwrap(err)) {
+		t.Errorf("missing file: %v", err)
+	}
+}
+
+func unwrap(err error) error {
+	for {
+		u, ok := err.(interface{ Unwrap() error })
+		if !ok {
+			return err
+		}
+		err = u.Unwrap()
+	}
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -21,8 +21,8 @@
 
 const (
 	// watchWait is how long a watch asks discovery to wait. A cut-off discovery says nothing, so it is short:
-	// news is then late by no more than this and callSlack.
-	watchWait = 2 * time.Second
+	// news is then late by no more than this and callSlack. Where each call costs discovery work it is longWait.
+	watchWait, longWait = 2 * time.Second, 20 * time.Second
 	// callSlack is how long an answer may take beyond that.
 	callSlack = time.Second
 	// watchGap is the longest time between two calls of a watch for which nothing can have been missed; it
@@ -104,8 +104,9 @@
 	names settings.Settings
 	http  *http.Client
 	log   *slog.Logger
-	news  func(List) // takes in a list
-	lost  func()     // a call failed
+	wait  time.Duration // of a watch
+	news  func(List)    // takes in a list
+	lost  func()        // a call failed
 
 	// Where discovery is asked only on the module's behalf, its Watch, Unwatch and Fetch come here; nil where
 	// lists are pushed, and the node follows on its own.
@@ -114,7 +115,7 @@
 
 func newDiscovery(addr string, names settings.Settings, log *slog.Logger, news func(List), lost func()) *discovery {
 	d := &discovery{
-		url: "http://" + addr + "/registry/instances", names: names, log: log, news: news, lost: lost,
+		url: "http://" + addr + "/registry/instances", names: names, log: log, wait: watchWait, news: news, lost: lost,
 		http: &http.Client{
 			Transport: &http.Transport{
 				DialContext:            (&net.Dialer{Timeout: callSlack}).DialContext,
@@ -128,7 +129,7 @@
 		},
 	}
 	if names.Config.AskDiscovery {
-		d.asked = make(chan balance.ActionKind, 16)
+		d.asked, d.wait = make(chan balance.ActionKind, 16), longWait
 	}
 	return d
 }
@@ -191,7 +192,8 @@
 		if !watch || d.unwatched() {
 			return true, nil
 		}
-		query, within = watchQuery(list.Revision), watchWait+callSlack
+		query = fmt.Sprintf("?after=%d&wait_ms=%d", list.Revision, d.wait.Milliseconds())
+		within = d.wait + callSlack
 		if time.Since(answered) > watchGap || !list.Complete && list.Revision < after {
 			// The watch has ended, or the versions went back: what changed in between may be missing.
 			query, within = "", callSlack
@@ -201,10 +203,6 @@
 	return heard, nil
 }
 
-func watchQuery(after int64) string {
-	return fmt.Sprintf("?after=%d&wait_ms=%d", after, watchWait.Milliseconds())
-}
-
 // unwatched tells whether the module has ended its subscription.
 func (d *discovery) unwatched() bool {
 	select {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -78,6 +78,7 @@
 	served answerKind = iota
 	refused
 	failed
+	doubled // another request of this id is open
 )
 
 // answer is the final answer to a request.
@@ -190,16 +191,16 @@
 }
 
 // arrive takes in a request. One whose id is still in use is turned away: backends could not tell the two apart.
-func (l *loop) arrive(r *request) (ok bool) {
+func (l *loop) arrive(r *request) {
 	if l.requests[r.id] != nil {
-		return false
+		r.reply <- answer{kind: doubled}
+		return
 	}
 	l.requests[r.id] = r
 	l.handle(balance.Event{
 		Kind: balance.RequestArrived, Request: r.id, Class: r.class, Tenant: r.tenant, Key: r.key, HasKey: r.hasKey,
 		Budget: max(time.Until(r.deadline), 0), Hint: r.hint, Repeat: r.repeat,
 	})
-	return true
 }
 
 // gone takes in that a client has closed its connection before its answer.
@@ -340,6 +341,7 @@
 			b = &backend{number: balance.BackendID(len(l.byNumber)), id: m.ID}
 			l.backends[m.ID] = b
 			l.byNumber = append(l.byNumber, b)
+			l.log.Info("backend named", "number", b.number, "id", b.id, "address", m.Addr)
 		}
 		to := endpoint{m.Addr, m.Launched}
 		if m.Phase == balance.Gone {
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,421 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// patience bounds every wait for something that must happen.
+const patience = 20 * time.Second
+
+const testSettings = `{"nInstances":1,"zones":["a","b"],"skus":["m"],
+ "classes":[
+  {"name":"read","aim":1000000000,"deadline":10000000000,"effect":"pure","points":1},
+  {"name":"order","aim":1000000000,"deadline":10000000000,"effect":"side_effect","points":1},
+  {"name":"token","aim":1000000000,"deadline":10000000000,"effect":"token","keyScope":"all","window":5000000000,"points":1}],
+ "tenants":[{"name":"acme","quotaPerS":1000,"share":1}],
+ "limits":{"cancelling":true,"maxAttempts":3,"connectTimeout":2000000000,"idleClose":5000000000,"maxRetryAfter":2000000000},
+ "obligations":{"drainGrace":500000000,"coldShare":0.12,"warmWithin":22000000000,"fallMultiple":3,"overloadFor":1500000000},
+ "loadReport":{"source":"on_probe","columns":["active","cpu"]}}`
+
+func quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+// eventually waits until ok holds.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never came about: %s", what)
+		}
+	}
+}
+
+// receive takes what comes on a channel, with patience.
+func receive[T any](t *testing.T, what string, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(patience):
+		t.Fatalf("never came: %s", what)
+		panic("unreachable")
+	}
+}
+
+// rawBackend is a backend that hands each connection to a function.
+type rawBackend struct {
+	net.Listener
+	accepted atomic.Int64
+}
+
+func newRawBackend(t *testing.T, addr string, serve func(c net.Conn, r *bufio.Reader)) *rawBackend {
+	t.Helper()
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &rawBackend{Listener: l}
+	var mu sync.Mutex
+	open := map[net.Conn]bool{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b.accepted.Add(1)
+			mu.Lock()
+			open[c] = true
+			mu.Unlock()
+			go func() {
+				defer func() {
+					c.Close()
+					mu.Lock()
+					delete(open, c)
+					mu.Unlock()
+				}()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	t.Cleanup(func() {
+		l.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for c := range open {
+			c.Close()
+		}
+	})
+	return b
+}
+
+// answering serves requests on a connection until it ends.
+func answering(answer func(r *http.Request) string) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, br *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			body, _ := io.ReadAll(r.Body)
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			if _, err := io.WriteString(c, answer(r)); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func ok200(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// reset ends a connection with an RST.
+func reset(c net.Conn) {
+	c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
+
+type listed struct {
+	id, addr, phase string
+	up              int64
+}
+
+func listText(revision int, complete bool, members ...listed) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, `{"revision":%d,"complete":%t,"members":[`, revision, complete)
+	for i, m := range members {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"id":%q,"host_port":%q,"locality":"a","flavor":"m","cell":0,"phase":%q,"size":1.0,"up_since_ms":%d}`,
+			m.id, m.addr, m.phase, m.up)
+	}
+	b.WriteString("]}")
+	return b.String()
+}
+
+// registry is a discovery service that tells what it is given.
+type registry struct {
+	*http.Server
+	addr string
+	next chan string // answers to watches
+
+	mu    sync.Mutex
+	whole string
+	calls []string
+}
+
+func newRegistry(t *testing.T, whole string) *registry {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &registry{addr: l.Addr().String(), next: make(chan string, 16), whole: whole}
+	r.Server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
+		r.mu.Lock()
+		r.calls = append(r.calls, hr.URL.RawQuery)
+		whole := r.whole
+		r.mu.Unlock()
+		if hr.URL.RawQuery == "" {
+			io.WriteString(w, whole)
+			return
+		}
+		select {
+		case text := <-r.next:
+			io.WriteString(w, text)
+		case <-hr.Context().Done():
+		case <-time.After(500 * time.Millisecond):
+			after, _ := strconv.Atoi(hr.URL.Query().Get("after"))
+			io.WriteString(w, listText(after, false))
+		}
+	})}
+	go r.Serve(l)
+	t.Cleanup(func() { r.Server.Close() })
+	return r
+}
+
+func (r *registry) asked() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.calls...)
+}
+
+func testConfig(t *testing.T, discovery string, known string, change ...string) Config {
+	t.Helper()
+	text := strings.NewReplacer(change...).Replace(testSettings)
+	raw, err := json.Marshal(map[string]any{
+		"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+		"limits": Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}, "known": json.RawMessage(known),
+		"settings": json.RawMessage(text),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := ParseConfig(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+// started is a node under test.
+type started struct {
+	*Node
+	url  string
+	stop context.CancelFunc
+	err  chan error
+}
+
+func start(t *testing.T, cfg Config) *started {
+	t.Helper()
+	n, err := New(cfg, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &started{Node: n, url: "http://" + n.Addr().String(), stop: cancel, err: make(chan error, 1)}
+	ended := make(chan struct{})
+	go func() {
+		s.err <- n.Run(ctx)
+		close(ended)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return s
+}
+
+// startOn starts a node that knows of these backends and has no discovery.
+func startOn(t *testing.T, addrs ...string) *started {
+	t.Helper()
+	var members []listed
+	for i, a := range addrs {
+		members = append(members, listed{id: fmt.Sprintf("s-%d", i), addr: a, phase: "ready"})
+	}
+	text := listText(1, true, members...)
+	return start(t, testConfig(t, newRegistry(t, text).addr, text))
+}
+
+// onLoop runs f on the node's loop and waits for it.
+func (s *started) onLoop(t *testing.T, f func()) {
+	t.Helper()
+	done := make(chan struct{})
+	if !s.loop.post(func() { f(); close(done) }) {
+		t.Fatal("the loop has ended")
+	}
+	receive(t, "the loop", done)
+}
+
+// open counts the requests in the loop's table.
+func (s *started) open(t *testing.T) (n int) {
+	s.onLoop(t, func() { n = len(s.loop.requests) })
+	return n
+}
+
+var lastID atomic.Int64
+
+// ask makes a request as a client does.
+func ask(t *testing.T, url, class string, change ...func(*http.Request)) *http.Request {
+	t.Helper()
+	method, body := http.MethodPost, "payload"
+	if class == "read" {
+		method, body = http.MethodGet, ""
+	}
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("X-Trace-Id", fmt.Sprintf("id-%d", lastID.Add(1)))
+	r.Header.Set("X-Qos", class)
+	r.Header.Set("X-Customer", "acme")
+	r.Header.Set("X-Expires-In", "9.5")
+	if class == "token" {
+		r.Header.Set("Idempotency-Key", "key-1")
+	}
+	for _, f := range change {
+		f(r)
+	}
+	return r
+}
+
+func do(t *testing.T, r *http.Request) (*http.Response, string) {
+	t.Helper()
+	tr := &http.Transport{DisableKeepAlives: true}
+	resp, err := tr.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+// A node that is told to end serves what comes for a while yet, answers what it has taken, closes connections
+// with their answer, and ends by itself.
+func TestLeavingAnswersAllThatWasTaken(t *testing.T) {
+	hold, held := make(chan struct{}), make(chan struct{}, 16)
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string {
+		if r.URL.Path == "/api/slow" {
+			held <- struct{}{}
+			<-hold
+		}
+		return ok200("done")
+	}))
+	n := startOn(t, b.Addr().String())
+	eventually(t, "readiness", func() bool {
+		resp, _ := do(t, ask(t, n.url+"/health/ready", "read"))
+		return resp.StatusCode == 200
+	})
+	client := &http.Client{Transport: &http.Transport{}}
+	slow := make(chan *http.Response, 1)
+	go func() {
+		resp, err := client.Do(ask(t, n.url+"/api/slow", "order"))
+		if err != nil {
+			t.Error(err)
+			resp = &http.Response{}
+		}
+		slow <- resp
+	}()
+	receive(t, "the slow request at the backend", held)
+	began := time.Now()
+	n.stop()
+	eventually(t, "leaving", func() bool { return n.front.leaving.Load() })
+	if resp, _ := do(t, ask(t, n.url+"/health/ready", "read")); resp.StatusCode != 503 {
+		t.Errorf("readiness of a node that leaves: %d", resp.StatusCode)
+	}
+	if resp, body := do(t, ask(t, n.url+"/api/late", "order")); resp.StatusCode != 200 || body != "done" || !resp.Close {
+		t.Errorf("a new connection while leaving: %d %q, closed: %t", resp.StatusCode, body, resp.Close)
+	}
+	eventually(t, "end of accepting", func() bool {
+		c, err := net.Dial("tcp", n.Addr().String())
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	if d := time.Since(began); d < 400*time.Millisecond {
+		t.Errorf("accepted for only %v", d)
+	}
+	close(hold)
+	if resp := receive(t, "the slow answer", slow); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("the slow request: %d, closed: %t", resp.StatusCode, resp.Close)
+	}
+	if err := receive(t, "the node's end", n.err); err != nil {
+		t.Error(err)
+	}
+}
+
+// A node that knows of no backend is not ready, and becomes so when discovery names one.
+func TestReadyOnlyWithBackends(t *testing.T) {
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("x") }))
+	reg := newRegistry(t, listText(1, true))
+	n := start(t, testConfig(t, reg.addr, "null"))
+	resp, _ := do(t, ask(t, n.url+"/health/ready", "read"))
+	if resp.StatusCode != 503 {
+		t.Fatalf("no backend, and readiness says %d", resp.StatusCode)
+	}
+	reg.next <- listText(2, false, listed{"s", b.Addr().String(), "ready", 0})
+	eventually(t, "readiness", func() bool {
+		resp, _ := do(t, ask(t, n.url+"/health/ready", "read"))
+		return resp.StatusCode == 200
+	})
+	if resp, body := do(t, ask(t, n.url+"/api/x", "read")); resp.StatusCode != 200 || body != "x" {
+		t.Fatalf("%d %q", resp.StatusCode, body)
+	}
+}
+
+// Connections beyond the limit wait in the backlog: accepting them would run the process out of descriptors.
+func TestConnectionsAreBounded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	bounded := limitListener(l, 2)
+	defer bounded.Close()
+	got := make(chan net.Conn, 8)
+	go func() {
+		for {
+			c, err := bounded.Accept()
+			if err != nil {
+				return
+			}
+			got <- c
+		}
+	}()
+	for range 3 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	first := receive(t, "the first connection", got)
+	second := receive(t, "the second", got)
+	defer second.Close()
+	select {
+	case <-got:
+		t.Fatal("a third connection was accepted")
+	case <-time.After(50 * time.Millisecond):
+	}
+	first.Close()
+	receive(t, "the third, once there is room", got).Close()
+}
--- /dev/null
+++ b/internal/node/peers_test.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+
+	"aspentiller/balance"
+)
+
+func udp(t *testing.T) *net.UDPConn {
+	t.Helper()
+	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func TestPeers(t *testing.T) {
+	peer, stranger := udp(t), udp(t)
+	p, err := listenPeers(&Config{PeerListen: "127.0.0.1:0", PeersAll: peer.LocalAddr().String(),
+		Peers: []string{"127.0.0.1:1", peer.LocalAddr().String()}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	type said struct {
+		peer int
+		text string
+	}
+	heard := make(chan said, 16)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		p.run(ctx, func(peer int, payload []byte) { heard <- said{peer, string(payload)} })
+		close(ended)
+	}()
+	to := p.conn.LocalAddr().(*net.UDPAddr)
+	// Neither a stranger nor a datagram that is too long is heard; datagrams on loopback keep their order.
+	stranger.WriteToUDP([]byte("stranger"), to)
+	peer.WriteToUDP([]byte(strings.Repeat("x", datagramMost+1)), to)
+	peer.WriteToUDP([]byte("hello"), to)
+	if got := receive(t, "a datagram", heard); got != (said{1, "hello"}) {
+		t.Errorf("heard %+v", got)
+	}
+	// Nor is one that is too long, or for nobody, sent.
+	p.tell(1, make([]byte, datagramMost+1))
+	p.tell(7, []byte("nobody"))
+	p.tell(1, []byte("one"))
+	p.tell(balance.AllPeers, []byte("all"))
+	buf := make([]byte, 2*datagramMost)
+	for _, want := range []string{"one", "all"} {
+		n, _, err := peer.ReadFromUDP(buf)
+		if err != nil || string(buf[:n]) != want {
+			t.Errorf("sent %q %v, want %q", buf[:n], err, want)
+		}
+	}
+	cancel()
+	receive(t, "the end", ended)
+}
