--- a/balance/balance.go
+++ b/balance/balance.go
@@ -510,7 +510,7 @@
 	if b.mayRefuse(r) {
 		kind = Refuse
 	}
-	b.do(Action{Kind: kind, Request: r.id, RetryIn: b.comeBack(r)})
+	b.do(Action{Kind: kind, Request: r.id, RetryIn: b.comeBack()})
 	b.end(r)
 }
 
--- a/balance/comeback_test.go
+++ b/balance/comeback_test.go
@@ -15,8 +15,7 @@
 		for _, s := range r.b.servers {
 			s.more, s.told = others, others
 		}
-		q := &request{class: &r.b.cfg.Classes[safe], stats: &r.b.classes[safe]}
-		return r.b.comeBack(q)
+		return r.b.comeBack()
 	}
 	free, full := advice(0, member(1, 0, 0), member(2, 0, 0)), advice(500, member(1, 0, 0), member(2, 0, 0))
 	if free <= 0 || full <= free || full > 2*time.Second {
