--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"aspentiller/balance"
+	"glencart/balance"
 )
 
 // A node keeps what is due in order of time; here a heap stands for its clock and its network.
--- a/cmd/glencart/main.go
+++ b/cmd/glencart/main.go
@@ -13,7 +13,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"aspentiller/internal/node"
+	"glencart/internal/node"
 )
 
 func main() {
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"time"
 
-	"aspentiller/balance"
-	"aspentiller/internal/wire"
+	"glencart/balance"
+	"glencart/internal/wire"
 )
 
 func main() {
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"aspentiller/balance"
+	"glencart/balance"
 )
 
 // exchangesFor returns exchanges with a pool of their own.
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -19,8 +19,8 @@
 	"sync/atomic"
 	"time"
 
-	"aspentiller/balance"
-	"aspentiller/internal/settings"
+	"glencart/balance"
+	"glencart/internal/settings"
 )
 
 const (
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -9,7 +9,7 @@
 	"os"
 	"strconv"
 
-	"aspentiller/internal/settings"
+	"glencart/internal/settings"
 )
 
 // Config is what a node is told at its start.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -15,8 +15,8 @@
 	"slices"
 	"time"
 
-	"aspentiller/balance"
-	"aspentiller/internal/settings"
+	"glencart/balance"
+	"glencart/internal/settings"
 )
 
 const (
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -12,8 +12,8 @@
 	"testing"
 	"time"
 
-	"aspentiller/balance"
-	"aspentiller/internal/settings"
+	"glencart/balance"
+	"glencart/internal/settings"
 )
 
 // followed starts following a registry, and returns the lists that come and a count of failed calls.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"aspentiller/balance"
+	"glencart/balance"
 )
 
 // loop owns the Balancer, the tables of requests and backends, and the timers. Everything else posts to it, and
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"aspentiller/balance"
+	"glencart/balance"
 )
 
 const (
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,7 +6,7 @@
 	"net"
 	"net/netip"
 
-	"aspentiller/balance"
+	"glencart/balance"
 )
 
 // datagramMost is the longest datagram between nodes.
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"aspentiller/balance"
+	"glencart/balance"
 )
 
 func udp(t *testing.T) *net.UDPConn {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"aspentiller/balance"
+	"glencart/balance"
 )
 
 // LoadNames are the names of the values of a load report, in the order of the
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,8 +13,8 @@
 	"strings"
 	"time"
 
-	"aspentiller/balance"
-	"aspentiller/internal/settings"
+	"glencart/balance"
+	"glencart/internal/settings"
 )
 
 // Kind says what a message is.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"aspentiller/balance"
+	"glencart/balance"
 )
 
 func read(t testing.TB, text string) ([]Message, error) {
