Serve the backlog of a full node that is told to end

Cause: leave closed the listener after the lame-duck time even while the connection limit kept Accept from taking what stood in the backlog (node.go, boundedListener.Accept); the kernel resets those, and their requests are lost. Found by reading; TestLeavingServesTheBacklog gets a reset without the mend. The end also stays inside the longest deadline and 0.6 s, and a request that comes while the node waits for silent connections is no longer cut.

Tests that could not fail are mended: with each guard taken out (unsend, the short write, ErrAbortHandler, gone, idle eviction, the watch gap) its test now fails; before, the drain, client-gone and idle tests passed without theirs.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -32,6 +32,8 @@
 	// early is how much sooner than the client's deadline a request ends: its way here and the answer's way
 	// back take part of the time, and neither can be seen from here.
 	early = 8 * time.Millisecond
+	// defaultDeadline stands for a class's deadline that is not told.
+	defaultDeadline = time.Minute
 	// fullRetry is when a client may come back that was refused because the node is full.
 	fullRetry = 250 * time.Millisecond
 )
@@ -59,15 +61,11 @@
 
 // server returns the HTTP server of the client side.
 func (f *front) server() *http.Server {
-	var longest time.Duration
-	for _, c := range f.names.Config.Classes {
-		longest = max(longest, c.Deadline)
-	}
 	return &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: headWithin,
 		IdleTimeout:       idleWithin,
-		WriteTimeout:      bodyWithin + longest + answerWithin,
+		WriteTimeout:      bodyWithin + longestDeadline(f.names) + answerWithin,
 		MaxHeaderBytes:    headMost,
 		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 		ConnState:         f.track,
@@ -252,7 +250,7 @@
 	case keyed && key == "":
 		return bad("Idempotency-Key: missing")
 	}
-	left := cmp.Or(class.Deadline, time.Minute)
+	left := cmp.Or(class.Deadline, defaultDeadline)
 	if text := h.Get("X-Expires-In"); text != "" {
 		s, err := strconv.ParseFloat(text, 64)
 		if err != nil || math.IsNaN(s) || math.IsInf(s, 0) || s < 0 {
--- a/internal/node/client_test.go
+++ b/internal/node/client_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -151,8 +150,18 @@
 	}
 	fmt.Fprintf(c, "GET /api/x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: gone-1\r\nX-Qos: read\r\nX-Customer: acme\r\nX-Expires-In: 9\r\n\r\n")
 	receive(t, "the request at the backend", begun)
-	c.Close()
+	left := time.Now()
+	c.(*net.TCPConn).CloseWrite()
 	receive(t, "the end of the attempt's connection", ended)
+	if d := time.Since(left); d > 5*time.Second {
+		t.Errorf("the attempt went on for %v", d)
+	}
+	// No backend has made an answer, so none may be read, not even an empty one of the library's.
+	c.SetReadDeadline(time.Now().Add(patience))
+	if text, _ := io.ReadAll(c); len(text) > 0 {
+		t.Errorf("answered %q", text)
+	}
+	c.Close()
 	eventually(t, "an empty table", func() bool { return n.open(t) == 0 })
 	eventually(t, "no request in flight and no connection", func() bool {
 		return n.front.inFlight.Load() == 0 && n.front.connections() == 0
@@ -220,7 +229,6 @@
 	cfg.Limits.Sockets = leastSockets
 	n := start(t, cfg)
 	clients, _ := cfg.Limits.share()
-	var served atomic.Int64
 	for range 2 * clients {
 		tr := &http.Transport{} // its connection stays open
 		defer tr.CloseIdleConnections()
@@ -230,13 +238,30 @@
 		}
 		io.Copy(io.Discard, resp.Body)
 		resp.Body.Close()
-		if resp.StatusCode == 200 {
-			served.Add(1)
+		if resp.StatusCode != 200 {
+			t.Errorf("answered %d", resp.StatusCode)
 		}
 	}
-	if served.Load() != int64(2*clients) {
-		t.Errorf("%d of %d served", served.Load(), 2*clients)
+	busy := clients / 2 // more than there is room for beside the idle ones
+	for range busy {
+		c, err := net.Dial("tcp", n.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, "GET /api/x HTTP/1.1\r\n")
 	}
+	eventually(t, "all of the busy connections at once", func() bool {
+		n.front.mu.Lock()
+		defer n.front.mu.Unlock()
+		at := 0
+		for _, since := range n.front.conns {
+			if since.IsZero() {
+				at++
+			}
+		}
+		return at >= busy
+	})
 }
 
 // What no server can take is refused at once, and the refusal says when to come back.
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -187,11 +187,15 @@
 	receive(t, "a dial", dialing)
 	reg.next <- listText(2, false, listed{"old", old.Addr().String(), "draining", 0},
 		listed{"new", other.Addr().String(), "ready", 0})
+	eventually(t, "the news", func() (told bool) {
+		s.onLoop(t, func() { told = n.loop.backends["old"].phase == balance.Draining })
+		return told
+	})
+	close(dial)
 	// It never ran, so the module may send it on or refuse it; a node this young has earned no retry.
 	if body := receive(t, "the answer", answered); body == "old" {
 		t.Errorf("answered %q", body)
 	}
-	close(dial)
 	for range 3 {
 		if _, body := do(t, ask(t, s.url+"/api/x", "order")); body != "other" {
 			t.Errorf("answered %q", body)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -10,23 +11,28 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"glencart/balance"
+	"glencart/internal/settings"
 )
 
 const (
-	// lameDuck is how long a node that is to end goes on accepting: the front needs up to 0.4 s to see it.
-	lameDuck = 700 * time.Millisecond
-	// drainSlack is what answering takes beyond the longest deadline.
-	drainSlack = 300 * time.Millisecond
+	// lameDuck is how long a node that is to end goes on accepting: the front needs up to 0.4 s to see it. With
+	// the longest deadline, which comes on top, it stays below the time at which SIGKILL may come.
+	lameDuck = 600 * time.Millisecond
+	// clearFor is how long there must be room to accept, for the backlog to be empty.
+	clearFor = 50 * time.Millisecond
+	// stillFor is how long nothing may be in flight before connections that never sent a request are cut.
+	stillFor, lookEvery = 300 * time.Millisecond, 10 * time.Millisecond
 )
 
 // Node is one node. New opens its sockets, Run serves.
 type Node struct {
 	cfg      Config
 	log      *slog.Logger
-	listener net.Listener
+	listener *boundedListener
 	peers    *peers
 	pool     *pool
 	loop     *loop
@@ -115,18 +121,23 @@
 	n.log.Info("leaving")
 	n.front.leaving.Store(true)
 	time.Sleep(lameDuck)
-	var longest time.Duration
-	for _, c := range n.cfg.Settings.Config.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), longest+drainSlack)
+	ctx, cancel := context.WithTimeout(context.Background(), longestDeadline(n.cfg.Settings))
 	defer cancel()
+	// What stands in the backlog for want of room has been taken too, and closing the listener would reset it.
+	for free := time.Duration(0); free < clearFor && ctx.Err() == nil; free += lookEvery {
+		pause(ctx, lookEvery)
+		if n.listener.full() {
+			free = 0
+		}
+	}
 	go func() {
-		// A connection that has never sent a request would be waited for.
-		for n.front.inFlight.Load() > 0 && ctx.Err() == nil {
-			time.Sleep(10 * time.Millisecond)
+		// Shutdown alone would wait for connections that have never sent a request.
+		for still := time.Duration(0); still < stillFor && ctx.Err() == nil; still += lookEvery {
+			pause(ctx, lookEvery)
+			if n.front.inFlight.Load() > 0 {
+				still = 0
+			}
 		}
-		pause(ctx, drainSlack)
 		cancel()
 	}()
 	err := srv.Shutdown(ctx)
@@ -138,19 +149,35 @@
 	return err
 }
 
+// longestDeadline is the longest time for which a request may be in flight.
+func longestDeadline(s settings.Settings) time.Duration {
+	var longest time.Duration
+	for _, c := range s.Config.Classes {
+		longest = max(longest, cmp.Or(c.Deadline, defaultDeadline))
+	}
+	return longest
+}
+
 // limitListener bounds how many connections are open at once. Beyond that they wait in the backlog, where
 // accepting them would run the process out of descriptors.
-func limitListener(l net.Listener, most int) net.Listener {
+func limitListener(l net.Listener, most int) *boundedListener {
 	return &boundedListener{Listener: l, room: make(chan struct{}, most), closed: make(chan struct{})}
 }
 
 type boundedListener struct {
 	net.Listener
 	room   chan struct{}
+	open   atomic.Int64 // accepted and not closed
 	once   sync.Once
 	closed chan struct{}
 }
 
+// full tells whether connections have to wait.
+func (l *boundedListener) full() bool {
+	// One place is Accept's own, while it waits.
+	return l.open.Load() >= int64(cap(l.room))
+}
+
 func (l *boundedListener) Accept() (net.Conn, error) {
 	select {
 	case <-l.closed:
@@ -162,7 +189,8 @@
 		<-l.room
 		return nil, err
 	}
-	return &boundedConn{Conn: c, release: sync.OnceFunc(func() { <-l.room })}, nil
+	l.open.Add(1)
+	return &boundedConn{Conn: c, release: sync.OnceFunc(func() { l.open.Add(-1); <-l.room })}, nil
 }
 
 func (l *boundedListener) Close() error {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -364,6 +364,61 @@
 	}
 }
 
+// A request in the backlog of a node that is full counts as taken: one that is told to end serves it yet.
+func TestLeavingServesTheBacklog(t *testing.T) {
+	hold, held := make(chan struct{}), make(chan struct{}, 64)
+	serve := answering(func(r *http.Request) string {
+		if r.URL.Path == "/api/slow" {
+			held <- struct{}{}
+			<-hold
+		}
+		return ok200("done")
+	})
+	text := listText(1, true, // while one has a slow request, the other is idle
+		listed{"s-0", newRawBackend(t, "127.0.0.1:0", serve).Addr().String(), "ready", 0},
+		listed{"s-1", newRawBackend(t, "127.0.0.1:0", serve).Addr().String(), "ready", 0})
+	cfg := testConfig(t, newRegistry(t, text).addr, text)
+	cfg.Limits.Sockets = leastSockets
+	n := start(t, cfg)
+	clients, _ := cfg.Limits.share()
+	slow := make(chan string, 1)
+	go func() {
+		_, body := do(t, ask(t, n.url+"/api/slow", "order"))
+		slow <- body
+	}()
+	receive(t, "the slow request at the backend", held)
+	var silent []net.Conn
+	for range clients - 1 {
+		c, err := net.Dial("tcp", n.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		silent = append(silent, c)
+	}
+	eventually(t, "a full node", n.listener.full)
+	waits := make(chan string, 1)
+	go func() {
+		_, body := do(t, ask(t, n.url+"/api/waits", "order"))
+		waits <- body
+	}()
+	n.stop()
+	time.Sleep(lameDuck + 100*time.Millisecond)
+	for _, c := range silent {
+		c.Close()
+	}
+	if body := receive(t, "the answer to the one that waited", waits); body != "done" {
+		t.Errorf("the one that waited: %q", body)
+	}
+	close(hold)
+	if body := receive(t, "the slow answer", slow); body != "done" {
+		t.Errorf("the slow one: %q", body)
+	}
+	if err := receive(t, "the node's end", n.err); err != nil {
+		t.Error(err)
+	}
+}
+
 // A node that knows of no backend is not ready, and becomes so when discovery names one.
 func TestReadyOnlyWithBackends(t *testing.T) {
 	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("x") }))
