Reload the configuration on SIGHUP

Now the file is read anew, a bad one is logged and the old holds, and discovery moves at once: whole list first, the last list holds, backoff starts anew, the old watch is cancelled and what it still says is not applied.

--- a/cmd/glencart/main.go
+++ b/cmd/glencart/main.go
@@ -24,17 +24,31 @@
 }
 
 func run() error {
-	cfg, err := node.LoadConfig(os.Getenv("BALANCER_CONFIG"))
+	// Before anything else: unhandled, this signal ends the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	path := os.Getenv("BALANCER_CONFIG")
+	cfg, err := node.LoadConfig(path)
 	if err != nil {
 		return err
 	}
 	limit(cfg.Limits)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	n, err := node.New(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	n, err := node.New(cfg, log)
 	if err != nil {
 		return err
 	}
+	go func() {
+		for range reload {
+			if cfg, err := node.LoadConfig(path); err != nil {
+				log.Error("configuration not reloaded, the old one holds", "error", err)
+			} else {
+				n.Reload(cfg)
+			}
+		}
+	}()
 	return n.Run(ctx)
 }
 
--- a/cmd/glencart/main_test.go
+++ b/cmd/glencart/main_test.go
@@ -1,11 +1,18 @@
 package main
 
 import (
+	"bufio"
 	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 )
 
 func TestMain(m *testing.M) {
@@ -35,3 +42,98 @@
 		}
 	}
 }
+
+// SIGHUP has the node read its configuration anew: it goes on at another discovery, a file that can't be read
+// changes nothing, and SIGTERM still ends it in order.
+func TestSIGHUPReloads(t *testing.T) {
+	registry := func() (string, <-chan struct{}) {
+		called := make(chan struct{}, 64)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case called <- struct{}{}:
+			default:
+			}
+			if r.URL.RawQuery != "" {
+				select {
+				case <-r.Context().Done():
+				case <-time.After(500 * time.Millisecond):
+				}
+			}
+			io.WriteString(w, `{"revision":1,"complete":true,"members":[]}`)
+		}))
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://"), called
+	}
+	path := t.TempDir() + "/config.json"
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	config := func(discovery string) string {
+		return fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":%q,"settings":{"classes":[{"name":"read"}]}}`, discovery)
+	}
+	first, calledFirst := registry()
+	second, calledSecond := registry()
+	write(config(first))
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "GLENCART_TEST_RUN=1", "BALANCER_CONFIG="+path)
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	lines := make(chan string, 256)
+	go func() {
+		for s := bufio.NewScanner(log); s.Scan(); {
+			lines <- s.Text()
+		}
+		close(lines)
+	}()
+	defer cmd.Process.Kill()
+	const patience = 20 * time.Second
+	await := func(what string, c <-chan struct{}) {
+		t.Helper()
+		select {
+		case <-c:
+		case <-time.After(patience):
+			t.Fatalf("never came: %s", what)
+		}
+	}
+	awaitLine := func(part string) {
+		t.Helper()
+		for end := time.After(patience); ; {
+			select {
+			case line, ok := <-lines:
+				if !ok {
+					t.Fatalf("the node has ended, and never logged %q", part)
+				}
+				if strings.Contains(line, part) {
+					return
+				}
+			case <-end:
+				t.Fatalf("never logged: %q", part)
+			}
+		}
+	}
+	await("a call to the first discovery", calledFirst)
+	write(`{"name":`)
+	cmd.Process.Signal(syscall.SIGHUP)
+	awaitLine("not reloaded")
+	write(config(second))
+	cmd.Process.Signal(syscall.SIGHUP)
+	await("a call to the second discovery", calledSecond)
+	cmd.Process.Signal(syscall.SIGTERM)
+	awaitLine("left")
+	for range lines {
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended by SIGTERM: %v", err)
+	}
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"glencart/balance"
@@ -100,7 +101,6 @@
 
 // discovery keeps the loop's list of backends up to date.
 type discovery struct {
-	url   string
 	names settings.Settings
 	http  *http.Client
 	log   *slog.Logger
@@ -111,11 +111,15 @@
 	// Where discovery is asked only on the module's behalf, its Watch, Unwatch and Fetch come here; nil where
 	// lists are pushed, and the node follows on its own.
 	asked chan balance.ActionKind
+
+	mu    sync.Mutex
+	addr  string
+	leave context.CancelFunc // ends all that goes on at addr
 }
 
 func newDiscovery(addr string, names settings.Settings, log *slog.Logger, news func(List), lost func()) *discovery {
 	d := &discovery{
-		url: "http://" + addr + "/registry/instances", names: names, log: log, wait: watchWait, news: news, lost: lost,
+		addr: addr, leave: func() {}, names: names, log: log, wait: watchWait, news: news, lost: lost,
 		http: &http.Client{
 			Transport: &http.Transport{
 				DialContext:            (&net.Dialer{Timeout: callSlack}).DialContext,
@@ -142,26 +146,66 @@
 	}
 }
 
+// move has discovery go on at another address, at once. What the old one still answers is not taken in; the list
+// that it gave holds until the new one has given its whole list.
+func (d *discovery) move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if addr == d.addr {
+		return
+	}
+	d.log.Info("discovery moves", "from", d.addr, "to", addr)
+	d.addr = addr
+	d.leave()
+}
+
+// stay returns the address, and a context that ends when it is no longer the one.
+func (d *discovery) stay(ctx context.Context) (context.Context, string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ctx, d.leave = context.WithCancel(ctx)
+	return ctx, d.addr
+}
+
 // run follows discovery until ctx ends.
 func (d *discovery) run(ctx context.Context) {
-	defer d.http.CloseIdleConnections()
+	moved, watched := false, false
+	for ctx.Err() == nil {
+		here, addr := d.stay(ctx)
+		watched = d.runAt(here, addr, moved, watched)
+		moved = true
+		d.http.CloseIdleConnections()
+	}
+}
+
+// runAt follows discovery at one address until ctx ends. Where it is asked on the module's behalf, the first
+// call of one that has moved needs no asking, and a watch goes on. It tells whether there is a watch at the end.
+func (d *discovery) runAt(ctx context.Context, addr string, moved, watch bool) bool {
 	complain := limited{log: d.log}
 	wait := retryLeast
 	for ctx.Err() == nil {
-		watch := d.asked == nil
-		if d.asked != nil {
+		switch {
+		case d.asked == nil:
+			watch = true
+		case moved:
+			moved = false
+		default:
 			select {
 			case <-ctx.Done():
-				return
+				return watch
 			case kind := <-d.asked:
+				watch = kind == balance.Watch
 				if kind == balance.Unwatch {
 					continue
 				}
-				watch = kind == balance.Watch
 			}
 		}
-		heard, err := d.follow(ctx, watch)
-		if ctx.Err() != nil || err == nil {
+		heard, err := d.follow(ctx, addr, watch)
+		if ctx.Err() != nil {
+			break
+		}
+		if err == nil {
+			watch = false
 			continue
 		}
 		complain.warn("discovery failed", "error", err)
@@ -173,16 +217,20 @@
 		pause(ctx, wait/2+rand.N(wait))
 		wait = min(2*wait, retryMost)
 	}
+	return watch
 }
 
 // follow reads the whole list and then, if it is to watch, the changes until a call fails.
-func (d *discovery) follow(ctx context.Context, watch bool) (heard bool, err error) {
+func (d *discovery) follow(ctx context.Context, addr string, watch bool) (heard bool, err error) {
 	query, within, after := "", callSlack, int64(math.MinInt64)
 	for ctx.Err() == nil {
-		list, err := d.call(ctx, query, within)
+		list, err := d.call(ctx, addr, query, within)
 		if err != nil {
 			return heard, err
 		}
+		if ctx.Err() != nil {
+			return heard, ctx.Err() // this discovery is not the one any more
+		}
 		if query == "" && !list.Complete {
 			return heard, errors.New("the whole list was asked for, and changes came")
 		}
@@ -213,10 +261,10 @@
 	}
 }
 
-func (d *discovery) call(ctx context.Context, query string, within time.Duration) (List, error) {
+func (d *discovery) call(ctx context.Context, addr, query string, within time.Duration) (List, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url+query, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/registry/instances"+query, nil)
 	if err != nil {
 		return List{}, err
 	}
