Refuse a request that gives its length in two ways

Probe by test: net/http deletes Content-Length where Transfer-Encoding stands beside it (transfer.go, fixLength) before the handler runs, so no check in front.read can see both.

Now the connection is watched as it is read (framing.go): both together, or two lengths, get 400 and a close; chunks alone are served and end their connection. TestTwoLengthsAreRefused fails without the check in ServeHTTP.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -69,6 +69,7 @@
 		MaxHeaderBytes:    headMost,
 		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 		ConnState:         f.track,
+		ConnContext:       withFraming,
 	}
 }
 
@@ -115,6 +116,17 @@
 		// Closing after an answer crosses no request, as closing an idle connection may.
 		w.Header().Set("Connection", "close")
 	}
+	if frame := framingOf(hr.Context()); frame != nil {
+		switch {
+		case frame.unsure.Load(), hr.ProtoMajor == 1 && hr.ProtoMinor == 0 && frame.chunked.Load():
+			// Two lengths, or chunks that this version of HTTP does not have: it may hide another request.
+			w.Header().Set("Connection", "close")
+			http.Error(w, "the length of the body is not certain", http.StatusBadRequest)
+			return
+		case frame.chunked.Load():
+			w.Header().Set("Connection", "close")
+		}
+	}
 	switch hr.URL.Path {
 	case "/health/ready":
 		f.health(w, f.loop.ready.Load() && !f.leaving.Load())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -190,7 +190,8 @@
 		return nil, err
 	}
 	l.open.Add(1)
-	return &boundedConn{Conn: c, release: sync.OnceFunc(func() { l.open.Add(-1); <-l.room })}, nil
+	bounded := &boundedConn{Conn: c, release: sync.OnceFunc(func() { l.open.Add(-1); <-l.room })}
+	return &framedConn{Conn: bounded, framing: framing{length: -1}}, nil
 }
 
 func (l *boundedListener) Close() error {
@@ -203,6 +204,13 @@
 	release func()
 }
 
+func (c *boundedConn) CloseWrite() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
+
 func (c *boundedConn) Close() error {
 	err := c.Conn.Close()
 	c.release()
