Bound the time of a request's coming, and let silent clients give way

Head and body had 3 s each, and front.track evicted only idle connections, so clients that say nothing filled the listener. Now head and body together have 2 s from the connection, silent, slow and idle connections give way under pressure, never one with an open request; only whole requests count against the places; a body that is turned away is drained within bounds.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -24,9 +24,14 @@
 )
 
 const (
-	// headWithin and bodyWithin are how long a client may take to send a head and a body, and idleWithin how
-	// long it may keep a connection without a request.
-	headWithin, bodyWithin, idleWithin = 3 * time.Second, 3 * time.Second, 30 * time.Second
+	// requestWithin is how long a client may take from its connection, or the first byte of a further request,
+	// to the last byte of the body; idleWithin how long it may keep a connection without a request.
+	requestWithin, idleWithin = 2 * time.Second, 4 * time.Second
+	// slowAfter is when a connection without a whole request is the first to give way: the usual clients send
+	// theirs at once.
+	slowAfter = 250 * time.Millisecond
+	// drainMost bounds what is read of a body that is turned away.
+	drainMost = 4 * bodyMost
 	// answerWithin is how long a client may take to read its answer.
 	answerWithin = 5 * time.Second
 	// early is how much sooner than the client's deadline a request ends: its way here and the answer's way
@@ -48,65 +53,131 @@
 	crowded  int         // so many connections that idle ones give way and answers close theirs
 	leaving  atomic.Bool // the node is about to end
 
-	mu    sync.Mutex
-	conns map[net.Conn]time.Time // connections of clients; since when one is idle, zero while it is not
+	mu      sync.Mutex
+	conns   map[net.Conn]*clientConn
+	waiting int // connections without a whole request
 }
 
+// clientConn is where a client's connection stands, by f.mu.
+type clientConn struct {
+	state connState
+	since time.Time
+}
+
+type connState uint8
+
+const (
+	connWaits connState = iota // no whole request has come yet
+	connOpen                   // a request is open: never closed from this side
+	connIdle                   // it has had its answer
+)
+
 // newFront returns the client side for a node that may hold so many connections of clients.
 func newFront(l *loop, names settings.Settings, conns int, log *slog.Logger) *front {
 	// Each request in flight may need a connection to a backend, beside those of probes.
 	return &front{loop: l, names: names, log: log, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
-		conns: map[net.Conn]time.Time{}}
+		conns: map[net.Conn]*clientConn{}}
 }
 
 // server returns the HTTP server of the client side.
 func (f *front) server() *http.Server {
 	return &http.Server{
-		Handler:           f,
-		ReadHeaderTimeout: headWithin,
-		IdleTimeout:       idleWithin,
-		WriteTimeout:      bodyWithin + longestDeadline(f.names) + answerWithin,
-		MaxHeaderBytes:    headMost,
-		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
-		ConnState:         f.track,
-		ConnContext:       withFraming,
+		Handler:        f,
+		ReadTimeout:    requestWithin, // head and body together
+		IdleTimeout:    idleWithin,
+		WriteTimeout:   requestWithin + longestDeadline(f.names) + answerWithin,
+		MaxHeaderBytes: headMost,
+		ErrorLog:       slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
+		ConnState:      f.track,
+		ConnContext:    withConn,
 	}
 }
 
-// track follows the connections of clients. When they become many, the one that has been idle longest is closed:
-// else a crowd that keeps its connections would lock out who has something to ask.
+// track follows the connections of clients. When they become many, one gives way to each that comes: a crowd that
+// says nothing, or that keeps its connections, would lock out who has something to ask.
 func (f *front) track(c net.Conn, s http.ConnState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch s {
-	case http.StateNew, http.StateActive:
-		f.conns[c] = time.Time{}
+	case http.StateNew:
+		f.conns[c] = &clientConn{since: time.Now()}
+		f.waiting++
+		if len(f.conns) > f.crowded {
+			f.giveWay()
+		}
+	case http.StateActive:
+		if f.conns[c] != nil && f.conns[c].state == connIdle {
+			f.enter(c, connWaits)
+		}
 	case http.StateIdle:
-		f.conns[c] = time.Now()
+		f.enter(c, connIdle)
 	case http.StateClosed, http.StateHijacked:
-		delete(f.conns, c)
+		f.remove(c)
 	}
-	if s != http.StateNew || len(f.conns) <= f.crowded {
-		return
+}
+
+// enter has a connection change its state. One that has given way has none. It tells whether it is still there.
+func (f *front) enter(c net.Conn, to connState) bool {
+	cc := f.conns[c]
+	if cc == nil {
+		return false
+	}
+	if cc.state == connWaits {
+		f.waiting--
+	}
+	if to == connWaits {
+		f.waiting++
 	}
-	var oldest net.Conn
-	var since time.Time
-	for c, at := range f.conns {
-		if !at.IsZero() && (oldest == nil || at.Before(since)) {
-			oldest, since = c, at
+	cc.state, cc.since = to, time.Now()
+	return true
+}
+
+func (f *front) remove(c net.Conn) {
+	if cc := f.conns[c]; cc != nil {
+		if cc.state == connWaits {
+			f.waiting--
 		}
+		delete(f.conns, c)
+	}
+}
+
+// giveWay closes the connection that can best be missed: one that has long been without a whole request, then the
+// one that has been idle longest, unless most of the crowd has just come and says nothing.
+func (f *front) giveWay() {
+	var oldest [connIdle + 1]net.Conn
+	for c, cc := range f.conns {
+		if o := oldest[cc.state]; o == nil || cc.since.Before(f.conns[o].since) {
+			oldest[cc.state] = c
+		}
+	}
+	slow, idle := oldest[connWaits], oldest[connIdle]
+	out := idle
+	if slow != nil && (idle == nil || f.waiting > f.crowded/3 || time.Since(f.conns[slow].since) > slowAfter) {
+		out = slow
 	}
-	if oldest != nil {
-		f.conns[oldest] = time.Time{}
-		oldest.Close()
+	if out != nil {
+		f.remove(out)
+		out.Close()
 	}
 }
 
-// isCrowded tells whether there are so many connections that answers should close theirs.
+// begin marks the connection of a whole request. It fails where that has given way.
+func (f *front) begin(ctx context.Context) bool {
+	c := connOf(ctx)
+	if c == nil {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.enter(c, connOpen)
+}
+
+// isCrowded tells whether there are so many connections, beside those that say nothing and will give way, that
+// answers should close theirs.
 func (f *front) isCrowded() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.conns) > f.crowded
+	return len(f.conns)-f.waiting > f.crowded
 }
 
 // ServeHTTP answers one request of a client.
@@ -116,7 +187,7 @@
 		// Closing after an answer crosses no request, as closing an idle connection may.
 		w.Header().Set("Connection", "close")
 	}
-	if frame := framingOf(hr.Context()); frame != nil {
+	if frame := connOf(hr.Context()); frame != nil {
 		switch {
 		case frame.unsure.Load(), hr.ProtoMajor == 1 && hr.ProtoMinor == 0 && frame.chunked.Load():
 			// Two lengths, or chunks that this version of HTTP does not have: it may hide another request.
@@ -135,6 +206,15 @@
 		f.health(w, true)
 		return
 	}
+	r, status, err := f.read(w, hr, received)
+	if err != nil {
+		f.turnAway(w, hr, err, status)
+		return
+	}
+	if !f.begin(hr.Context()) {
+		panic(http.ErrAbortHandler) // it has given way
+	}
+	// Only whole requests count: else a few clients that send theirs slowly would have the rest refused.
 	if f.inFlight.Add(1) > f.most {
 		f.inFlight.Add(-1)
 		w.Header().Set("Connection", "close")
@@ -142,17 +222,24 @@
 		return
 	}
 	defer f.inFlight.Add(-1)
-	r, status, err := f.read(w, hr, received)
-	if err != nil {
-		if status >= http.StatusRequestTimeout {
-			w.Header().Set("Connection", "close") // the rest of the body is of no use
-		}
-		http.Error(w, err.Error(), status)
-		return
-	}
 	f.serve(w, hr.Context(), r)
 }
 
+// turnAway answers what can't be read and closes the connection.
+func (f *front) turnAway(w http.ResponseWriter, hr *http.Request, err error, status int) {
+	w.Header().Set("Connection", "close")
+	text := err.Error() + "\n"
+	w.Header().Set("Content-Type", "text/plain")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	io.WriteString(w, text)
+	if hr.ContentLength > 0 && hr.Header.Get("Expect") == "" {
+		// Closing with something unread makes a reset, which can overtake the answer.
+		http.NewResponseController(w).Flush()
+		io.CopyN(io.Discard, hr.Body, drainMost)
+	}
+}
+
 func (f *front) health(w http.ResponseWriter, ok bool) {
 	status, text := http.StatusOK, "ok\n"
 	if !ok {
@@ -282,8 +369,6 @@
 	if hr.ContentLength > bodyMost {
 		return nil, http.StatusRequestEntityTooLarge, errors.New("body too long")
 	}
-	rc := http.NewResponseController(w)
-	rc.SetReadDeadline(received.Add(bodyWithin))
 	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, bodyMost))
 	if err != nil {
 		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
@@ -292,7 +377,7 @@
 		return nil, http.StatusRequestTimeout, errors.New("body cut short")
 	}
 	// A deadline that passes while the request is served would look as if the client had gone.
-	rc.SetReadDeadline(time.Time{})
+	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	for _, line := range h["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
 			h.Del(strings.TrimSpace(name))
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -99,18 +99,18 @@
 	return nil
 }
 
-type framedKey struct{}
+type connKey struct{}
 
-// withFraming keeps a connection's framing where its requests find it.
-func withFraming(ctx context.Context, c net.Conn) context.Context {
-	if f, ok := c.(*framedConn); ok {
-		return context.WithValue(ctx, framedKey{}, &f.framing)
+// withConn keeps a client's connection where its requests find it.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	if c, ok := c.(*framedConn); ok {
+		return context.WithValue(ctx, connKey{}, c)
 	}
 	return ctx
 }
 
-// framingOf returns the framing of the connection that a request came on.
-func framingOf(ctx context.Context) *framing {
-	f, _ := ctx.Value(framedKey{}).(*framing)
-	return f
+// connOf returns the connection that a request came on.
+func connOf(ctx context.Context) *framedConn {
+	c, _ := ctx.Value(connKey{}).(*framedConn)
+	return c
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -381,6 +381,9 @@
 	cfg.Limits.Sockets = leastSockets
 	n := start(t, cfg)
 	clients, _ := cfg.Limits.share()
+	n.front.mu.Lock()
+	n.front.crowded = 2 * clients // nobody gives way
+	n.front.mu.Unlock()
 	slow := make(chan string, 1)
 	go func() {
 		_, body := do(t, ask(t, n.url+"/api/slow", "order"))
--- /dev/null
+++ b/internal/node/rude_test.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+func (s *started) dial(t *testing.T) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return c
+}
+
+const orderHead = "POST /api/x HTTP/1.1\r\nHost: x\r\nX-Qos: order\r\nX-Customer: acme\r\nX-Expires-In: 9\r\n"
+
+// Whatever a client sends or leaves out, it gets an error or a close soon, and nothing of it reaches a backend.
+func TestBadClientsAreEnded(t *testing.T) {
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("") }))
+	n := startOn(t, b.Addr().String())
+	forever := func(piece string, pause time.Duration) func(net.Conn) {
+		return func(c net.Conn) {
+			for {
+				if _, err := io.WriteString(c, piece); err != nil {
+					return
+				}
+				time.Sleep(pause)
+			}
+		}
+	}
+	then := func(text string, more func(net.Conn)) func(net.Conn) {
+		return func(c net.Conn) {
+			io.WriteString(c, text)
+			if more != nil {
+				more(c)
+			}
+		}
+	}
+	id := "X-Trace-Id: rude\r\n"
+	var wg sync.WaitGroup
+	for name, send := range map[string]func(net.Conn){
+		"says nothing":          then("", nil),
+		"half a line":           then("POST /api", nil),
+		"half a head":           then(orderHead, nil),
+		"noise":                 then("\x00\xff\x01 \r\n\r\n", nil),
+		"noise without end":     forever("\x9c\x01\x00\xfe", 0),
+		"head without end":      then(orderHead, forever("X-A: a\r\n", 0)),
+		"slow head without end": then(orderHead, forever("X-A: a\r\n", 20*time.Millisecond)),
+		"line without end":      then(orderHead+"X-A: ", forever("aaaa", 0)),
+		"half a body":           then(orderHead+id+"Content-Length: 100\r\n\r\nabc", nil),
+		"slow body after a pause": func(c net.Conn) {
+			time.Sleep(1200 * time.Millisecond)
+			then(orderHead+id+"Content-Length: 60000\r\n\r\n", forever("a", 20*time.Millisecond))(c)
+		},
+		"half a body and a close": then(orderHead+id+"Content-Length: 100\r\n\r\nabc", func(c net.Conn) { c.(*net.TCPConn).CloseWrite() }),
+		"negative length":         then(orderHead+id+"Content-Length: -1\r\n\r\n", nil),
+		"length too large to be":  then(orderHead+id+"Content-Length: 99999999999999999999999\r\n\r\n", nil),
+		"length that is none":     then(orderHead+id+"Content-Length: abc\r\n\r\n", nil),
+		"60 MB":                   then(orderHead+id+"Content-Length: 62914560\r\n\r\n", forever(strings.Repeat("x", 64<<10), 0)),
+		"60 MB and a close":       then(orderHead+id+"Connection: close\r\nContent-Length: 62914560\r\n\r\n", forever(strings.Repeat("x", 64<<10), 0)),
+		"60 MB never sent":        then(orderHead+id+"Content-Length: 62914560\r\n\r\n", nil),
+		"asks before 60 MB":       then(orderHead+id+"Expect: 100-continue\r\nContent-Length: 62914560\r\n\r\n", nil),
+		"chunks without end":      then(orderHead+id+"Transfer-Encoding: chunked\r\n\r\n", forever("4\r\naaaa\r\n", 0)),
+		"chunks that are none":    then(orderHead+id+"Transfer-Encoding: chunked\r\n\r\nzz\r\n", nil),
+		"unknown class":           then(strings.Replace(orderHead, "order", "gold", 1)+id+"Content-Length: 0\r\n\r\n", nil),
+		"deadline that is none":   then(strings.Replace(orderHead, ": 9\r\n", ": soon\r\n", 1)+id+"Content-Length: 0\r\n\r\n", nil),
+		"no id":                   then(orderHead+"Content-Length: 0\r\n\r\n", nil),
+		"the same for ever":       forever(orderHead+"Content-Length: 0\r\n\r\n", 0),
+		"hundreds at once":        then(strings.Repeat(orderHead+"Content-Length: 0\r\n\r\n", 300), nil),
+	} {
+		wg.Go(func() {
+			c, err := net.Dial("tcp", n.Addr().String())
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			began := time.Now()
+			c.SetDeadline(began.Add(patience))
+			go send(c)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if ne, ok := err.(net.Error); ok && ne.Timeout() {
+				t.Errorf("%s: neither an error nor a close", name)
+			}
+			if err == nil && resp.StatusCode < 400 {
+				t.Errorf("%s: answered %d", name, resp.StatusCode)
+			}
+			// The bound is 2 s. Head and body taken one by one would make the slow body's 4.2 s.
+			if d := time.Since(began); d > 3900*time.Millisecond {
+				t.Errorf("%s: took %v", name, d)
+			}
+		})
+	}
+	wg.Wait()
+	if n := b.accepted.Load(); n != 0 {
+		t.Errorf("%d connections reached the backend", n)
+	}
+}
+
+// Clients that say nothing, or send slowly, give way when they fill the node, and one with an open request never
+// does.
+func TestSilentClientsGiveWay(t *testing.T) {
+	hold, held := make(chan struct{}), make(chan struct{}, 4)
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string {
+		if r.URL.Path == "/api/slow" {
+			held <- struct{}{}
+			<-hold
+		}
+		return ok200("x")
+	}))
+	text := listText(1, true, listed{"s", b.Addr().String(), "ready", 0})
+	cfg := testConfig(t, newRegistry(t, text).addr, text)
+	cfg.Limits.Sockets = leastSockets
+	n := start(t, cfg)
+	clients, _ := cfg.Limits.share()
+	slow := make(chan int, 1)
+	go func() {
+		resp, _ := do(t, ask(t, n.url+"/api/slow", "read"))
+		slow <- resp.StatusCode
+	}()
+	receive(t, "the open request", held)
+	began := time.Now()
+	for i := range 5 * clients {
+		c := n.dial(t)
+		switch i % 3 {
+		case 1:
+			io.WriteString(c, "POST /api")
+		case 2:
+			fmt.Fprintf(c, "%sX-Trace-Id: slow-%d\r\nContent-Length: 10\r\n\r\nabc", orderHead, i)
+		}
+	}
+	if resp, _ := do(t, ask(t, n.url+"/api/x", "read")); resp.StatusCode != 200 {
+		t.Errorf("the usual client: %d", resp.StatusCode)
+	}
+	// Without giving way they hold all places until their time is up.
+	if d := time.Since(began); d > requestWithin-300*time.Millisecond {
+		t.Errorf("the usual client waited %v", d)
+	}
+	close(hold)
+	if status := receive(t, "the open request's answer", slow); status != 200 {
+		t.Errorf("the open request: %d", status)
+	}
+	eventually(t, "an empty table", func() bool { return n.front.connections() == 0 && n.open(t) == 0 })
+	n.front.mu.Lock()
+	defer n.front.mu.Unlock()
+	if n.front.waiting != 0 {
+		t.Errorf("counted as waiting: %d", n.front.waiting)
+	}
+}
+
+// Bodies that never end take none of the places for requests.
+func TestSlowBodiesTakeNoPlaces(t *testing.T) {
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("x") }))
+	n := startOn(t, b.Addr().String())
+	n.onLoop(t, func() {})
+	n.front.inFlight.Store(n.front.most - 1) // all places but one are taken
+	for i := range 8 {
+		fmt.Fprintf(n.dial(t), "%sX-Trace-Id: slow-%d\r\nContent-Length: 10\r\n\r\nabc", orderHead, i)
+	}
+	eventually(t, "the slow ones", func() bool { return n.front.connections() == 8 })
+	time.Sleep(20 * time.Millisecond)
+	if resp, _ := do(t, ask(t, n.url+"/api/x", "order")); resp.StatusCode != 200 {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	n.front.inFlight.Add(1 - n.front.most)
+}
