Forget backends that are gone

Read: loop.backends, loop.byNumber and Balancer.servers kept every backend ever named, and every list walked them all; the pool's idle lists were keyed by address and start alone, so that a new backend at a used address with no start time took over the old one's connections.

Both sides now drop one that is gone once no attempt or probe is out at it. Numbers are never given twice; a late outcome finds nothing and changes nothing. Pool keys hold the id.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,5 +1,5 @@
 // The interface of this package (Config, Event, Action) is in balance/types.go.
-// This file holds the decisions, but for comeback.go's, and every tuning constant.
+// This file holds the decisions, but for those of members.go and comeback.go, and every tuning constant.
 
 package balance
 
@@ -285,75 +285,6 @@
 	}
 }
 
-// ---- The list of servers ----
-
-func (b *Balancer) onMembers(ev *Event) {
-	if ev.Kind == MembersRefused {
-		// A refused or broken subscription leaves the node blind to drains: ask again.
-		if b.cfg.AskDiscovery {
-			b.state(&b.blind, true, false, "discovery refused: asking again", "")
-			wait := b.cfg.Rules.AskEvery / rewatchParts
-			b.setTimer(wait+time.Duration(b.rng.Float64()*float64(wait)), timer{})
-		}
-		return
-	}
-	b.blind = false
-	if ev.Kind != MembersChanged {
-		for _, s := range b.servers {
-			s.Phase = Gone // unless the full list names it, also one that this node does not keep to
-		}
-	}
-	for _, m := range ev.Members {
-		b.update(m)
-	}
-	b.choose()
-	if len(b.ready) == 0 {
-		b.log("no ready backend")
-	}
-	if ev.Kind == MembersRemembered && b.cfg.AskDiscovery {
-		b.do(Action{Kind: Watch})
-	}
-}
-
-// update takes in one line of the list. A changed start time is a new process with a new queue.
-func (b *Balancer) update(m Member) {
-	s := b.servers[m.Backend]
-	started := s == nil || s.Launched != m.Launched
-	if s == nil {
-		s = &server{toldAt: b.now, since: b.now, rank: mix(uint64(m.Backend) ^ mix(uint64(b.cfg.Index)))}
-		b.servers[m.Backend] = s
-	} else if started {
-		// What was out at the old process is lost with it; its outcomes are still to come.
-		s.more, s.told, s.stuck, s.credit, s.since, s.served = 0, 0, 0, 0, b.now, 0
-		s.time, s.fails, s.failed, s.owesAt = 0, 0, false, b.now
-	}
-	s.Member = m
-	if started {
-		b.grantCold(s)
-	}
-}
-
-// choose keeps the node to a part of the servers of each zone where its traffic is too little to see more of
-// them, and each needs a connection from every node. Servers that fail are kept beside the part. It is drawn
-// by hash, so that nodes differ.
-func (b *Balancer) choose() {
-	b.ready = b.ready[:0]
-	for _, s := range b.servers {
-		if s.Phase == Ready {
-			b.ready = append(b.ready, s)
-		}
-	}
-	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
-	count := map[int]int{}
-	b.ready = slices.DeleteFunc(b.ready, func(s *server) bool {
-		if !s.failed {
-			count[s.Zone]++
-		}
-		return count[s.Zone] > b.partSize
-	})
-	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.Backend, y.Backend) })
-}
-
 // ---- Requests ----
 
 func (b *Balancer) onRequest(ev *Event) {
@@ -499,6 +430,7 @@
 	case r.pending == 0:
 		b.place(r)
 	}
+	b.forget(a.to)
 }
 
 // answer gives the final answer that the rules allow: a refusal where trying again is harmless.
--- /dev/null
+++ b/balance/members.go
@@ -0,0 +1,87 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+func (b *Balancer) onMembers(ev *Event) {
+	if ev.Kind == MembersRefused {
+		// A refused or broken subscription leaves the node blind to drains: ask again.
+		if b.cfg.AskDiscovery {
+			b.state(&b.blind, true, false, "discovery refused: asking again", "")
+			wait := b.cfg.Rules.AskEvery / rewatchParts
+			b.setTimer(wait+time.Duration(b.rng.Float64()*float64(wait)), timer{})
+		}
+		return
+	}
+	b.blind = false
+	if ev.Kind != MembersChanged {
+		for _, s := range b.servers {
+			s.Phase = Gone // unless the full list names it, also one that this node does not keep to
+		}
+	}
+	for _, m := range ev.Members {
+		b.update(m)
+	}
+	b.choose()
+	for _, s := range b.servers {
+		b.forget(s)
+	}
+	if len(b.ready) == 0 {
+		b.log("no ready backend")
+	}
+	if ev.Kind == MembersRemembered && b.cfg.AskDiscovery {
+		b.do(Action{Kind: Watch})
+	}
+}
+
+// update takes in one line of the list. A changed start time is a new process with a new queue.
+func (b *Balancer) update(m Member) {
+	s := b.servers[m.Backend]
+	if s == nil && m.Phase == Gone {
+		return
+	}
+	started := s == nil || s.Launched != m.Launched
+	if s == nil {
+		s = &server{toldAt: b.now, since: b.now, rank: mix(uint64(m.Backend) ^ mix(uint64(b.cfg.Index)))}
+		b.servers[m.Backend] = s
+	} else if started {
+		// What was out at the old process is lost with it; its outcomes are still to come.
+		s.more, s.told, s.stuck, s.credit, s.since, s.served = 0, 0, 0, 0, b.now, 0
+		s.time, s.fails, s.failed, s.owesAt = 0, 0, false, b.now
+	}
+	s.Member = m
+	if started {
+		b.grantCold(s)
+	}
+}
+
+// forget drops a server that is gone once nothing is out at it: ids come and go for as long as a node runs.
+func (b *Balancer) forget(s *server) {
+	if s.Phase == Gone && s.out == 0 && b.servers[s.Backend] == s {
+		delete(b.servers, s.Backend)
+	}
+}
+
+// choose keeps the node to a part of the servers of each zone where its traffic is too little to see more of
+// them, and each needs a connection from every node. Servers that fail are kept beside the part. It is drawn
+// by hash, so that nodes differ.
+func (b *Balancer) choose() {
+	b.ready = b.ready[:0]
+	for _, s := range b.servers {
+		if s.Phase == Ready {
+			b.ready = append(b.ready, s)
+		}
+	}
+	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
+	count := map[int]int{}
+	b.ready = slices.DeleteFunc(b.ready, func(s *server) bool {
+		if !s.failed {
+			count[s.Zone]++
+		}
+		return count[s.Zone] > b.partSize
+	})
+	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.Backend, y.Backend) })
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -26,7 +26,8 @@
 
 	requests map[string]*request
 	backends map[string]*backend // by discovery's id
-	byNumber []*backend          // by the Balancer's id
+	byNumber map[balance.BackendID]*backend
+	numbers  balance.BackendID // given so far: one is never given again
 	timers   timers
 	seq      uint64
 
@@ -37,12 +38,13 @@
 	ready atomic.Bool // some backend may be sent to
 }
 
-// backend is a backend that discovery has named since the start of the node.
+// backend is a backend that discovery has named. One that is gone is kept for as long as something is out at it.
 type backend struct {
 	number balance.BackendID
 	id     string
 	to     endpoint
 	phase  balance.Phase
+	out    int // attempts and probes whose outcome the Balancer has not been told
 }
 
 // request is a client's request: what came in, and, for the loop alone, where it stands.
@@ -102,6 +104,7 @@
 		askAbout:  func(balance.ActionKind) {},
 		tellPeers: func(int, []byte) {},
 		requests:  map[string]*request{}, backends: map[string]*backend{},
+		byNumber: map[balance.BackendID]*backend{},
 	}
 }
 
@@ -222,6 +225,7 @@
 	at := &attempt{to: b, sent: l.now()}
 	r.attempts = append(r.attempts, at)
 	r.pending++
+	b.out++
 	if b.phase != balance.Ready || r.answered {
 		l.outcome(r, n, result{status: balance.Unused})
 		return
@@ -254,6 +258,21 @@
 		Kind: balance.Outcome, Request: r.id, Attempt: n, Backend: at.to.number, Spent: l.now() - at.sent,
 		Status: res.status, NoMore: r.answered, Load: res.load,
 	})
+	l.settle(at.to)
+}
+
+// settle takes in that one thing less is out at a backend.
+func (l *loop) settle(b *backend) {
+	b.out--
+	l.drop(b)
+}
+
+// drop forgets a backend that is gone once nothing refers to it: ids come and go for as long as a node runs.
+func (l *loop) drop(b *backend) {
+	if b.phase == balance.Gone && b.out == 0 && l.backends[b.id] == b {
+		delete(l.backends, b.id)
+		delete(l.byNumber, b.number)
+	}
 }
 
 // giveUp ends an attempt and its connection.
@@ -309,7 +328,9 @@
 	told := func(res result) {
 		l.handle(balance.Event{Kind: balance.Probed, Backend: number, Spent: l.now() - sent,
 			Status: res.status, Load: res.load})
+		l.settle(b)
 	}
+	b.out++
 	if b.phase != balance.Ready {
 		told(result{status: balance.Unused})
 		return
@@ -318,9 +339,6 @@
 }
 
 func (l *loop) backend(number balance.BackendID) *backend {
-	if int(number) >= len(l.byNumber) {
-		return nil
-	}
 	return l.byNumber[number]
 }
 
@@ -338,12 +356,15 @@
 	for _, m := range list.Members {
 		b := l.backends[m.ID]
 		if b == nil {
-			b = &backend{number: balance.BackendID(len(l.byNumber)), id: m.ID}
-			l.backends[m.ID] = b
-			l.byNumber = append(l.byNumber, b)
+			if m.Phase == balance.Gone {
+				continue // never named, or forgotten
+			}
+			b = &backend{number: l.numbers, id: m.ID}
+			l.numbers++
+			l.backends[m.ID], l.byNumber[b.number] = b, b
 			l.log.Info("backend named", "number", b.number, "id", b.id, "address", m.Addr)
 		}
-		to := endpoint{m.Addr, m.Launched}
+		to := endpoint{m.ID, m.Addr, m.Launched}
 		if m.Phase == balance.Gone {
 			to = b.to // where it was
 		}
@@ -366,6 +387,9 @@
 	l.ready.Store(ready)
 	l.handle(balance.Event{Kind: kind, Members: members})
 	l.unsend()
+	for _, b := range l.backends {
+		l.drop(b)
+	}
 }
 
 // unsend stops attempts that have not begun to write to a backend that takes nothing new. Left alone, one that
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -11,8 +11,10 @@
 	"time"
 )
 
-// endpoint is one process of a backend: the address, and when it started.
+// endpoint is one process of a backend: whose it is, the address, and when it started. A new backend at a used
+// address shares nothing with the old one.
 type endpoint struct {
+	id       string
 	addr     string
 	launched time.Duration
 }
