A node that leaves serves its clients while it can answer in time

Logs: n0 got SIGTERM at 16.2 s, closed all connections by 17.1 s, while n1 was not back before 17.0 s. SIGKILL comes no sooner than the longest deadline and 0.7 s; leave() closed each connection after its answer from the first moment and stopped at 0.6 s.

Now connections stay in use until the longest time that clients give a request would just be over 0.2 s before SIGKILL (about 1.5 s here). What is left: the front deals no new connections in that gap.

A node with no client connected leaves at once after the lame duck.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -50,8 +50,10 @@
 	log      *slog.Logger
 	most     int64 // requests at once
 	inFlight atomic.Int64
-	crowded  int         // so many connections that idle ones give way and answers close theirs
-	leaving  atomic.Bool // the node is about to end
+	crowded  int          // so many connections that idle ones give way and answers close theirs
+	leaving  atomic.Bool  // the node is about to end: it is not ready
+	closing  atomic.Bool  // and answers close their connections
+	longest  atomic.Int64 // the longest time that a client gave a request, as a time.Duration
 
 	mu      sync.Mutex
 	conns   map[net.Conn]*clientConn
@@ -172,6 +174,13 @@
 	return f.enter(c, connOpen)
 }
 
+// connected tells whether any client is connected.
+func (f *front) connected() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns) > 0
+}
+
 // isCrowded tells whether there are so many connections, beside those that say nothing and will give way, that
 // answers should close theirs.
 func (f *front) isCrowded() bool {
@@ -183,7 +192,7 @@
 // ServeHTTP answers one request of a client.
 func (f *front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	received := time.Now()
-	if f.leaving.Load() || f.isCrowded() {
+	if f.closing.Load() || f.isCrowded() {
 		// Closing after an answer crosses no request, as closing an idle connection may.
 		w.Header().Set("Connection", "close")
 	}
@@ -255,7 +264,7 @@
 	f.loop.post(func() { f.loop.arrive(r) })
 	select {
 	case a := <-r.reply:
-		if f.leaving.Load() {
+		if f.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		write(w, a)
@@ -358,6 +367,9 @@
 		left = min(left, time.Duration(min(s, 1e6)*float64(time.Second)))
 	}
 	r.deadline = received.Add(left - early)
+	if l := int64(left); l > f.longest.Load() {
+		f.longest.Store(l) // two at once may leave the lesser: the next one mends it
+	}
 	if us, err := strconv.ParseFloat(h.Get("X-Size-Hint"), 64); err == nil && us > 0 && us < 1e12 {
 		r.hint = time.Duration(us * float64(time.Microsecond))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// lameDuck is how long a node that is to end goes on accepting: the front needs up to 0.4 s to see it. With
-	// the longest deadline, which comes on top, it stays below the time at which SIGKILL may come.
-	lameDuck = 600 * time.Millisecond
+	// lameDuck is how long a node that is to end goes on accepting at the least: the front needs up to 0.4 s to
+	// see it. SIGKILL may come killAfter after SIGTERM and the longest deadline; spare is kept before that.
+	lameDuck, killAfter, spare = 600 * time.Millisecond, 700 * time.Millisecond, 200 * time.Millisecond
 	// clearFor is how long there must be room to accept, for the backlog to be empty.
 	clearFor = 50 * time.Millisecond
 	// stillFor is how long nothing may be in flight before connections that never sent a request are cut.
@@ -115,12 +115,18 @@
 	return n.leave(srv)
 }
 
-// leave ends the node in order: it goes on accepting until nobody sends anything new, answers what it has taken,
-// and closes each connection after an answer.
+// leave ends the node in order: it goes on serving for as long as what comes can be answered in time, then closes
+// each connection after its answer. Clients keep to their connections: one closed early, with other nodes out
+// for a restart too, leaves them none.
 func (n *Node) leave(srv *http.Server) error {
-	n.log.Info("leaving")
+	stay := max(lameDuck, longestDeadline(n.cfg.Settings)+killAfter-spare-time.Duration(n.front.longest.Load()))
+	n.log.Info("leaving", "most", stay)
 	n.front.leaving.Store(true)
 	time.Sleep(lameDuck)
+	for end := time.Now().Add(stay - lameDuck); time.Now().Before(end) && n.front.connected(); {
+		time.Sleep(lookEvery)
+	}
+	n.front.closing.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), longestDeadline(n.cfg.Settings))
 	defer cancel()
 	// What stands in the backlog for want of room has been taken too, and closing the listener would reset it.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -477,3 +477,55 @@
 	first.Close()
 	receive(t, "the third, once there is room", got).Close()
 }
+
+// While it can still answer in time, a node that is to end keeps the connections of its clients: with other nodes
+// out for a restart they may have no other place to go.
+func TestLeavingKeepsConnectionsForAWhile(t *testing.T) {
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("x") }))
+	text := listText(1, true, listed{"s", b.Addr().String(), "ready", 0})
+	n := start(t, testConfig(t, newRegistry(t, text).addr, text, `"deadline":10000000000`, `"deadline":3000000000`))
+	c, err := net.Dial("tcp", n.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	br := bufio.NewReader(c)
+	request := func() (*http.Response, error) {
+		fmt.Fprintf(c, "GET /api/x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: id-%d\r\nX-Qos: read\r\nX-Customer: acme\r\nX-Expires-In: 0.5\r\n\r\n", lastID.Add(1))
+		resp, err := http.ReadResponse(br, nil)
+		if err == nil {
+			io.Copy(io.Discard, resp.Body)
+		}
+		return resp, err
+	}
+	if resp, err := request(); err != nil || resp.StatusCode != 200 {
+		t.Fatal(resp, err)
+	}
+	began := time.Now()
+	n.stop()
+	eventually(t, "leaving", func() bool { return n.front.leaving.Load() })
+	for {
+		resp, err := request()
+		if err != nil {
+			break // closed between two requests
+		}
+		if resp.StatusCode != 200 {
+			t.Errorf("answered %d", resp.StatusCode)
+		}
+		if resp.Close {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	// 3 s and 0.7 s are sure, of which the longest request may need 0.5 s.
+	if d := time.Since(began); d < 2*lameDuck {
+		t.Errorf("closed after %v", d)
+	}
+	if err := receive(t, "the node's end", n.err); err != nil {
+		t.Error(err)
+	}
+	if d := time.Since(began); d > 3700*time.Millisecond {
+		t.Errorf("ended after %v", d)
+	}
+}
