--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -348,7 +348,7 @@
 			return bad("%s: given more than once", name)
 		}
 	}
-	r := &request{id: h.Get("X-Trace-Id"), received: received, reply: make(chan answer, 1), repeat: h.Get("X-Second-Try") == "1"}
+	r := &request{id: h.Get("X-Trace-Id"), reply: make(chan answer, 1), repeat: h.Get("X-Second-Try") == "1"}
 	if r.id == "" {
 		return bad("X-Trace-Id: missing")
 	}
--- a/internal/node/client_test.go
+++ b/internal/node/client_test.go
@@ -283,30 +283,3 @@
 	defer f.mu.Unlock()
 	return len(f.conns)
 }
-
-// Where requests have waited for the CPU for a while, a further one is refused at once, and says when to come
-// back; one that is prompt ends that.
-func TestNodeShortOfCPURefuses(t *testing.T) {
-	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("x") }))
-	n := startOn(t, b.Addr().String())
-	arrive := func(id string, lag time.Duration) *request {
-		r := &request{id: id, received: time.Now().Add(-lag), deadline: time.Now().Add(patience),
-			reply: make(chan answer, 1), message: *get(id)}
-		n.onLoop(t, func() { n.loop.arrive(r) })
-		return r
-	}
-	if a := receive(t, "the answer to a late one", arrive("late", time.Second).reply); a.kind != served {
-		t.Errorf("a single wait: %+v", a)
-	}
-	var got answer
-	eventually(t, "a refusal", func() bool {
-		got = receive(t, "an answer", arrive("late", time.Second).reply)
-		return got.kind == refused
-	})
-	if got.retryIn <= 0 {
-		t.Errorf("%+v", got)
-	}
-	if a := receive(t, "the answer to a prompt one", arrive("prompt", 0).reply); a.kind != served {
-		t.Errorf("a prompt one: %+v", a)
-	}
-}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -13,13 +13,12 @@
 // it carries out the Balancer's actions. It never waits for anyone: what may block runs in goroutines that
 // post what came of it. So whoever posts waits for the loop, and the loop for nobody.
 type loop struct {
-	bal      *balance.Balancer
-	inbox    chan func()
-	done     chan struct{} // closed when the loop has ended
-	start    time.Time
-	origin   time.Duration // the clock at start: Unix time, which discovery's start times are in
-	log      *slog.Logger
-	complain limited // of the CPU
+	bal    *balance.Balancer
+	inbox  chan func()
+	done   chan struct{} // closed when the loop has ended
+	start  time.Time
+	origin time.Duration // the clock at start: Unix time, which discovery's start times are in
+	log    *slog.Logger
 
 	back      *exchanges
 	askAbout  func(balance.ActionKind) // passes Watch, Unwatch and Fetch on
@@ -37,10 +36,6 @@
 	actions []balance.Action
 
 	ready atomic.Bool // some backend may be sent to
-
-	promptAt  time.Duration // when a request last got here without waiting for the CPU
-	arrivedAt time.Duration // when the last one did
-	starving  bool
 }
 
 // backend is a backend that discovery has named. One that is gone is kept for as long as something is out at it.
@@ -55,7 +50,6 @@
 // request is a client's request: what came in, and, for the loop alone, where it stands.
 type request struct {
 	id       string
-	received time.Time
 	class    int
 	tenant   int
 	key      uint64
@@ -98,19 +92,13 @@
 	contentType string
 }
 
-const (
-	// A request that takes lagMost from its head to the loop has waited for the CPU. Where none for lagSpan was
-	// quicker, there is no CPU for all.
-	lagMost, lagSpan = 15 * time.Millisecond, 100 * time.Millisecond
-)
-
 // inboxSize is how many posts may wait. It only smooths: a full inbox makes posters wait.
 const inboxSize = 1024
 
 func newLoop(bal *balance.Balancer, back *exchanges, log *slog.Logger) *loop {
 	start := time.Now()
 	return &loop{
-		bal: bal, back: back, log: log, complain: limited{log: log},
+		bal: bal, back: back, log: log,
 		inbox: make(chan func(), inboxSize), done: make(chan struct{}),
 		start: start, origin: time.Duration(start.UnixNano()),
 		askAbout:  func(balance.ActionKind) {},
@@ -211,10 +199,6 @@
 		r.reply <- answer{kind: doubled}
 		return
 	}
-	if l.starved(time.Since(r.received)) {
-		r.reply <- answer{kind: refused, retryIn: fullRetry}
-		return
-	}
 	l.requests[r.id] = r
 	l.handle(balance.Event{
 		Kind: balance.RequestArrived, Request: r.id, Class: r.class, Tenant: r.tenant, Key: r.key, HasKey: r.hasKey,
@@ -222,25 +206,6 @@
 	})
 }
 
-// starved tells whether requests wait for the CPU. Taking in all of them would make all of them late, and clients
-// that give up and ask again on new connections cost still more: those that can't be served are refused while that
-// is cheap. A single wait says nothing, as a machine may stop the node for a moment.
-func (l *loop) starved(lag time.Duration) bool {
-	now := l.now()
-	if lag < lagMost || now-l.arrivedAt > lagSpan {
-		l.promptAt = now
-	}
-	l.arrivedAt = now
-	starving := now-l.promptAt > lagSpan
-	if starving != l.starving {
-		l.starving = starving
-		if starving {
-			l.complain.warn("short of CPU: refusing")
-		}
-	}
-	return starving
-}
-
 // gone takes in that a client has closed its connection before its answer.
 func (l *loop) gone(r *request) {
 	if l.requests[r.id] != r || r.answered {
