--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,7 +37,8 @@
 	firstPace, paceWeight, forget = 0.1, 0.05, 0.3
 	// failAims is what a certain failure costs, in aims. failWeight is the weight of a new outcome in a
 	// server's rate of failures; the rate also fades by failFade each window, so that traffic returns.
-	failAims, failWeight, failFade = 3.0, 0.1, 0.25
+	// Up to strays standard deviations above the rate of all are chance.
+	failAims, failWeight, failFade, strays = 3.0, 0.1, 0.25, 2.0
 	// crossAims is the wait, in aims, that costs as much as a request's whole worth.
 	crossAims = 1.5
 	// shareSpan is the time, in seconds, over which a share may be used unevenly, and shareLeast what may
@@ -92,6 +93,7 @@
 	crowded                    bool    // answers come late, as logged
 	blind                      bool    // discovery was refused, as logged
 	allFail                    float64 // rate of failures over all servers
+	allBroke                   float64 // and of those that were no time-out
 	meanValue                  float64 // running mean of what requests are worth for each unit of work
 	meanAim                    float64 // mean aim of the classes, seconds
 	peerPace                   float64 // pace over all answers, and the means that it comes from
@@ -354,7 +356,7 @@
 	least, ties := 0.0, 0
 	for _, s := range b.ready {
 		// An idle server makes nobody wait, however slow it has become.
-		full := b.entry(s) > idleEntry && b.wait(s) > bound
+		full := b.entry(s) > idleEntry && b.wait(s)-b.chance(s) > bound
 		if full || r.tried(s) || !b.mayGo(r, s) || !b.coldAllows(r, s) {
 			continue
 		}
@@ -668,6 +670,7 @@
 	case Delivered, Shed:
 		s.fails -= failWeight * s.fails
 		s.owesAt = b.now
+		b.allBroke -= failWeight * b.allBroke / float64(len(b.ready)+1)
 	case Expired:
 		// A try that ran out of time says little while others are answered.
 		if s.out == 0 && s.owesAt <= sent {
@@ -676,6 +679,9 @@
 	case AppError, Dropped, DialFailed:
 		s.owesAt = b.now
 		s.fails += failWeight * (1 - s.fails)
+		if st != DialFailed { // a full server takes no connection: that is no chance
+			b.allBroke += failWeight * (1 - b.allBroke) / float64(len(b.ready)+1)
+		}
 	}
 }
 
--- a/balance/members.go
+++ b/balance/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -85,3 +86,14 @@
 	})
 	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.Backend, y.Backend) })
 }
+
+// chance is the part of a server's cost for failures that chance explains: a rate strays from that of all. Where one
+// attempt in ten breaks everywhere, servers take turns in looking worse than a full queue. That may decide
+// which one gets a request, and is no reason to refuse it.
+func (b *Balancer) chance(s *server) float64 {
+	if b.allBroke < failsLow {
+		return 0 // breaks are rare, and one tells
+	}
+	stray := strays * math.Sqrt(b.allBroke*(1-b.allBroke)*failWeight/(2-failWeight))
+	return min(max(0, s.fails-b.allFail), stray) * failAims * b.meanAim
+}
--- a/balance/members_test.go
+++ b/balance/members_test.go
@@ -46,3 +46,47 @@
 	handle(out[0])
 	handle(Event{Kind: Probed, Backend: 5, Load: Load{Has: HasActive, Active: 3}})
 }
+
+// Where one attempt in ten breaks at every server alike, none of them is an outlier, and nobody is refused for it.
+func TestBreaksByChanceRefuseNothing(t *testing.T) {
+	b, err := New(Config{Classes: []Class{{Aim: time.Second, Deadline: time.Minute, Effect: Safe}},
+		Limits: Limits{MaxAttempts: 1}}, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now, refused := time.Second, 0
+	handle := func(ev Event) []Action {
+		now += time.Millisecond
+		return b.Handle(now, ev, nil)
+	}
+	var members []Member
+	for i := range BackendID(2) {
+		members = append(members, Member{Backend: i})
+	}
+	handle(Event{Kind: MembersAll, Members: members})
+	var out []Event // eight at a time, so that no server is idle
+	for i := range 6000 {
+		id := fmt.Sprint(i)
+		for _, a := range handle(Event{Kind: RequestArrived, Request: id, Budget: time.Minute}) {
+			switch a.Kind {
+			case Send:
+				out = append(out, Event{Kind: Outcome, Request: id, Attempt: a.Attempt, Backend: a.Backend})
+			case Refuse:
+				if i > 1000 {
+					refused++
+				}
+			}
+		}
+		if len(out) > 8 {
+			ev := out[0]
+			out, ev.NoMore, ev.Spent = out[1:], true, 250*time.Millisecond
+			if b.rng.IntN(10) == 0 {
+				ev.Status = Dropped
+			}
+			handle(ev)
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of 5000 refused", refused)
+	}
+}
