--- a/internal/node/growth_test.go
+++ b/internal/node/growth_test.go
@@ -71,18 +71,39 @@
 	})
 }
 
-// A new backend at the address of one that has gone shares no connection with it.
+// A new backend at the address of one that has gone shares no connection with it, not even one that comes back to
+// the pool later.
 func TestNewBackendAtAUsedAddress(t *testing.T) {
-	x := exchangesFor(t)
-	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("x") }))
-	for i, id := range []string{"old", "new"} {
-		r := try(t, x, endpoint{id: id, addr: b.Addr().String()}, get("id"))
-		if r.status != balance.Delivered {
-			t.Errorf("%s: %v", id, r.status)
-		}
-		if got := b.accepted.Load(); got != int64(i+1) {
-			t.Errorf("%s: %d connections so far, want %d", id, got, i+1)
+	hold, held := make(chan struct{}), make(chan struct{}, 4)
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string {
+		if r.URL.Path == "/api/slow" {
+			held <- struct{}{}
+			<-hold
 		}
+		return ok200("x")
+	}))
+	addr := b.Addr().String()
+	reg := newRegistry(t, listText(1, true, listed{"old", addr, "ready", 0}))
+	n := start(t, testConfig(t, reg.addr, "null"))
+	eventually(t, "the list", n.loop.ready.Load)
+	slow := make(chan string, 1)
+	go func() {
+		_, body := do(t, ask(t, n.url+"/api/slow", "order"))
+		slow <- body
+	}()
+	receive(t, "the slow request", held)
+	reg.next <- listText(2, false, listed{"old", addr, "gone", 0}, listed{"new", addr, "ready", 0})
+	eventually(t, "the new one", func() (named bool) {
+		n.onLoop(t, func() { named = n.loop.backends["new"] != nil })
+		return named
+	})
+	close(hold)
+	receive(t, "the slow answer", slow)
+	if resp, _ := do(t, ask(t, n.url+"/api/x", "order")); resp.StatusCode != 200 {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	if got := b.accepted.Load(); got != 2 {
+		t.Errorf("%d connections, want one for each backend", got)
 	}
 }
 
