Engine cut out of the node's loop; the registry source stands on its own

Need: the loop that carries out the module's decisions was welded to HTTP; a gRPC plug-in or a PostgreSQL front would have copied it and the four rules with it.

The HTTP node runs on both.

--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,246 @@
+package engine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"glencart/balance"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// rough is a transport that ends attempts in goroutines of its own after a drawn time, with a drawn status.
+type rough struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	ran     map[string]int // attempts that ran, by request
+	open    int
+	dropped int
+}
+
+type roughCall struct {
+	mu            sync.Mutex
+	begun, barred bool
+	stop          chan struct{}
+	stopped       bool
+}
+
+func (x *rough) draw(n int) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.rng.IntN(n)
+}
+
+func (x *rough) Send(a *Attempt) {
+	c := &roughCall{stop: make(chan struct{})}
+	a.State = c
+	dial, work, end := time.Duration(x.draw(40))*time.Millisecond, time.Duration(x.draw(900))*time.Millisecond, x.draw(10)
+	id := a.Request.ID
+	go func() {
+		sleep := func(d time.Duration) bool {
+			select {
+			case <-time.After(min(d, time.Until(a.Deadline))):
+				return time.Now().Before(a.Deadline)
+			case <-c.stop:
+				return false
+			}
+		}
+		if !sleep(dial) {
+			a.Done(Result{Status: balance.Unused})
+			return
+		}
+		c.mu.Lock()
+		if c.barred {
+			c.mu.Unlock()
+			a.Done(Result{Status: balance.Unused})
+			return
+		}
+		c.begun = true
+		c.mu.Unlock()
+		if end == 0 {
+			a.Done(Result{Status: balance.Shed})
+			return
+		}
+		x.mu.Lock()
+		x.ran[id]++
+		x.mu.Unlock()
+		if !sleep(work) {
+			a.Done(Result{Status: balance.Expired})
+			return
+		}
+		switch end {
+		case 1:
+			a.Done(Result{Status: balance.Dropped})
+		case 2:
+			a.Done(Result{Status: balance.AppError})
+		case 3, 4, 5:
+			a.Deliver(Result{Status: balance.Delivered})
+		default:
+			a.Done(Result{Status: balance.Delivered})
+		}
+	}()
+}
+
+func (x *rough) Bar(a *Attempt) bool {
+	c := a.State.(*roughCall)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.barred = c.barred || !c.begun
+	return c.barred
+}
+
+func (x *rough) GiveUp(a *Attempt) {
+	c := a.State.(*roughCall)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.stopped {
+		c.stopped = true
+		close(c.stop)
+	}
+}
+
+func (x *rough) Probe(_ Endpoint, told func(Result)) { told(Result{Status: balance.Shed}) }
+func (x *rough) Drop(Endpoint)                       { x.dropped++ }
+
+// Under random ends, drains and clients that leave, with real goroutines and no real time: every request has one
+// answer by its deadline, no unsafe one runs twice, a refusal is given only where nothing ran, and nothing is left.
+func TestRulesUnderRandomFaults(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { randomFaults(t, seed) })
+		})
+	}
+}
+
+func randomFaults(t *testing.T, seed uint64) {
+	const requests, backends = 600, 6
+	bal, err := balance.New(balance.Config{
+		Classes: []balance.Class{
+			{Aim: time.Second / 2, Deadline: time.Second, Effect: balance.Safe, Points: 1},
+			{Aim: time.Second / 2, Deadline: time.Second, Effect: balance.Unsafe, Points: 1},
+		},
+		Limits: balance.Limits{Cancelling: true, MaxAttempts: 3, RetryAfter: true, Probing: true},
+		Rules:  balance.Rules{DrainGrace: time.Second / 2},
+	}, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &rough{rng: rand.New(rand.NewPCG(seed, 1)), ran: map[string]int{}}
+	e := New(Config{Balancer: bal, Transport: x})
+	quit, ended := make(chan struct{}), make(chan struct{})
+	go func() { e.Run(quit); close(ended) }()
+	phases := make([]balance.Phase, backends)
+	list := func() {
+		l := List{Complete: true}
+		for i, p := range phases {
+			l.Members = append(l.Members, Member{ID: fmt.Sprint("s", i), Addr: fmt.Sprint("10.0.0.", i, ":1"), Member: balance.Member{Phase: p, Weight: 1}})
+		}
+		e.Post(func() { e.TakeList(balance.MembersAll, l) })
+	}
+	list()
+	var wg sync.WaitGroup
+	counts := map[AnswerKind]int{}
+	for i := range requests {
+		time.Sleep(time.Duration(x.draw(12)) * time.Millisecond)
+		if i%50 == 49 {
+			phases[x.draw(backends)] = balance.Phase(x.draw(2))
+			list()
+		}
+		r := &Request{ID: fmt.Sprint("r", i), Class: i % 2, Deadline: time.Now().Add(time.Second), Reply: make(chan Answer, 1)}
+		leaves := time.Hour
+		if x.draw(10) == 0 {
+			leaves = time.Duration(x.draw(500)) * time.Millisecond
+		}
+		wg.Go(func() {
+			e.Post(func() { e.Arrive(r) })
+			select {
+			case a := <-r.Reply:
+				x.mu.Lock()
+				defer x.mu.Unlock()
+				counts[a.Kind]++
+				if time.Now().After(r.Deadline.Add(time.Millisecond)) {
+					t.Errorf("%s answered %v late", r.ID, time.Since(r.Deadline))
+				}
+				if a.Kind == Refused && r.Class == 1 && x.ran[r.ID] > 0 {
+					t.Errorf("%s refused, and it ran", r.ID)
+				}
+			case <-time.After(leaves):
+				e.Post(func() { e.Gone(r) })
+			case <-time.After(2 * time.Second):
+				if !r.claimed.Load() { // else its answer was handed on
+					t.Errorf("%s has no answer", r.ID)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	time.Sleep(5 * time.Second)
+	synctest.Wait()
+	e.Post(func() {
+		if e.Open() != 0 {
+			t.Errorf("%d requests left", e.Open())
+		}
+		for id, b := range e.backends {
+			if b.out != 0 {
+				t.Errorf("%s has %d out", id, b.out)
+			}
+		}
+	})
+	synctest.Wait()
+	for i := 1; i < requests; i += 2 {
+		if n := x.ran[fmt.Sprint("r", i)]; n > 1 {
+			t.Errorf("r%d, unsafe, ran %d times", i, n)
+		}
+	}
+	if counts[Served] == 0 || counts[Failed] == 0 {
+		t.Errorf("answers %v: the script meets too little", counts)
+	}
+	close(quit)
+	<-ended
+	if e.Post(func() {}) {
+		select {
+		case <-e.Done():
+		default:
+			t.Error("takes posts after its end")
+		}
+	}
+}
+
+// BenchmarkPick is what a decision costs beside the number of backends.
+func BenchmarkRequest(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n, " backends"), func(b *testing.B) {
+			bal, _ := balance.New(balance.Config{Classes: []balance.Class{{Aim: time.Second, Deadline: time.Minute, Effect: balance.Safe, Points: 1}},
+				Limits: balance.Limits{MaxAttempts: 3}}, 1)
+			x := &instant{}
+			e := New(Config{Balancer: bal, Transport: x})
+			l := List{Complete: true}
+			for i := range n {
+				l.Members = append(l.Members, Member{ID: fmt.Sprint("s", i), Addr: fmt.Sprint(i), Member: balance.Member{Weight: 1}})
+			}
+			e.TakeList(balance.MembersAll, l)
+			b.ReportAllocs()
+			for b.Loop() {
+				r := &Request{ID: "x", Deadline: e.Now().Add(time.Millisecond), Reply: make(chan Answer, 1)}
+				e.Arrive(r)
+				x.last.Done(Result{Status: balance.Delivered})
+				e.Step()
+				<-r.Reply
+			}
+		})
+	}
+}
+
+type instant struct{ last *Attempt }
+
+func (x *instant) Send(a *Attempt)              { x.last = a }
+func (x *instant) Bar(*Attempt) bool            { return false }
+func (x *instant) GiveUp(*Attempt)              {}
+func (x *instant) Probe(Endpoint, func(Result)) {}
+func (x *instant) Drop(Endpoint)                {}
--- /dev/null
+++ b/internal/engine/requests.go
@@ -0,0 +1,191 @@
+package engine
+
+import (
+	"glencart/balance"
+)
+
+// Arrive takes in a request. One whose id is still in use is turned away: backends could not tell the two apart.
+// On the loop.
+func (e *Engine) Arrive(r *Request) {
+	if e.requests[r.ID] != nil {
+		r.Reply <- Answer{Kind: Doubled}
+		return
+	}
+	e.requests[r.ID] = r
+	e.Handle(balance.Event{
+		Kind: balance.RequestArrived, Request: r.ID, Class: r.Class, Tenant: r.Tenant, Key: r.Key, HasKey: r.HasKey,
+		Budget: max(r.Deadline.Sub(e.Now()), 0), Hint: r.Hint, Repeat: r.Repeat,
+	})
+}
+
+// Gone takes in that a client has left before its answer. On the loop.
+func (e *Engine) Gone(r *Request) {
+	if e.requests[r.ID] != r || r.answered {
+		return
+	}
+	r.answered = true
+	r.claimed.Store(true)
+	e.Handle(balance.Event{Kind: balance.ClientGone, Request: r.ID})
+	e.endAttempts(r, balance.Revoked)
+}
+
+// Open is how many requests are in the table: those without an answer, and those with something still out.
+// On the loop.
+func (e *Engine) Open() int { return len(e.requests) }
+
+func (e *Engine) send(act *balance.Action) {
+	r, b := e.requests[act.Request], e.byNumber[act.Backend]
+	if r == nil || b == nil {
+		return
+	}
+	a := &Attempt{Request: r, To: b.to, Deadline: r.Deadline, engine: e, number: len(r.attempts), to: b, sent: e.Clock()}
+	r.attempts = append(r.attempts, a)
+	r.pending++
+	b.out++
+	if b.phase != balance.Ready || r.answered || r.streamed {
+		e.outcome(a, Result{Status: balance.Unused})
+		return
+	}
+	if act.Limit > 0 {
+		if limit := e.Now().Add(act.Limit); limit.Before(a.Deadline) {
+			a.Deadline = limit
+		}
+	}
+	a.begun = true
+	e.Transport.Send(a)
+}
+
+// outcome tells the Balancer how an attempt ended, once. What comes after it was given up changes nothing.
+func (e *Engine) outcome(a *Attempt, res Result) {
+	r := a.Request
+	if a.over {
+		return
+	}
+	if !r.answered {
+		switch {
+		case res.Status == balance.Delivered && r.claimed.CompareAndSwap(false, true):
+			r.answered = true
+			r.Reply <- Answer{Kind: Served, Body: res.Body}
+		case r.streamed && r.claimed.CompareAndSwap(false, true): // a break in a begun stream ends it
+			r.answered = true
+			r.Reply <- Answer{Kind: Failed, Begun: true, Body: res.Body}
+		}
+	}
+	e.tell(a, res)
+}
+
+// delivered is outcome for an answer that the transport has handed on, if it won the right to.
+func (e *Engine) delivered(a *Attempt, res Result, won bool) {
+	r := a.Request
+	open := !r.answered
+	if won {
+		r.answered = true
+	}
+	switch {
+	case !a.over:
+		e.tell(a, res)
+	case won && open: // it was given up, and has its client all the same
+		e.Handle(balance.Event{Kind: balance.ClientGone, Request: r.ID})
+	}
+	if won {
+		e.endAttempts(r, balance.Revoked)
+	}
+}
+
+func (e *Engine) tell(a *Attempt, res Result) {
+	r := a.Request
+	a.over = true
+	r.pending--
+	r.begun = r.begun || !res.Status.NeverRan()
+	if res.Body != nil {
+		r.last = res.Body
+	}
+	e.forget(r)
+	e.Handle(balance.Event{
+		Kind: balance.Outcome, Request: r.ID, Attempt: a.number, Backend: a.to.number, Spent: e.Clock() - a.sent,
+		Status: res.Status, NoMore: r.answered, Load: res.Load,
+	})
+	e.settle(a.to)
+}
+
+// started takes in that the client has the stream.
+func (e *Engine) started(a *Attempt) {
+	r := a.Request
+	if a.over || r.answered || r.streamed {
+		return
+	}
+	r.streamed = true
+	e.Handle(balance.Event{Kind: balance.StreamStarted, Request: r.ID, Attempt: a.number, Backend: a.to.number,
+		Spent: e.Clock() - a.sent})
+	for _, other := range r.attempts {
+		if other != a {
+			e.giveUp(other, balance.Revoked)
+		}
+	}
+}
+
+// giveUp ends an attempt and its connection.
+func (e *Engine) giveUp(a *Attempt, st balance.Status) {
+	if a.over {
+		return
+	}
+	if a.begun {
+		if e.Transport.Bar(a) {
+			st = balance.Unused
+		}
+		e.Transport.GiveUp(a)
+	}
+	e.outcome(a, Result{Status: st})
+}
+
+// finish gives a request its final answer. Nothing that was sent for it can be of use any more.
+func (e *Engine) finish(r *Request, ans Answer) {
+	if r == nil || r.answered {
+		return
+	}
+	r.answered = true
+	late := !e.Now().Before(r.Deadline)
+	mine := r.claimed.CompareAndSwap(false, true) // else an answer is on its way to the client already
+	st := balance.Revoked
+	if late {
+		st = balance.Expired
+	}
+	e.endAttempts(r, st)
+	if mine {
+		ans.Late, ans.Begun, ans.Body = late, r.begun, r.last
+		r.Reply <- ans
+	}
+}
+
+func (e *Engine) endAttempts(r *Request, st balance.Status) {
+	for _, a := range r.attempts {
+		e.giveUp(a, st)
+	}
+	e.forget(r)
+}
+
+// forget drops a request from the table once it is answered and nothing is out for it.
+func (e *Engine) forget(r *Request) {
+	if r.answered && r.pending == 0 && e.requests[r.ID] == r {
+		delete(e.requests, r.ID)
+	}
+}
+
+func (e *Engine) probe(number balance.BackendID) {
+	b := e.byNumber[number]
+	if b == nil {
+		return
+	}
+	sent := e.Clock()
+	told := func(res Result) {
+		e.Handle(balance.Event{Kind: balance.Probed, Backend: number, Spent: e.Clock() - sent,
+			Status: res.Status, Load: res.Load})
+		e.settle(b)
+	}
+	b.out++
+	if b.phase != balance.Ready {
+		told(Result{Status: balance.Unused})
+		return
+	}
+	e.Transport.Probe(b.to, func(res Result) { e.Post(func() { told(res) }) })
+}
--- /dev/null
+++ b/internal/engine/scenario_test.go
@@ -0,0 +1,203 @@
+package engine
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"glencart/balance"
+)
+
+// world is an engine whose time, transport and backends are the scenario's.
+type world struct {
+	t     *testing.T
+	e     *Engine
+	clock time.Time
+	said  strings.Builder
+	out   map[string]*Attempt // by request and number
+	late  map[string]bool     // attempts whose first byte has been written: they can't be barred
+	reqs  map[string]*Request
+	ids   map[Endpoint]func(Result) // probes out
+}
+
+var statuses = []string{"delivered", "app_error", "shed", "expired", "dial_failed", "dropped", "revoked", "unused"}
+var phases = []string{"ready", "draining", "gone"}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, clock: time.Unix(1_800_000_000, 0), out: map[string]*Attempt{}, late: map[string]bool{}, reqs: map[string]*Request{},
+		ids: map[Endpoint]func(Result){}}
+	second := time.Second
+	bal, err := balance.New(balance.Config{
+		Classes: []balance.Class{
+			{Aim: second / 2, Deadline: 2 * second, Effect: balance.Safe, Points: 1},
+			{Aim: second / 2, Deadline: 2 * second, Effect: balance.Unsafe, Points: 1},
+			{Aim: second / 2, Deadline: 2 * second, Effect: balance.Keyed, Scope: balance.ScopeAll, Window: second, Points: 1},
+			{Aim: second / 2, Deadline: 2 * second, Effect: balance.Unsafe, Points: 1, Stream: true},
+		},
+		Limits: balance.Limits{Cancelling: true, MaxAttempts: 3, RetryAfter: true, MaxRetryAfter: second},
+		Rules:  balance.Rules{DrainGrace: second / 2, ColdShare: .1, WarmWithin: 20 * second, FallMultiple: 3, OverloadFor: second},
+	}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.e = New(Config{Balancer: bal, Transport: w, Now: func() time.Time { return w.clock }})
+	return w
+}
+
+func (w *world) name(a *Attempt) string { return fmt.Sprintf("%s/%d", a.Request.ID, a.Number()) }
+
+func (w *world) Send(a *Attempt) {
+	w.out[w.name(a)] = a
+	fmt.Fprintf(&w.said, "send %s to %s\n", w.name(a), a.To.Addr)
+}
+func (w *world) Bar(a *Attempt) bool {
+	if w.late[w.name(a)] {
+		return false
+	}
+	fmt.Fprintf(&w.said, "bar %s\n", w.name(a))
+	return true
+}
+func (w *world) GiveUp(a *Attempt)                    { fmt.Fprintf(&w.said, "give up %s\n", w.name(a)) }
+func (w *world) Probe(to Endpoint, told func(Result)) { w.ids[to] = told }
+func (w *world) Drop(to Endpoint) {
+	if to.Addr != "" {
+		fmt.Fprintf(&w.said, "drop %s\n", to.Addr)
+	}
+}
+
+// step runs what is due and tells the answers that came.
+func (w *world) step() {
+	w.e.Step()
+	for _, id := range slices.Sorted(func(yield func(string) bool) {
+		for id := range w.reqs {
+			if !yield(id) {
+				return
+			}
+		}
+	}) {
+		select {
+		case a := <-w.reqs[id].Reply:
+			kind := []string{"served", "refused", "failed", "doubled"}[a.Kind]
+			if a.Late {
+				kind += ", late"
+			}
+			if a.Begun {
+				kind += ", may have run"
+			}
+			if a.Body != nil {
+				kind += fmt.Sprintf(", %v", a.Body)
+			}
+			fmt.Fprintf(&w.said, "answer %s: %s\n", id, kind)
+		default:
+		}
+	}
+}
+
+// TestScenarios runs the scripts of testdata/. Commands, each with its effect on the engine:
+//
+//	list whole|changes|remembered      lines of: id address phase
+//	arrive id=.. class=.. [budget=..]  classes: 0 safe, 1 unsafe, 2 keyed (all, 1 s), 3 unsafe stream
+//	written at=id/n                    the attempt's first byte is out: it can't be barred any more
+//	end at=id/n status=.. [body=..]    the attempt ends
+//	deliver at=id/n                    the transport hands the answer on by itself
+//	started at=id/n                    the stream has begun
+//	gone id=..                         the client leaves
+//	wait for=..                        time passes, timers ring
+//	left                               what the tables hold
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		w := newWorld(t)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			w.said.Reset()
+			arg := func(name string) string {
+				var s string
+				if d.HasArg(name) {
+					d.ScanArgs(t, name, &s)
+				}
+				return s
+			}
+			at := func() *Attempt {
+				a := w.out[arg("at")]
+				if a == nil {
+					d.Fatalf(t, "no attempt %q", arg("at"))
+				}
+				return a
+			}
+			status := func() balance.Status {
+				i := slices.Index(statuses, arg("status"))
+				if i < 0 {
+					d.Fatalf(t, "no status %q", arg("status"))
+				}
+				return balance.Status(i)
+			}
+			switch d.Cmd {
+			case "list":
+				kind := map[string]balance.EventKind{"whole": balance.MembersAll, "changes": balance.MembersChanged,
+					"remembered": balance.MembersRemembered}[d.CmdArgs[0].Key]
+				list := List{Complete: kind != balance.MembersChanged}
+				for line := range strings.Lines(d.Input) {
+					f := strings.Fields(line)
+					list.Members = append(list.Members, Member{ID: f[0], Addr: f[1],
+						Member: balance.Member{Weight: 1, Phase: balance.Phase(slices.Index(phases, f[2]))}})
+				}
+				w.e.TakeList(kind, list)
+			case "arrive":
+				budget := 2 * time.Second
+				if b := arg("budget"); b != "" {
+					budget, _ = time.ParseDuration(b)
+				}
+				var class int
+				d.ScanArgs(t, "class", &class)
+				r := &Request{ID: arg("id"), Class: class, Deadline: w.clock.Add(budget), Reply: make(chan Answer, 1)}
+				key := r.ID
+				for w.reqs[key] != nil {
+					key += "'"
+				}
+				w.reqs[key] = r
+				w.e.Arrive(r)
+			case "written":
+				at()
+				w.late[arg("at")] = true
+			case "end":
+				res := Result{Status: status()}
+				if b := arg("body"); b != "" {
+					res.Body = b
+				}
+				at().Done(res)
+			case "deliver":
+				fmt.Fprintf(&w.said, "handed on: %t\n", at().Deliver(Result{Status: balance.Delivered}))
+			case "started":
+				at().Started()
+			case "gone":
+				w.e.Gone(w.reqs[arg("id")])
+			case "wait":
+				dur, err := time.ParseDuration(arg("for"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				for end := w.clock.Add(dur); ; {
+					next, some := w.e.Next()
+					if gap := next - w.e.Clock(); some && w.clock.Add(gap).Before(end) {
+						w.clock = w.clock.Add(max(gap, 0))
+						w.step()
+						continue
+					}
+					w.clock = end
+					break
+				}
+			case "left":
+				w.step()
+				_, timer := w.e.Next()
+				return fmt.Sprintf("%d requests, %d backends, timers: %t\n", w.e.Open(), w.e.Backends(), timer)
+			default:
+				d.Fatalf(t, "no command %q", d.Cmd)
+			}
+			w.step()
+			return w.said.String()
+		})
+	})
+}
--- /dev/null
+++ b/internal/lograte/lograte.go
@@ -0,0 +1,35 @@
+// Package lograte logs complaints at a bounded rate.
+package lograte
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+)
+
+// complainEvery is the least time between two complaints of one kind.
+const complainEvery = time.Second
+
+// Limited logs complaints at a bounded rate: what comes from outside must not fill the log. Use one for each kind.
+type Limited struct {
+	Log *slog.Logger
+
+	mu      sync.Mutex
+	at      time.Time
+	skipped int
+}
+
+// Warn logs a complaint, or counts it as skipped when the last one was less than a second ago.
+func (l *Limited) Warn(msg string, args ...any) {
+	l.mu.Lock()
+	now := time.Now()
+	if now.Sub(l.at) < complainEvery {
+		l.skipped++
+		l.mu.Unlock()
+		return
+	}
+	skipped := l.skipped
+	l.at, l.skipped = now, 0
+	l.mu.Unlock()
+	l.Log.Warn(msg, append(args, "skipped", skipped)...)
+}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"glencart/balance"
+	"glencart/internal/engine"
+	"glencart/internal/lograte"
 	"glencart/internal/settings"
 )
 
@@ -42,12 +44,12 @@
 	pool     *pool
 	host     string
 	inline   bool // answers carry load reports
-	complain *limited
+	complain *lograte.Limited
 	jobs     chan func() // taken by goroutines that wait for more: each new one grows its stack anew
 }
 
 func newExchanges(p *pool, inline bool, log *slog.Logger) *exchanges {
-	return &exchanges{pool: p, inline: inline, complain: &limited{log: log}, jobs: make(chan func())}
+	return &exchanges{pool: p, inline: inline, complain: &lograte.Limited{Log: log}, jobs: make(chan func())}
 }
 
 // message is what a client asked for, as it goes on to backends.
@@ -60,14 +62,20 @@
 	probe  bool
 }
 
-// result is how an exchange ended.
-type result struct {
-	status      balance.Status
-	load        balance.Load
+// reply is the answer of a backend that served.
+type reply struct {
 	body        []byte
 	contentType string
 }
 
+// replyOf is the answer in a result; an empty one where there is none.
+func replyOf(body any) *reply {
+	if r, ok := body.(*reply); ok {
+		return r
+	}
+	return &reply{}
+}
+
 // call is an exchange under way.
 type call struct {
 	cancel context.CancelFunc
@@ -85,9 +93,23 @@
 // byte, and a dial may outlast the grace. It tells whether it came in time.
 func (c *call) bar() bool { return c.state.CompareAndSwap(callQueued, callBarred) }
 
+// Send, Bar, GiveUp, Probe and Drop make exchanges the engine's transport.
+func (x *exchanges) Send(a *engine.Attempt) {
+	a.State = x.attempt(a.To, a.Request.Message.(*message), a.Deadline, a.Done)
+}
+
+// Bar is call.bar.
+func (x *exchanges) Bar(a *engine.Attempt) bool { return a.State.(*call).bar() }
+
+// GiveUp closes the attempt's connection.
+func (x *exchanges) GiveUp(a *engine.Attempt) { a.State.(*call).cancel() }
+
+// Drop ends the idle connections to an endpoint.
+func (x *exchanges) Drop(to engine.Endpoint) { x.pool.drop(to) }
+
 // attempt sends a message to an endpoint and calls done, from another goroutine, with how it ended. What is not
 // over by the deadline is ended then, and its connection with it.
-func (x *exchanges) attempt(to endpoint, m *message, deadline time.Time, done func(result)) *call {
+func (x *exchanges) attempt(to engine.Endpoint, m *message, deadline time.Time, done func(engine.Result)) *call {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	c := &call{cancel: cancel}
 	x.work(func() {
@@ -123,18 +145,18 @@
 }
 
 // exchange carries out one attempt on one connection, once.
-func (x *exchanges) exchange(ctx context.Context, c *call, to endpoint, m *message, deadline time.Time) result {
+func (x *exchanges) exchange(ctx context.Context, c *call, to engine.Endpoint, m *message, deadline time.Time) engine.Result {
 	cn, err := x.pool.get(ctx, to, m.probe)
 	switch {
 	case errors.Is(err, errNoRoom):
-		return result{status: balance.Unused} // says nothing of the backend
+		return engine.Result{Status: balance.Unused} // says nothing of the backend
 	case err != nil:
-		return result{status: balance.DialFailed}
+		return engine.Result{Status: balance.DialFailed}
 	}
-	text := m.wire(to.addr, time.Until(deadline))
+	text := m.wire(to.Addr, time.Until(deadline))
 	if ctx.Err() != nil || !c.state.CompareAndSwap(callQueued, callWriting) {
 		x.pool.discard(cn)
-		return result{status: balance.Unused}
+		return engine.Result{Status: balance.Unused}
 	}
 	// Given up means closed, at once: nothing that comes later can reach anyone.
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
@@ -143,9 +165,9 @@
 	if n, err := cn.Write(text); err != nil {
 		x.pool.discard(cn)
 		if n < len(text) {
-			return result{status: balance.DialFailed} // the last byte never left
+			return engine.Result{Status: balance.DialFailed} // the last byte never left
 		}
-		return result{status: x.broken(ctx, err)}
+		return engine.Result{Status: x.broken(ctx, err)}
 	}
 	resp, body, err := cn.answer(m.method)
 	if err != nil {
@@ -154,7 +176,7 @@
 		if st == balance.Dropped {
 			x.pool.wear.note(cn.age, true)
 		}
-		return result{status: st}
+		return engine.Result{Status: st}
 	}
 	x.pool.wear.note(cn.age, false)
 	if resp.Close || cn.read.Buffered() > 0 || !stop() {
@@ -162,9 +184,12 @@
 	} else {
 		x.pool.put(cn) // the next one sets its own deadline
 	}
-	r := result{status: outcome(resp), body: body, contentType: resp.Header.Get("Content-Type")}
+	r := engine.Result{Status: outcome(resp)}
+	if r.Status == balance.Delivered {
+		r.Body = &reply{body: body, contentType: resp.Header.Get("Content-Type")}
+	}
 	if text := resp.Header.Get(reportHeader); text != "" && x.inline {
-		r.load = x.report(text)
+		r.Load = x.report(text)
 	}
 	return r
 }
@@ -243,15 +268,15 @@
 	return nil, nil, errors.New("too many 1xx answers")
 }
 
-// probe asks an endpoint for its load report.
-func (x *exchanges) probe(to endpoint, done func(result)) {
-	x.attempt(to, &message{method: http.MethodGet, url: &url.URL{Path: "/stats"}, host: to.addr, header: http.Header{}, probe: true},
-		time.Now().Add(probeWithin), func(r result) {
-			if r.status == balance.Delivered && r.load.Has == 0 {
-				r.load = x.report(string(r.body))
+// Probe asks an endpoint for its load report.
+func (x *exchanges) Probe(to engine.Endpoint, done func(engine.Result)) {
+	x.attempt(to, &message{method: http.MethodGet, url: &url.URL{Path: "/stats"}, host: to.Addr, header: http.Header{}, probe: true},
+		time.Now().Add(probeWithin), func(r engine.Result) {
+			if r.Status == balance.Delivered && r.Load.Has == 0 {
+				r.Load = x.report(string(replyOf(r.Body).body))
 			}
-			if r.status == balance.AppError {
-				r.status = balance.Shed // a probe that is turned away
+			if r.Status == balance.AppError {
+				r.Status = balance.Shed // a probe that is turned away
 			}
 			done(r)
 		})
@@ -261,7 +286,7 @@
 func (x *exchanges) report(text string) balance.Load {
 	l, err := parseReport(text)
 	if err != nil {
-		x.complain.warn("malformed load report", "error", err)
+		x.complain.Warn("malformed load report", "error", err)
 	}
 	return l
 }
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"glencart/balance"
+	"glencart/internal/engine"
 	"glencart/internal/settings"
 )
 
@@ -47,7 +48,7 @@
 
 // front is the client side: it reads requests, has the loop decide and writes the answers.
 type front struct {
-	loop     *loop
+	loop     *engine.Engine
 	names    settings.Settings
 	log      *slog.Logger
 	most     int64 // requests at once
@@ -77,7 +78,7 @@
 )
 
 // newFront returns the client side for a node that may hold so many connections of clients.
-func newFront(l *loop, names settings.Settings, conns int, log *slog.Logger) *front {
+func newFront(l *engine.Engine, names settings.Settings, conns int, log *slog.Logger) *front {
 	// Each request in flight may need a connection to a backend, beside those of probes.
 	return &front{loop: l, names: names, log: log, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
 		conns: map[net.Conn]*clientConn{}}
@@ -226,7 +227,7 @@
 	}
 	switch hr.URL.Path {
 	case "/health/ready":
-		f.health(w, f.loop.ready.Load() && !f.leaving.Load())
+		f.health(w, f.loop.Ready() && !f.leaving.Load())
 		return
 	case "/health/live":
 		f.health(w, true)
@@ -277,43 +278,44 @@
 }
 
 // serve has the loop decide on a request and passes on the one final answer.
-func (f *front) serve(w http.ResponseWriter, ctx context.Context, r *request) {
-	f.loop.post(func() { f.loop.arrive(r) })
+func (f *front) serve(w http.ResponseWriter, ctx context.Context, r *engine.Request) {
+	f.loop.Post(func() { f.loop.Arrive(r) })
 	select {
-	case a := <-r.reply:
+	case a := <-r.Reply:
 		if f.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		write(w, a)
 	case <-ctx.Done():
-		f.loop.post(func() { f.loop.gone(r) })
+		f.loop.Post(func() { f.loop.Gone(r) })
 		// Returning would have the library word an empty 200.
 		panic(http.ErrAbortHandler)
-	case <-f.loop.done: // the node is ending
+	case <-f.loop.Done(): // the node is ending
 		fail(w, http.StatusBadGateway)
 	}
 }
 
-func write(w http.ResponseWriter, a answer) {
-	switch a.kind {
-	case served:
-		if a.contentType != "" {
-			w.Header().Set("Content-Type", a.contentType)
+func write(w http.ResponseWriter, a engine.Answer) {
+	switch a.Kind {
+	case engine.Served:
+		r := replyOf(a.Body)
+		if r.contentType != "" {
+			w.Header().Set("Content-Type", r.contentType)
 		} else {
 			w.Header()["Content-Type"] = nil // none was given: guess none
 		}
-		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+		w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
 		w.WriteHeader(http.StatusOK)
-		w.Write(a.body)
-	case refused:
-		refuse(w, a.retryIn)
-	case failed:
+		w.Write(r.body)
+	case engine.Refused:
+		refuse(w, a.RetryIn)
+	case engine.Failed:
 		status := http.StatusBadGateway
-		if a.late {
+		if a.Late {
 			status = http.StatusGatewayTimeout
 		}
 		fail(w, status)
-	case doubled:
+	case engine.Doubled:
 		http.Error(w, "another request with this id is open", http.StatusConflict)
 	}
 }
@@ -338,8 +340,8 @@
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length"}
 
 // read checks a request and reads its body. An error comes with the status to answer.
-func (f *front) read(w http.ResponseWriter, hr *http.Request, received time.Time) (*request, int, error) {
-	bad := func(format string, args ...any) (*request, int, error) {
+func (f *front) read(w http.ResponseWriter, hr *http.Request, received time.Time) (*engine.Request, int, error) {
+	bad := func(format string, args ...any) (*engine.Request, int, error) {
 		return nil, http.StatusBadRequest, fmt.Errorf(format, args...)
 	}
 	h := hr.Header
@@ -348,20 +350,20 @@
 			return bad("%s: given more than once", name)
 		}
 	}
-	r := &request{id: h.Get("X-Trace-Id"), reply: make(chan answer, 1), repeat: h.Get("X-Second-Try") == "1"}
-	if r.id == "" {
+	r := &engine.Request{ID: h.Get("X-Trace-Id"), Reply: make(chan engine.Answer, 1), Repeat: h.Get("X-Second-Try") == "1"}
+	if r.ID == "" {
 		return bad("X-Trace-Id: missing")
 	}
-	if r.class = slices.Index(f.names.Classes, h.Get("X-Qos")); r.class < 0 {
+	if r.Class = slices.Index(f.names.Classes, h.Get("X-Qos")); r.Class < 0 {
 		return bad("X-Qos: no such class")
 	}
 	if len(f.names.Tenants) > 0 {
-		if r.tenant = slices.Index(f.names.Tenants, h.Get("X-Customer")); r.tenant < 0 {
+		if r.Tenant = slices.Index(f.names.Tenants, h.Get("X-Customer")); r.Tenant < 0 {
 			return bad("X-Customer: no such customer")
 		}
 	}
 	key := h.Get("Idempotency-Key")
-	class := &f.names.Config.Classes[r.class]
+	class := &f.names.Config.Classes[r.Class]
 	method, keyed := http.MethodPost, false
 	switch class.Effect {
 	case balance.Safe:
@@ -383,17 +385,17 @@
 		}
 		left = min(left, time.Duration(min(s, 1e6)*float64(time.Second)))
 	}
-	r.deadline = received.Add(left - early)
+	r.Deadline = received.Add(left - early)
 	if l := int64(left); l > f.longest.Load() {
 		f.longest.Store(l) // two at once may leave the lesser: the next one mends it
 	}
 	if us, err := strconv.ParseFloat(h.Get("X-Size-Hint"), 64); err == nil && us > 0 && us < 1e12 {
-		r.hint = time.Duration(us * float64(time.Microsecond))
+		r.Hint = time.Duration(us * float64(time.Microsecond))
 	}
 	if subject := path.Base(hr.URL.Path); subject != "/" && subject != "." {
 		sum := fnv.New64a()
 		io.WriteString(sum, subject)
-		r.key, r.hasKey = sum.Sum64()>>11, true
+		r.Key, r.HasKey = sum.Sum64()>>11, true
 	}
 	if hr.ContentLength > bodyMost {
 		return nil, http.StatusRequestEntityTooLarge, errors.New("body too long")
@@ -418,10 +420,10 @@
 	delete(h, "X-Expires-In") // the node's own goes on
 	delete(h, "Host")
 	// Whatever Connection named, a backend needs these to tell a request from its repeat.
-	h.Set("X-Trace-Id", r.id)
+	h.Set("X-Trace-Id", r.ID)
 	if key != "" {
 		h.Set("Idempotency-Key", key)
 	}
-	r.message = message{method: method, url: hr.URL, host: hr.Host, header: h, body: body}
+	r.Message = &message{method: method, url: hr.URL, host: hr.Host, header: h, body: body}
 	return r, 0, nil
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -9,6 +9,8 @@
 	"os"
 	"strconv"
 
+	"glencart/internal/engine"
+	"glencart/internal/members/registry"
 	"glencart/internal/settings"
 )
 
@@ -22,7 +24,7 @@
 	PeerListen string
 	Peers      []string
 	PeersAll   string
-	Known      List
+	Known      engine.List
 	Settings   settings.Settings
 }
 
@@ -84,7 +86,7 @@
 		return Config{}, errors.New("settings: no classes")
 	}
 	if len(raw.Known) > 0 && !bytes.Equal(raw.Known, []byte("null")) {
-		if cfg.Known, err = parseList(raw.Known, cfg.Settings); err != nil {
+		if cfg.Known, err = registry.Parse(raw.Known, cfg.Settings); err != nil {
 			return Config{}, fmt.Errorf("known: %w", err)
 		}
 	}
--- /dev/null
+++ b/internal/node/drain_test.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+
+	"glencart/balance"
+)
+
+// Once a backend drains nothing new goes out to it: not from the module, and not what still hangs in a dial.
+func TestDrainStopsWhatHangsInADial(t *testing.T) {
+	got := make(chan string, 8)
+	serve := func(name string) func(net.Conn, *bufio.Reader) {
+		return answering(func(*http.Request) string { got <- name; return ok200(name) })
+	}
+	old := newRawBackend(t, "127.0.0.1:0", serve("old"))
+	other := newRawBackend(t, "127.0.0.1:0", serve("other"))
+	text := listText(1, true, listed{ID: "old", Addr: old.Addr().String(), Phase: "ready", Up: 0})
+	reg := newRegistry(t, text)
+	n, err := New(testConfig(t, reg.Addr, text), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	dialing, dial := make(chan struct{}, 8), make(chan struct{})
+	n.pool.dialer.Control = func(_, addr string, _ syscall.RawConn) error {
+		if addr == old.Addr().String() {
+			dialing <- struct{}{}
+			<-dial
+		}
+		return nil
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { n.Run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	s := &started{Node: n, url: "http://" + n.Addr().String()}
+	answered := make(chan string, 1)
+	go func() {
+		_, body := do(t, ask(t, s.url+"/api/x", "order"))
+		answered <- body
+	}()
+	receive(t, "a dial", dialing)
+	reg.Next <- listText(2, false, listed{ID: "old", Addr: old.Addr().String(), Phase: "draining", Up: 0},
+		listed{ID: "new", Addr: other.Addr().String(), Phase: "ready", Up: 0})
+	eventually(t, "the news", func() (told bool) {
+		s.onLoop(t, func() { told = phaseOf(s, "old") == balance.Draining })
+		return told
+	})
+	close(dial)
+	// It never ran, so the module may send it on or refuse it; a node this young has earned no retry.
+	if body := receive(t, "the answer", answered); body == "old" {
+		t.Errorf("answered %q", body)
+	}
+	for range 3 {
+		if _, body := do(t, ask(t, s.url+"/api/x", "order")); body != "other" {
+			t.Errorf("answered %q", body)
+		}
+	}
+	eventually(t, "the end of the dial", func() bool {
+		n.pool.mu.Lock()
+		defer n.pool.mu.Unlock()
+		return n.pool.open == 1
+	})
+	close(got)
+	for name := range got {
+		if name == "old" {
+			t.Error("a request went out to a backend that drains")
+		}
+	}
+}
+
+func phaseOf(n *started, id string) balance.Phase {
+	_, _, phase, _ := n.loop.Backend(id)
+	return phase
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"glencart/balance"
+	"glencart/internal/engine"
+	"glencart/internal/members/registry"
 	"glencart/internal/settings"
 )
 
@@ -35,9 +37,9 @@
 	listener *boundedListener
 	peers    *peers
 	pool     *pool
-	loop     *loop
+	loop     *engine.Engine
 	front    *front
-	disco    *discovery
+	disco    *registry.Source
 }
 
 // New returns a node that is ready to run.
@@ -50,23 +52,24 @@
 	limits := cfg.Settings.Config.Limits
 	clients, backends := cfg.Limits.share()
 	n.pool = newPool(backends, limits.ConnectTimeout, limits.IdleClose)
-	n.loop = newLoop(bal, newExchanges(n.pool, cfg.Settings.Config.Reports == balance.InlineReports, log), log)
+	n.loop = engine.New(engine.Config{Balancer: bal, Log: log,
+		Transport: newExchanges(n.pool, cfg.Settings.Config.Reports == balance.InlineReports, log)})
 	n.front = newFront(n.loop, cfg.Settings, clients, log)
-	n.disco = newDiscovery(cfg.Discovery, cfg.Settings, log,
-		func(list List) {
+	n.disco = registry.New(cfg.Discovery, cfg.Settings, log,
+		func(list engine.List) {
 			kind := balance.MembersChanged
 			if list.Complete {
 				kind = balance.MembersAll
 			}
-			n.loop.post(func() { n.loop.list(kind, list) })
+			n.loop.Post(func() { n.loop.TakeList(kind, list) })
 		},
-		func() { n.loop.post(func() { n.loop.handle(balance.Event{Kind: balance.MembersRefused}) }) })
-	n.loop.askAbout = n.disco.ask
+		func() { n.loop.Post(func() { n.loop.Handle(balance.Event{Kind: balance.MembersRefused}) }) })
+	n.loop.Ask = n.disco.Ask
 	if cfg.PeerListen != "" {
 		if n.peers, err = listenPeers(&cfg); err != nil {
 			return nil, fmt.Errorf("peer_listen: %w", err)
 		}
-		n.loop.tellPeers = n.peers.tell
+		n.loop.Tell = n.peers.tell
 	}
 	l, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
@@ -90,15 +93,15 @@
 	defer stop()
 	known := n.cfg.Known
 	known.Complete = true
-	n.loop.list(balance.MembersRemembered, known)
-	wg.Go(func() { n.loop.run(work.Done()) })
+	n.loop.TakeList(balance.MembersRemembered, known)
+	wg.Go(func() { n.loop.Run(work.Done()) })
 	wg.Go(func() { n.pool.run(work) })
-	wg.Go(func() { n.disco.run(work) })
+	wg.Go(func() { n.disco.Run(work) })
 	if n.peers != nil {
 		wg.Go(func() {
 			n.peers.run(work, func(peer int, payload []byte) {
-				n.loop.post(func() {
-					n.loop.handle(balance.Event{Kind: balance.PeerMessage, Peer: peer, Payload: payload})
+				n.loop.Post(func() {
+					n.loop.Handle(balance.Event{Kind: balance.PeerMessage, Peer: peer, Payload: payload})
 				})
 			})
 		})
@@ -222,3 +225,13 @@
 	c.release()
 	return err
 }
+
+// pause waits, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -9,20 +9,14 @@
 	"sync"
 	"syscall"
 	"time"
-)
 
-// endpoint is one process of a backend: whose it is, the address, and when it started. A new backend at a used
-// address shares nothing with the old one.
-type endpoint struct {
-	id       string
-	addr     string
-	launched time.Duration
-}
+	"glencart/internal/engine"
+)
 
 // conn is a connection to a backend. It carries one request at a time.
 type conn struct {
 	net.Conn
-	to     endpoint
+	to     engine.Endpoint
 	limit  io.LimitedReader // bounds what one answer may hold
 	read   *bufio.Reader
 	idleAt time.Time
@@ -40,7 +34,7 @@
 	wear   wear
 
 	mu   sync.Mutex
-	idle map[endpoint][]*conn // the one used last is at the end
+	idle map[engine.Endpoint][]*conn // the one used last is at the end
 	open int
 }
 
@@ -58,13 +52,13 @@
 		// A backend closes an idle connection at idleClose at the latest, and a request that crosses that is
 		// a reset that may have run: stay well below.
 		keep: idleClose * 7 / 10,
-		idle: map[endpoint][]*conn{},
+		idle: map[engine.Endpoint][]*conn{},
 	}
 }
 
 // get returns an idle connection, or dials one. A probe takes the one that has been idle longest, however worn: it
 // may break, and shows at no cost how those fare. A request takes the one used last, unless that is worn.
-func (p *pool) get(ctx context.Context, to endpoint, probe bool) (*conn, error) {
+func (p *pool) get(ctx context.Context, to engine.Endpoint, probe bool) (*conn, error) {
 	for {
 		c := p.take(to, probe)
 		if c == nil {
@@ -78,7 +72,7 @@
 	if !p.reserve() {
 		return nil, errNoRoom
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp", to.addr)
+	nc, err := p.dialer.DialContext(ctx, "tcp", to.Addr)
 	if err != nil {
 		p.release()
 		return nil, err
@@ -89,7 +83,7 @@
 	return c, nil
 }
 
-func (p *pool) take(to endpoint, probe bool) *conn {
+func (p *pool) take(to engine.Endpoint, probe bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for {
@@ -115,7 +109,7 @@
 	}
 }
 
-func (p *pool) setIdle(to endpoint, list []*conn) {
+func (p *pool) setIdle(to engine.Endpoint, list []*conn) {
 	if len(list) == 0 {
 		delete(p.idle, to)
 	} else {
@@ -166,7 +160,7 @@
 }
 
 // drop ends the idle connections to an endpoint.
-func (p *pool) drop(to endpoint) {
+func (p *pool) drop(to engine.Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.idle[to] {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -26,5 +26,5 @@
 		n.log.Warn("changes that need a restart", "keys", strings.Join(fixed, " "))
 	}
 	n.log.Info("configuration read anew", "discovery", cfg.Discovery)
-	n.disco.move(cfg.Discovery)
+	n.disco.Move(cfg.Discovery)
 }
