gRPC plug-in on the engine: unary calls and streams, obeying picker, box's own word

Need: tablets and apps that call through an RPC library skip the node, so a flood from them lands unshaped.

Change: glencartgrpc places each call by the engine: interceptors run the attempts, a resolver and a balancer hold one connection to each backend, and the picker obeys. gRPC's own transparent retry is stopped at the picker and told to the module as proof that nothing ran. judge() is the table of ends. trust.go corrects the list by what boxes say (draining), and takes connections that come up while cut off for cold starts.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -241,6 +241,8 @@
 		}
 	case Outcome:
 		b.onOutcome(&ev)
+	case InstancesCounted: // what cold servers and tenants may be sent is divided by it from here on
+		b.cfg.Instances = max(ev.Instances, 1)
 	}
 	out, b.out = b.out, nil
 	return out
--- a/balance/types.go
+++ b/balance/types.go
@@ -232,6 +232,7 @@
 	Probed                             // Backend, Spent, Status, Load
 	Outcome                            // Request, Attempt, Backend, Spent, Status, NoMore, Load
 	PeerMessage                        // Peer, Payload
+	InstancesCounted                   // Instances
 )
 
 // Event is one thing a node saw. Slices in it are not kept by the Balancer.
@@ -256,6 +257,8 @@
 	Peer    int
 	Payload []byte
 	Members []Member
+
+	Instances int // how many instances there are by now, this one included
 }
 
 // ActionKind says what to do.
--- /dev/null
+++ b/glencartgrpc/call.go
@@ -0,0 +1,310 @@
+package glencartgrpc
+
+import (
+	"context"
+	"reflect"
+	"strconv"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"glencart/balance"
+	"glencart/internal/engine"
+)
+
+// keyHeader carries an idempotency key, as on HTTP.
+const keyHeader = "idempotency-key"
+
+// call is one call of the application: what the engine's loop and the goroutine of the call share.
+type call struct {
+	engine.Request
+	p       *Plugin
+	ctx     context.Context
+	class   string
+	run     chan *engine.Attempt            // attempts for the goroutine of the call; has room for one
+	copy    func(a *engine.Attempt, t *try) // carries out an attempt beside it, in a goroutine of its own
+	busy    bool                            // on the loop: the goroutine has an attempt
+	streams bool
+}
+
+// begin makes a call ready to be placed.
+func (p *Plugin) begin(ctx context.Context, method string, streams bool) *call {
+	p.stats.calls.Add(1)
+	class := p.classOf(method)
+	c := &call{p: p, ctx: ctx, class: p.names.Classes[class], run: make(chan *engine.Attempt, 1), streams: streams}
+	c.ID = strconv.FormatUint(p.ids.Add(1), 36)
+	c.Class = class
+	c.Tenant = p.tenantOf(ctx, method)
+	if p.cfg.Key != nil {
+		c.Key, c.HasKey = p.cfg.Key(ctx, method)
+	}
+	c.Reply = make(chan engine.Answer, 1)
+	c.Message = c
+	left := p.names.Config.Classes[class].Deadline
+	if left <= 0 {
+		left = defaultDeadline
+	}
+	c.Deadline = time.Now().Add(left)
+	if d, ok := ctx.Deadline(); ok && (d.Before(c.Deadline) || streams) {
+		c.Deadline = d
+	}
+	return c
+}
+
+// defaultDeadline stands for a class's deadline that is not told.
+const defaultDeadline = time.Minute
+
+// keyless tells whether a call of a keyed class has no idempotency key: no backend could drop its repeats.
+func (c *call) keyless() bool {
+	if c.p.names.Config.Classes[c.Class].Effect != balance.Keyed {
+		return false
+	}
+	md, _ := metadata.FromOutgoingContext(c.ctx)
+	return len(md.Get(keyHeader)) == 0
+}
+
+// tryFor makes the try of an attempt, with the context that it runs in.
+func (c *call) tryFor(a *engine.Attempt) (*try, context.Context) {
+	t := a.State.(*try)
+	return t, context.WithValue(t.ctx, tryKey{}, t)
+}
+
+// Send has the goroutine of the call carry out an attempt, or another one where that has one already.
+func (p *Plugin) Send(a *engine.Attempt) {
+	c := a.Request.Message.(*call)
+	t := &try{to: a.To, stream: c.streams}
+	if d, ok := c.ctx.Deadline(); !c.streams && (!ok || a.Deadline.Before(d)) {
+		t.ctx, t.cancel = context.WithDeadline(c.ctx, a.Deadline)
+	} else {
+		t.ctx, t.cancel = context.WithCancel(c.ctx)
+	}
+	a.State = t
+	if c.busy {
+		if c.copy == nil {
+			t.cancel()
+			a.Done(engine.Result{Status: balance.Unused})
+			return
+		}
+		go c.copy(a, t)
+		return
+	}
+	c.busy = true
+	c.run <- a
+}
+
+// Bar keeps an attempt from being sent. One that stands in line for a stream of a connection is stopped too, and
+// what it proves is told when it has ended.
+func (p *Plugin) Bar(a *engine.Attempt) bool {
+	t := a.State.(*try)
+	if t.bar() {
+		return true
+	}
+	if !t.has(sawHead) {
+		t.stop()
+	}
+	return false
+}
+
+// GiveUp ends an attempt: gRPC resets its stream.
+func (p *Plugin) GiveUp(a *engine.Attempt) { a.State.(*try).stop() }
+
+// Drop does nothing: connections follow the list (see trust.publish), and end when their calls have.
+func (p *Plugin) Drop(engine.Endpoint) {}
+
+// ended tells the engine how an attempt of the goroutine of the call ended, and what the application gets, if that
+// is decided by it.
+func (c *call) ended(a *engine.Attempt, t *try, err error) (v verdict, res engine.Result) {
+	t.cancel()
+	s := t.look(err, t.stopped.Load(), !time.Now().Before(a.Deadline) || c.ctx.Err() == context.DeadlineExceeded)
+	v = judge(s)
+	res = engine.Result{Status: v.status}
+	if s.trailer != nil {
+		load, instances, bad := reported(s.trailer)
+		if bad != nil {
+			c.p.stats.spoilt.Add(1)
+			c.p.spoilt.Warn("malformed load report", "backend", t.to.ID, "error", bad)
+		}
+		res.Load = load
+		c.p.heardOf(t.to, load, instances)
+		if why := s.trailer[NeverRan]; v.status == balance.Shed && len(why) > 0 && why[0] == ReasonDraining {
+			c.p.engine.Post(func() { c.p.trust.drained(t.to) })
+		}
+	}
+	if !v.answer && err != nil {
+		res.Body = &failure{err}
+	}
+	return v, res
+}
+
+// heardOf takes in what a report says beside the load.
+func (p *Plugin) heardOf(_ engine.Endpoint, _ balance.Load, instances int) {
+	p.trust.counted(instances)
+}
+
+// gone tells the engine that the application is out of the call. The engine answers nothing more.
+func (c *call) gone() { c.p.engine.Post(func() { c.p.engine.Gone(&c.Request) }) }
+
+// unary is the interceptor for calls of one message each way.
+func (p *Plugin) unary(ctx context.Context, method string, req, reply any, cc *grpc.ClientConn, invoker grpc.UnaryInvoker, opts ...grpc.CallOption) error {
+	if tryOf(ctx) != nil {
+		return invoker(ctx, method, req, reply, cc, opts...) // a probe, or an attempt of ours already
+	}
+	if err := p.serves(cc); err != nil {
+		return err
+	}
+	opts, finish := callOptions(opts)
+	err := p.call(ctx, method, req, reply, cc, invoker, opts)
+	for _, f := range finish {
+		f(err)
+	}
+	return err
+}
+
+func (p *Plugin) call(ctx context.Context, method string, req, reply any, cc *grpc.ClientConn, invoker grpc.UnaryInvoker, opts []grpc.CallOption) error {
+	c := p.begin(ctx, method, false)
+	if c.keyless() {
+		return status.Errorf(codes.InvalidArgument, "glencartgrpc: %s is of the keyed class %s: it needs the metadata %s", method, c.class, keyHeader)
+	}
+	if err := p.awaitReady(ctx, opts); err != nil {
+		return err
+	}
+	if p.names.Config.Limits.SecondCopies {
+		c.copy = func(a *engine.Attempt, t *try) { c.aside(a, t, method, req, reply, cc, invoker, opts) }
+	}
+	if !p.engine.Post(func() { p.engine.Arrive(&c.Request) }) {
+		return closedStatus()
+	}
+	done := ctx.Done()
+	for {
+		select {
+		case a := <-c.run:
+			t, actx := c.tryFor(a)
+			err := invoker(actx, method, req, reply, cc, opts...)
+			v, res := c.ended(a, t, err)
+			switch {
+			case v.answer:
+				if a.Deliver(res) {
+					p.stats.served.Add(1)
+					return err
+				}
+			case v.local || cc.GetState() == connectivity.Shutdown:
+				c.free()
+				c.gone()
+				return err
+			default:
+				p.engine.Post(func() { c.busy = false; a.Report(res) })
+			}
+		case ans := <-c.Reply:
+			if ans.Kind == engine.Served { // by a copy
+				p.stats.served.Add(1)
+				s := ans.Body.(*served)
+				if s.err == nil {
+					move(reply, s.reply)
+				}
+				return s.err
+			}
+			return p.word(ans, c.class)
+		case <-done:
+			if ctx.Err() == context.DeadlineExceeded {
+				// The engine's own clock is about to ring: what it says is the answer, and tells what may have run.
+				done = nil
+				continue
+			}
+			c.gone()
+			return status.FromContextError(ctx.Err()).Err()
+		case <-p.engine.Done():
+			return closedStatus()
+		}
+	}
+}
+
+// free has the loop know that the goroutine of the call has no attempt.
+func (c *call) free() { c.p.engine.Post(func() { c.busy = false }) }
+
+// served is the answer that a copy brought.
+type served struct {
+	reply any
+	err   error
+}
+
+// aside carries out a second copy, beside the goroutine of the call, into a reply of its own: an attempt that is given
+// up may still write to its reply when the application has the other one.
+func (c *call) aside(a *engine.Attempt, t *try, method string, req, reply any, cc *grpc.ClientConn, invoker grpc.UnaryInvoker, opts []grpc.CallOption) {
+	own := reflect.New(reflect.TypeOf(reply).Elem()).Interface()
+	actx := context.WithValue(t.ctx, tryKey{}, t)
+	err := invoker(actx, method, req, own, cc, without(opts)...)
+	v, res := c.ended(a, t, err)
+	if v.answer {
+		res.Body = &served{own, err}
+	}
+	a.Done(res)
+}
+
+// move puts one reply into another.
+func move(to, from any) {
+	if t, ok := to.(proto.Message); ok {
+		proto.Reset(t)
+		proto.Merge(t, from.(proto.Message))
+		return
+	}
+	reflect.ValueOf(to).Elem().Set(reflect.ValueOf(from).Elem())
+}
+
+// callOptions takes out what must happen once for a call, not once for each attempt.
+func callOptions(opts []grpc.CallOption) (each []grpc.CallOption, finish []func(error)) {
+	for i, o := range opts {
+		f, ok := o.(grpc.OnFinishCallOption)
+		if !ok {
+			if finish != nil {
+				each = append(each, o)
+			}
+			continue
+		}
+		if finish == nil {
+			each = append([]grpc.CallOption(nil), opts[:i]...)
+		}
+		finish = append(finish, f.OnFinish)
+	}
+	if finish == nil {
+		return opts, nil
+	}
+	return each, finish
+}
+
+// without leaves out the options that write to the application's variables.
+func without(opts []grpc.CallOption) (left []grpc.CallOption) {
+	for _, o := range opts {
+		switch o.(type) {
+		case grpc.HeaderCallOption, grpc.TrailerCallOption, grpc.PeerCallOption:
+		default:
+			left = append(left, o)
+		}
+	}
+	return left
+}
+
+// awaitReady holds a call that asked to wait for ready until there is some backend.
+func (p *Plugin) awaitReady(ctx context.Context, opts []grpc.CallOption) error {
+	wait := false
+	for _, o := range opts {
+		if f, ok := o.(grpc.FailFastCallOption); ok {
+			wait = !f.FailFast
+		}
+	}
+	if !wait {
+		return nil
+	}
+	select {
+	case <-p.someReady():
+		return nil
+	case <-ctx.Done():
+		return status.FromContextError(ctx.Err()).Err()
+	case <-p.engine.Done():
+		return closedStatus()
+	}
+}
--- /dev/null
+++ b/glencartgrpc/obey.go
@@ -0,0 +1,204 @@
+package glencartgrpc
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"google.golang.org/grpc/attributes"
+	"google.golang.org/grpc/balancer"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/resolver"
+	"google.golang.org/grpc/status"
+
+	"glencart/internal/engine"
+)
+
+// scheme is that of targets, policyName the balancer's in a service config.
+const scheme, policyName = "glencart", "glencart_obey"
+
+// gRPC finds balancers by name in one table for the whole process. What is entered here holds no state: each
+// plug-in's comes with its resolver's addresses.
+func init() { balancer.Register(obeyBuilder{}) }
+
+// builder is the resolver of one plug-in. Each ClientConn on it gets the addresses that the engine may send to.
+type builder struct{ p *Plugin }
+
+func (b builder) Scheme() string { return scheme }
+
+func (b builder) Build(target resolver.Target, cc resolver.ClientConn, _ resolver.BuildOptions) (resolver.Resolver, error) {
+	if name := target.Endpoint(); name != b.p.cfg.Target {
+		return nil, unknownTarget(name, b.p.cfg.Target)
+	}
+	r := &follower{p: b.p, cc: cc}
+	b.p.follow(r, true)
+	return r, nil
+}
+
+func unknownTarget(got, want string) error {
+	return fmt.Errorf("glencartgrpc: target %q: this plug-in serves %s:///%s: dial that, or make a plug-in with this Target", got, scheme, want)
+}
+
+// follower is the resolver of one ClientConn.
+type follower struct {
+	p  *Plugin
+	cc resolver.ClientConn
+}
+
+func (r *follower) ResolveNow(resolver.ResolveNowOptions) {}
+func (r *follower) Close()                                { r.p.follow(r, false) }
+
+// tell hands on the endpoints that may be sent to.
+func (r *follower) tell(to []engine.Endpoint) {
+	state := resolver.State{
+		ServiceConfig: r.cc.ParseServiceConfig(`{"loadBalancingConfig":[{"` + policyName + `":{}}]}`),
+		Attributes:    attributes.New(endpointKey{}, &endpointList{to, r.p.trust.linked}),
+	}
+	for _, ep := range to {
+		state.Endpoints = append(state.Endpoints, resolver.Endpoint{Addresses: []resolver.Address{{Addr: ep.Addr}}})
+	}
+	r.cc.UpdateState(state) // an error is the balancer's, and ours has none
+}
+
+type endpointKey struct{}
+
+type endpointList struct {
+	to     []engine.Endpoint
+	linked func(engine.Endpoint) // a connection has come up
+}
+
+// Equal lets a list stand as an attribute.
+func (l *endpointList) Equal(o any) bool { return l == o }
+
+// obeyBuilder makes balancers that hold one connection to each endpoint and choose nothing: the engine has.
+type obeyBuilder struct{}
+
+func (obeyBuilder) Name() string { return policyName }
+
+func (obeyBuilder) Build(cc balancer.ClientConn, _ balancer.BuildOptions) balancer.Balancer {
+	return &obeyer{cc: cc, links: map[engine.Endpoint]*link{}}
+}
+
+type obeyer struct {
+	cc    balancer.ClientConn
+	mu    sync.RWMutex
+	links map[engine.Endpoint]*link
+}
+
+// link is the connection to one endpoint.
+type link struct {
+	sc    balancer.SubConn
+	state connectivity.State
+	err   error
+}
+
+// UpdateClientConnState keeps a connection for each endpoint named. One that is no longer named ends when the calls
+// on it have: Shutdown lets them.
+func (b *obeyer) UpdateClientConnState(s balancer.ClientConnState) error {
+	list, ok := s.ResolverState.Attributes.Value(endpointKey{}).(*endpointList)
+	if !ok {
+		return fmt.Errorf("%s: needs the resolver of scheme %s: use Plugin.DialOptions", policyName, scheme)
+	}
+	named := make(map[engine.Endpoint]bool, len(list.to))
+	b.mu.Lock()
+	for _, ep := range list.to {
+		named[ep] = true
+		if b.links[ep] != nil {
+			continue
+		}
+		l := &link{state: connectivity.Idle}
+		sc, err := b.cc.NewSubConn([]resolver.Address{{Addr: ep.Addr}}, balancer.NewSubConnOptions{
+			StateListener: func(st balancer.SubConnState) {
+				b.changed(l, st)
+				if st.ConnectivityState == connectivity.Ready {
+					list.linked(ep)
+				}
+			}})
+		if err != nil {
+			continue // the ClientConn is closing
+		}
+		l.sc = sc
+		b.links[ep] = l
+	}
+	var over []balancer.SubConn
+	for ep, l := range b.links {
+		if !named[ep] {
+			delete(b.links, ep)
+			over = append(over, l.sc)
+		}
+	}
+	b.mu.Unlock()
+	for _, sc := range over {
+		sc.Shutdown()
+	}
+	b.publish()
+	return nil
+}
+
+func (b *obeyer) changed(l *link, st balancer.SubConnState) {
+	b.mu.Lock()
+	l.state, l.err = st.ConnectivityState, st.ConnectionError
+	b.mu.Unlock()
+	b.publish()
+}
+
+// publish wakes the calls that wait for a connection: each looks again for its own.
+func (b *obeyer) publish() {
+	b.cc.UpdateState(balancer.State{ConnectivityState: connectivity.Ready, Picker: &picker{b}})
+}
+
+func (b *obeyer) ResolverError(error)                                        {}
+func (b *obeyer) UpdateSubConnState(balancer.SubConn, balancer.SubConnState) {}
+func (b *obeyer) ExitIdle()                                                  {}
+func (b *obeyer) Close()                                                     {}
+
+// picker finds the connection to the endpoint that the attempt was decided for, and no other.
+type picker struct{ b *obeyer }
+
+func (p *picker) Pick(info balancer.PickInfo) (balancer.PickResult, error) {
+	t := tryOf(info.Ctx)
+	if t == nil {
+		return balancer.PickResult{}, status.Error(codes.Internal,
+			"glencartgrpc: a call that no interceptor of the plug-in saw: use all of Plugin.DialOptions")
+	}
+	if t.has(sawAgain) {
+		// gRPC would send this by itself once more. What made it try proves that the first never ran.
+		return balancer.PickResult{}, errAgain
+	}
+	p.b.mu.RLock()
+	l := p.b.links[t.to]
+	var state connectivity.State
+	var err error
+	if l != nil {
+		state, err = l.state, l.err
+	}
+	p.b.mu.RUnlock()
+	switch {
+	case l == nil:
+		return balancer.PickResult{}, balancer.ErrNoSubConnAvailable // not told yet
+	case state == connectivity.Ready:
+		if !t.begin() {
+			return balancer.PickResult{}, errBarred
+		}
+		return balancer.PickResult{SubConn: l.sc}, nil
+	case state == connectivity.TransientFailure || state == connectivity.Shutdown:
+		t.set(sawNoConn)
+		return balancer.PickResult{}, status.Errorf(codes.Unavailable, "glencartgrpc: %s: no connection: %v", t.to.Addr, err)
+	case state == connectivity.Idle:
+		l.sc.Connect()
+	}
+	return balancer.PickResult{}, balancer.ErrNoSubConnAvailable
+}
+
+var (
+	errAgain  = status.Error(codes.Unavailable, "glencartgrpc: not processed by the backend")
+	errBarred = status.Error(codes.Unavailable, "glencartgrpc: stopped before it was sent")
+)
+
+type tryKey struct{}
+
+func tryOf(ctx context.Context) *try {
+	t, _ := ctx.Value(tryKey{}).(*try)
+	return t
+}
--- /dev/null
+++ b/glencartgrpc/try.go
@@ -0,0 +1,102 @@
+package glencartgrpc
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/stats"
+
+	"glencart/internal/engine"
+)
+
+// try is one attempt on its way through gRPC. It travels in the attempt's context: the picker and the stats handler
+// find it there, and write down what they see.
+type try struct {
+	to      engine.Endpoint
+	ctx     context.Context // that of the call, with an end of its own
+	cancel  context.CancelFunc
+	state   atomic.Int32  // queued, begun or barred
+	saw     atomic.Uint32 // what was seen, of the bits below
+	stopped atomic.Bool   // the engine gave it up
+	stream  bool          // the application may send or receive more than one message
+
+	mu      sync.Mutex
+	trailer metadata.MD
+}
+
+// States of a try: no connection has been taken for it, or one may have been, or never will be.
+const (
+	tryQueued int32 = iota
+	tryBegun
+	tryBarred
+)
+
+// What gRPC's events tell of an attempt.
+const (
+	sawNoConn  uint32 = 1 << iota // no connection to the endpoint
+	sawAgain                      // gRPC wants to send it again by itself: it was not processed
+	sawHead                       // its headers went to the transport
+	sawMessage                    // a whole message went to the transport
+	sawAnswer                     // the backend's headers came
+	sawTrailer                    // its trailers came: the status is the backend's word
+	sawSurplus                    // gRPC tried once more, and headers went out all the same
+)
+
+func (t *try) has(bit uint32) bool { return t.saw.Load()&bit != 0 }
+
+func (t *try) set(bit uint32) { t.saw.Or(bit) }
+
+// begin marks that a connection is taken. It fails for a try that was barred.
+func (t *try) begin() bool {
+	return t.state.CompareAndSwap(tryQueued, tryBegun) || t.state.Load() == tryBegun
+}
+
+// bar keeps a try that has no connection yet from ever getting one.
+func (t *try) bar() bool { return t.state.CompareAndSwap(tryQueued, tryBarred) }
+
+// stop ends a try at once.
+func (t *try) stop() {
+	t.stopped.Store(true)
+	t.cancel()
+}
+
+// watcher is the stats.Handler that tells tries what became of them. gRPC calls it in the goroutine that acts.
+type watcher struct{}
+
+func (watcher) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+func (watcher) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	t := tryOf(ctx)
+	if t == nil {
+		return
+	}
+	switch s := s.(type) {
+	case *stats.Begin:
+		if s.IsTransparentRetryAttempt {
+			t.set(sawAgain)
+		}
+	case *stats.OutHeader:
+		t.set(sawHead)
+	case *stats.OutPayload:
+		t.set(sawMessage)
+	case *stats.InHeader:
+		t.set(sawAnswer)
+	case *stats.InTrailer:
+		t.mu.Lock()
+		t.trailer = s.Trailer
+		t.mu.Unlock()
+		t.set(sawTrailer)
+	}
+}
+
+func (watcher) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+func (watcher) HandleConn(context.Context, stats.ConnStats)                       {}
+
+// trailers returns what the backend's trailers said.
+func (t *try) trailers() metadata.MD {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.trailer
+}
