Pick computes each entry once; a caller that finds the loop free runs it

Change: the pick computes entry, pace and cost of a server once, in the same order of operations; a zone's mean hangs at the server; the log line of an outcome is worded only when there is one; timers without boxing. The engine's loop may be taken for a moment by a caller that finds it free, with what was posted first.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -99,7 +99,7 @@
 	peerPace                   float64 // pace over all answers, and the means that it comes from
 	allTime, allDepth, answers float64
 	all                        crowd // what other nodes have at a server, over all and by zone
-	zones                      map[int]crowd
+	zones                      map[int]*crowd
 	retries                    float64 // attempts that may be sent again
 	probes                     float64 // probes sent
 	refresh                    float64 // seconds between two reports of a server that differ
@@ -108,6 +108,7 @@
 // server is one backend in the list.
 type server struct {
 	Member
+	zone   *crowd  // what other nodes have in its zone
 	more   float64 // what other nodes usually have there, beyond the mean of its zone
 	told   float64 // what they had by the last report or probe
 	toldAt time.Duration
@@ -201,7 +202,7 @@
 	return &Balancer{
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: map[BackendID]*server{}, requests: map[string]*request{},
-		timers: map[uint64]timer{}, zones: map[int]crowd{}, probedAt: -1,
+		timers: map[uint64]timer{}, zones: map[int]*crowd{}, probedAt: -1,
 		meanAim: aim.value(), gap: aim.value(), peerPace: firstPace * aim.value(), part: partFirst,
 		partSize: max(partServers, int(perSecond*partSpan)),
 		classes:  make([]classStats, len(cfg.Classes)), shares: shares,
@@ -356,14 +357,20 @@
 func (b *Balancer) pick(r *request, bound float64) *server {
 	var best *server
 	least, ties := 0.0, 0
+	base := b.meanBase()
 	for _, s := range b.ready {
+		if r.tried(s) || !b.mayGo(r, s) || !b.coldAllows(r, s) {
+			continue
+		}
+		pace := b.pace(s)
+		queue := b.others(s, pace) + s.out + s.stuck
+		cost := b.costOf(s, queue, pace)
 		// An idle server makes nobody wait, however slow it has become.
-		full := b.entry(s) > idleEntry && b.wait(s)-b.chance(s) > bound
-		if full || r.tried(s) || !b.mayGo(r, s) || !b.coldAllows(r, s) {
+		if queue > idleEntry && cost-b.handicap(s)-base-b.chance(s) > bound {
 			continue
 		}
 		// Own attempts count twice: counted once, nothing keeps nodes from servers of their own.
-		entry := b.cost(s) + s.out*b.pace(s)
+		entry := cost + s.out*pace
 		if best == nil || entry < least {
 			best, least, ties = s, entry, 1
 		} else if entry == least {
@@ -515,12 +522,14 @@
 
 // entry is the queue estimate: what other nodes have there, what this node has out, and what
 // was not accepted.
-func (b *Balancer) entry(s *server) float64 { return b.others(s) + s.out + s.stuck }
+func (b *Balancer) entry(s *server) float64 { return b.others(s, b.pace(s)) + s.out + s.stuck }
 
 // cost is the entry weighed by the time that one place in this server's queue has taken lately: the time in
 // which an average request would be answered, with the time that failures are worth.
-func (b *Balancer) cost(s *server) float64 {
-	queue := (b.entry(s) + 1) * b.pace(s)
+func (b *Balancer) cost(s *server) float64 { return b.costOf(s, b.entry(s), b.pace(s)) }
+
+func (b *Balancer) costOf(s *server, entry, pace float64) float64 {
+	queue := (entry + 1) * pace
 	failing := max(0, s.fails-b.allFail) * failAims * b.meanAim
 	silent := max(0, b.silence(s)-silentQueues*queue)
 	return queue + failing + silent + b.handicap(s)
@@ -691,9 +700,10 @@
 func (b *Balancer) compare(s *server) {
 	// What all servers have in common makes none of them an outlier, and is no reason to refuse.
 	b.allFail += failWeight * (s.fails - b.allFail) / float64(len(b.ready)+1)
-	name := fmt.Sprintf("backend %d ", s.Backend)
-	b.state(&s.failed, s.fails > failsHigh, s.fails < failsLow,
-		name+"fails: traffic withheld", name+"answers again")
+	if begins, ends := s.fails > failsHigh, s.fails < failsLow; begins && !s.failed || ends && s.failed {
+		name := fmt.Sprintf("backend %d ", s.Backend) // each outcome comes here, and few have anything to say
+		b.state(&s.failed, begins, ends, name+"fails: traffic withheld", name+"answers again")
+	}
 }
 
 // report overwrites an entry with what the server says it holds. A report is old: it tells of this
@@ -728,9 +738,7 @@
 	s.more += min(usualMost, max(0, at-s.toldAt).Seconds()/usualSpan) * (others - b.mean(s) - s.more)
 	s.told, s.toldAt = others, at
 	b.all.learn(b.now, others)
-	zone := b.zones[s.Zone]
-	zone.learn(b.now, others)
-	b.zones[s.Zone] = zone
+	s.zone.learn(b.now, others)
 }
 
 // crowd is the mean of what other nodes have at some servers by the latest reports.
@@ -747,8 +755,8 @@
 
 // mean is what other nodes have at a server of the zone: one zone may have more traffic than it can carry.
 func (b *Balancer) mean(s *server) float64 {
-	if c := b.zones[s.Zone]; c.reports > 0 {
-		return c.others
+	if s.zone.reports > 0 {
+		return s.zone.others
 	}
 	return b.all.others // nothing heard of this zone yet
 }
@@ -756,18 +764,19 @@
 // others is the part of other nodes by now: what was told fades into what is usual, as a queue turns over.
 // Taken at its word, an old report makes all nodes rush at once to the server that was idle then, and in a
 // large fleet the smallest entry is the oldest one. So the usual follows the mean of what all servers say.
-func (b *Balancer) others(s *server) float64 {
+func (b *Balancer) others(s *server, pace float64) float64 {
 	usual := b.usual(s)
-	return usual + (s.told-usual)*b.fresh(s, usual)
+	return usual + (s.told-usual)*b.fresh(s, usual, pace)
 }
 
 // usual is what other nodes have at a server when nothing newer is known.
 func (b *Balancer) usual(s *server) float64 { return max(0, b.mean(s)+s.more) }
 
 // fresh is the part of what was told last that still holds, squared where other nodes act on the same report.
-func (b *Balancer) fresh(s *server, usual float64) float64 {
-	turn := (usual + 1) * b.pace(s)
-	return math.Pow(turn/(turn+(b.now-s.toldAt).Seconds()), 2)
+func (b *Balancer) fresh(s *server, usual, pace float64) float64 {
+	turn := (usual + 1) * pace
+	part := turn / (turn + (b.now - s.toldAt).Seconds())
+	return part * part
 }
 
 // ---- Cold servers ----
--- a/balance/departures_test.go
+++ b/balance/departures_test.go
@@ -60,7 +60,7 @@
 func (r *rig) holds(id BackendID, queue float64) {
 	s := r.b.servers[id]
 	s.told, s.more = queue, 0
-	r.b.zones[s.Zone] = crowd{others: queue, reports: 1e9, at: r.now}
+	*r.b.zones[s.Zone] = crowd{others: queue, reports: 1e9, at: r.now}
 }
 
 func steady(BackendID) time.Duration { return 20 * ms }
@@ -119,14 +119,14 @@
 func TestFirstReports(t *testing.T) {
 	r := newRig(t, site(), member(1, 0, 0), member(2, 0, 0), member(3, 0, 0))
 	r.do(report(1, 10))
-	if o := r.b.others(r.b.servers[1]); o != 10 {
+	if o := r.b.others(r.b.servers[1], r.b.pace(r.b.servers[1])); o != 10 {
 		t.Errorf("others %v after a first report of 10", o)
 	}
 	for i := range 100 {
 		r.wait(5 * time.Second)
 		r.do(report(2, float64(10+i%2)))
 	}
-	if o := r.b.others(r.b.servers[3]); o < 9 || o > 11 {
+	if o := r.b.others(r.b.servers[3], r.b.pace(r.b.servers[3])); o < 9 || o > 11 {
 		t.Errorf("others %v at a server not seen yet, 10 at its peers", o)
 	}
 	r.wait(5 * time.Second)
--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -466,7 +466,7 @@
 	r := newRig(t, site(), member(1, 0, 0), member(2, 0, 0))
 	r.wait(time.Second)
 	r.do(report(1, 10))
-	if o := r.b.others(r.b.servers[2]); o < 5 {
+	if o := r.b.others(r.b.servers[2], r.b.pace(r.b.servers[2])); o < 5 {
 		t.Errorf("%v at a server not seen, 10 at the first one seen", o)
 	}
 }
@@ -590,7 +590,7 @@
 func TestRefusalsSendScouts(t *testing.T) {
 	r := newRig(t, site(), member(1, 0, 0))
 	r.serve(50, safe, steady)
-	r.b.zones[0] = crowd{others: 50, reports: 1e9, at: r.now}
+	*r.b.zones[0] = crowd{others: 50, reports: 1e9, at: r.now}
 	r.wait(time.Second)
 	sent := 0
 	for i := range 10 * scoutOnce {
--- a/balance/members.go
+++ b/balance/members.go
@@ -54,6 +54,10 @@
 		s.time, s.fails, s.failed, s.owesAt = 0, 0, false, b.now
 	}
 	s.Member = m
+	if s.zone = b.zones[m.Zone]; s.zone == nil {
+		s.zone = &crowd{}
+		b.zones[m.Zone] = s.zone
+	}
 	if started {
 		b.grantCold(s)
 	}
--- a/glencartgrpc/call.go
+++ b/glencartgrpc/call.go
@@ -68,20 +68,13 @@
 	return len(md.Get(keyHeader)) == 0
 }
 
-// tryFor makes the try of an attempt, with the context that it runs in.
-func (c *call) tryFor(a *engine.Attempt) (*try, context.Context) {
-	t := a.State.(*try)
-	return t, context.WithValue(t.ctx, tryKey{}, t)
-}
-
 // Send has the goroutine of the call carry out an attempt, or another one where that has one already.
 func (p *Plugin) Send(a *engine.Attempt) {
 	c := a.Request.Message.(*call)
 	t := &try{to: a.To, stream: c.streams}
-	if d, ok := c.ctx.Deadline(); !c.streams && (!ok || a.Deadline.Before(d)) {
-		t.ctx, t.cancel = context.WithDeadline(c.ctx, a.Deadline)
-	} else {
-		t.ctx, t.cancel = context.WithCancel(c.ctx)
+	t.Context, t.cancel = context.WithCancel(c.ctx)
+	if !c.streams {
+		t.deadline = a.Deadline
 	}
 	a.State = t
 	if c.busy {
@@ -176,15 +169,15 @@
 	if p.names.Config.Limits.SecondCopies {
 		c.copy = func(a *engine.Attempt, t *try) { c.aside(a, t, method, req, reply, cc, invoker, opts) }
 	}
-	if !p.engine.Post(func() { p.engine.Arrive(&c.Request) }) {
+	if !p.engine.Place(&c.Request) {
 		return closedStatus()
 	}
 	done := ctx.Done()
 	for {
 		select {
 		case a := <-c.run:
-			t, actx := c.tryFor(a)
-			err := invoker(actx, method, req, reply, cc, opts...)
+			t := a.State.(*try)
+			err := invoker(t, method, req, reply, cc, opts...)
 			v, res := c.ended(a, t, err)
 			switch {
 			case v.answer:
@@ -236,8 +229,7 @@
 // up may still write to its reply when the application has the other one.
 func (c *call) aside(a *engine.Attempt, t *try, method string, req, reply any, cc *grpc.ClientConn, invoker grpc.UnaryInvoker, opts []grpc.CallOption) {
 	own := reflect.New(reflect.TypeOf(reply).Elem()).Interface()
-	actx := context.WithValue(t.ctx, tryKey{}, t)
-	err := invoker(actx, method, req, own, cc, without(opts)...)
+	err := invoker(t, method, req, own, cc, without(opts)...)
 	v, res := c.ended(a, t, err)
 	if v.answer {
 		res.Body = &served{own, err}
--- a/glencartgrpc/plugin.go
+++ b/glencartgrpc/plugin.go
@@ -90,6 +90,7 @@
 	end   context.CancelFunc
 	wait  sync.WaitGroup
 	once  sync.Once
+	mute  sync.Map // endpoint: time.Time until which it is not probed, having no such service
 	ids   atomic.Uint64
 	conn  atomic.Pointer[grpc.ClientConn] // some ClientConn, for probes
 	stats counters
@@ -176,6 +177,9 @@
 	if cfg.Instances > 0 {
 		bal.Instances = cfg.Instances
 	}
+	if bal.Prices.Probe == 0 {
+		bal.Prices.Probe = probePrice
+	}
 	bal.Index = min(bal.Index, max(bal.Instances, 1)-1)
 	if cfg.Zone != "" {
 		if bal.Zone = slices.Index(names.Zones, cfg.Zone); bal.Zone < 0 {
@@ -263,6 +267,10 @@
 	}
 }
 
+// probePrice is the price of a probe where the settings tell none. On HTTP a probe is a cheap look aside; here it is a
+// stream of its own, which costs more than the call that it helps: at this price there is one in ten calls.
+const probePrice = 0.04
+
 // The wait after a failed connect grows from reconnectLeast to reconnectMost: the module keeps traffic away from what
 // fails, so a try now and then costs little, and a box that is back is found soon.
 const reconnectLeast, reconnectMost = 50 * time.Millisecond, time.Second
--- a/glencartgrpc/probe.go
+++ b/glencartgrpc/probe.go
@@ -7,6 +7,8 @@
 	orcapb "github.com/cncf/xds/go/xds/data/orca/v3"
 	orcasvc "github.com/cncf/xds/go/xds/service/orca/v3"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"glencart/balance"
@@ -16,6 +18,8 @@
 const (
 	// probeWithin is how long a probe may take: an answer that comes later tells of the past.
 	probeWithin = 150 * time.Millisecond
+	// muteFor is how long a backend without that service is not asked again.
+	muteFor = time.Minute
 	// probeMethod streams load reports out of band (xds.service.orca.v3, gRFC A51); the first one comes at once.
 	probeMethod = "/xds.service.orca.v3.OpenRcaService/StreamCoreMetrics"
 )
@@ -26,18 +30,23 @@
 // this plug-in's own counts and on what trailers say.
 func (p *Plugin) Probe(to engine.Endpoint, told func(engine.Result)) {
 	cc := p.conn.Load()
+	until, muted := p.mute.Load(to)
+	muted = muted && time.Now().Before(until.(time.Time))
 	go func() {
-		if cc == nil {
+		if cc == nil || muted {
 			told(engine.Result{Status: balance.Unused})
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), probeWithin)
 		defer cancel()
-		t := &try{to: to, ctx: ctx, cancel: cancel}
-		load, instances, err := ask(context.WithValue(ctx, tryKey{}, t), cc)
+		t := &try{to: to, Context: ctx, cancel: cancel}
+		load, instances, err := ask(t, cc)
 		if err != nil {
 			st := balance.Shed
-			if ctx.Err() != nil {
+			if status.Code(err) == codes.Unimplemented {
+				p.mute.Store(to, time.Now().Add(muteFor))
+				st = balance.Unused // says nothing of its load
+			} else if ctx.Err() != nil {
 				st = balance.Expired
 			} else if t.has(sawNoConn) {
 				st = balance.DialFailed
--- a/glencartgrpc/stream.go
+++ b/glencartgrpc/stream.go
@@ -35,7 +35,7 @@
 	s := &placed{c: c, desc: desc, finish: finish,
 		open: func(ctx context.Context) (grpc.ClientStream, error) { return streamer(ctx, desc, cc, method, opts...) },
 		shut: func() bool { return cc.GetState() == connectivity.Shutdown }}
-	if !p.engine.Post(func() { p.engine.Arrive(&c.Request) }) {
+	if !p.engine.Place(&c.Request) {
 		return nil, closedStatus()
 	}
 	if err := s.place(); err != nil {
@@ -73,8 +73,8 @@
 	for {
 		select {
 		case a := <-c.run:
-			t, ctx := c.tryFor(a)
-			inner, err := s.open(ctx)
+			t := a.State.(*try)
+			inner, err := s.open(t)
 			if err == nil {
 				s.inner, s.at, s.t, s.once = inner, a, t, new(sync.Once)
 				once := s.once
--- a/glencartgrpc/trust.go
+++ b/glencartgrpc/trust.go
@@ -126,6 +126,12 @@
 			to = append(to, engine.Endpoint{ID: id, Addr: m.Addr, Launched: m.Launched})
 		}
 	}
+	t.p.mute.Range(func(ep, _ any) bool { // what is gone is forgotten
+		if b := t.members[ep.(engine.Endpoint).ID]; b == nil || b.listed.Addr != ep.(engine.Endpoint).Addr {
+			t.p.mute.Delete(ep)
+		}
+		return true
+	})
 	slices.SortFunc(to, func(x, y engine.Endpoint) int { return cmp.Compare(x.ID, y.ID) })
 	select {
 	case <-t.news: // not taken yet, and old
--- a/glencartgrpc/try.go
+++ b/glencartgrpc/try.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/stats"
@@ -11,16 +12,18 @@
 	"glencart/internal/engine"
 )
 
-// try is one attempt on its way through gRPC. It travels in the attempt's context: the picker and the stats handler
-// find it there, and write down what they see.
+// try is one attempt on its way through gRPC. It is the attempt's context: the picker and the stats handler find it
+// there, and write down what they see.
 type try struct {
-	to      engine.Endpoint
-	ctx     context.Context // that of the call, with an end of its own
-	cancel  context.CancelFunc
-	state   atomic.Int32  // queued, begun or barred
-	saw     atomic.Uint32 // what was seen, of the bits below
-	stopped atomic.Bool   // the engine gave it up
-	stream  bool          // the application may send or receive more than one message
+	context.Context // that of the call, with an end of its own
+
+	to       engine.Endpoint
+	deadline time.Time // what the backend is told; the engine's timer keeps it. Zero: the context's
+	cancel   context.CancelFunc
+	state    atomic.Int32  // queued, begun or barred
+	saw      atomic.Uint32 // what was seen, of the bits below
+	stopped  atomic.Bool   // the engine gave it up
+	stream   bool          // the application may send or receive more than one message
 
 	mu      sync.Mutex
 	trailer metadata.MD
@@ -48,6 +51,22 @@
 
 func (t *try) set(bit uint32) { t.saw.Or(bit) }
 
+// Deadline is the attempt's. No timer stands behind it here: the engine gives the attempt up.
+func (t *try) Deadline() (time.Time, bool) {
+	if t.deadline.IsZero() {
+		return t.Context.Deadline()
+	}
+	return t.deadline, true
+}
+
+// Value finds the try itself, and all that the call's context holds.
+func (t *try) Value(key any) any {
+	if key == (tryKey{}) {
+		return t
+	}
+	return t.Context.Value(key)
+}
+
 // begin marks that a connection is taken. It fails for a try that was barred.
 func (t *try) begin() bool {
 	return t.state.CompareAndSwap(tryQueued, tryBegun) || t.state.Load() == tryBegun
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -1,20 +1,17 @@
-// Package engine carries out the decisions of package balance for any front. One goroutine owns the Balancer, the
-// tables of backends and requests, the attempts and the timers; a Transport stands for the protocol. The package
+// Package engine carries out the decisions of package balance for any front. One goroutine at a time owns the Balancer,
+// the tables of backends and requests, the attempts and the timers; a Transport stands for the protocol. The package
 // knows no protocol, opens no socket and takes the time from its configuration.
 package engine
 
 import (
-	"container/heap"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"glencart/balance"
 )
 
-// inboxSize is how many posts may wait. It only smooths: a full inbox makes posters wait.
-const inboxSize = 1024
-
 // Config is what an engine is built from. Balancer and Transport are needed, the rest has defaults.
 type Config struct {
 	Balancer  *balance.Balancer
@@ -37,12 +34,21 @@
 // anyone: what may block runs in goroutines that post what came of it. So whoever posts waits for the engine, and
 // the engine for nobody.
 //
-// Methods that say 'on the loop' may be called only from a function that was given to Post, from a Transport's
-// method, from the goroutine that calls Step, or before Run begins.
+// The loop is Run's goroutine, or, for a moment, one that found the loop free (Place, Attempt.Deliver): then the call
+// needs no hand-off. Either holds own. Methods that say 'on the loop' may be called only from a function that was given
+// to Post, from a Transport's method, from the goroutine that calls Step, or before Run begins.
 type Engine struct {
 	Config
-	inbox  chan func()
-	done   chan struct{} // closed when Run has ended
+	own  sync.Mutex
+	done chan struct{} // closed when Run has ended
+
+	mu    sync.Mutex
+	queue []func() // posted, not run yet
+	ended bool
+
+	wake   chan struct{} // Run has something to look at
+	armed  time.Duration // when Run looks at the timers next, under own
+	spare  []func()
 	start  time.Time
 	origin time.Duration // the clock at start: Unix time, which lists' start times are in
 
@@ -86,20 +92,81 @@
 	start := cfg.Now()
 	return &Engine{
 		Config: cfg,
-		inbox:  make(chan func(), inboxSize), done: make(chan struct{}),
+		wake:   make(chan struct{}, 1), done: make(chan struct{}),
 		start: start, origin: time.Duration(start.UnixNano()),
 		requests: map[string]*Request{}, backends: map[string]*backend{},
 		byNumber: map[balance.BackendID]*backend{},
 	}
 }
 
-// Post has f run on the loop, after all that was posted before. It tells whether the engine still takes any.
+// Post has f run on the loop, after all that was posted before. It tells whether the engine still takes any. It never
+// waits for the loop, so that the loop itself may post.
 func (e *Engine) Post(f func()) bool {
+	e.mu.Lock()
+	if e.ended {
+		e.mu.Unlock()
+		return false
+	}
+	e.queue = append(e.queue, f)
+	first := len(e.queue) == 1
+	e.mu.Unlock()
+	if first {
+		e.nudge()
+	}
+	return true
+}
+
+func (e *Engine) nudge() {
 	select {
-	case <-e.done:
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// enter takes the loop if it is free, with all that was posted before done. Whoever got it calls leave.
+func (e *Engine) enter() bool {
+	if !e.own.TryLock() {
 		return false
-	case e.inbox <- f:
-		return true
+	}
+	e.mu.Lock()
+	ended := e.ended
+	e.mu.Unlock()
+	if ended {
+		e.own.Unlock()
+		return false
+	}
+	e.drain()
+	return true
+}
+
+// leave gives the loop back. What is posted from here on wakes Run.
+func (e *Engine) leave() {
+	e.drain()
+	sooner := len(e.timers) > 0 && e.timers[0].at < e.armed
+	e.own.Unlock()
+	if sooner {
+		e.nudge()
+	}
+}
+
+// drain runs what was posted, until nothing is left, and tells whether there was anything. On the loop.
+func (e *Engine) drain() bool {
+	some := false
+	for {
+		e.mu.Lock()
+		batch := e.queue
+		e.queue = e.spare[:0]
+		e.mu.Unlock()
+		if len(batch) == 0 {
+			e.spare = batch
+			return some
+		}
+		some = true
+		for i, f := range batch {
+			batch[i] = nil
+			f()
+		}
+		e.spare = batch[:0]
 	}
 }
 
@@ -114,41 +181,45 @@
 
 // Run serves until quit is closed.
 func (e *Engine) Run(quit <-chan struct{}) {
-	defer close(e.done)
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
+	defer func() {
+		e.own.Lock()
+		e.mu.Lock()
+		e.ended, e.queue = true, nil
+		e.mu.Unlock()
+		e.own.Unlock()
+		close(e.done)
+	}()
 	for {
+		e.own.Lock()
+		e.settleAll()
 		wait := time.Hour
 		if len(e.timers) > 0 {
 			wait = e.timers[0].at - e.Clock()
 		}
+		e.armed = e.Clock() + wait
+		e.own.Unlock()
 		alarm.Reset(wait)
 		select {
 		case <-quit:
 			return
-		case f := <-e.inbox:
-			f()
+		case <-e.wake:
 		case <-alarm.C:
 		}
-		e.ring()
 	}
 }
 
-// Step stands in for Run where a driver owns the time: it runs what was posted and the timers that are due, and
-// returns when nothing of either is left. Only one goroutine may call it, and never beside Run.
-func (e *Engine) Step() {
-	for {
-		select {
-		case f := <-e.inbox:
-			f()
-		default:
-			if !e.ring() {
-				return
-			}
-		}
+// settleAll runs what was posted and the timers that are due, until nothing of either is left.
+func (e *Engine) settleAll() {
+	for e.drain() || e.ring() {
 	}
 }
 
+// Step stands in for Run where a driver owns the time: it runs what was posted and the timers that are due, and
+// returns when nothing of either is left. Only one goroutine may call it, and never beside Run.
+func (e *Engine) Step() { e.settleAll() }
+
 // Next is when the next timer is due, on Clock. It reports false when there is none. On the loop.
 func (e *Engine) Next() (time.Duration, bool) {
 	if len(e.timers) == 0 {
@@ -161,7 +232,7 @@
 func (e *Engine) ring() bool {
 	rang := false
 	for now := e.Clock(); len(e.timers) > 0 && e.timers[0].at <= now; rang = true {
-		t := heap.Pop(&e.timers).(timer)
+		t := e.timers.pop()
 		e.Handle(balance.Event{Kind: balance.Timer, Mark: t.mark})
 	}
 	return rang
@@ -205,7 +276,7 @@
 		e.probe(a.Backend)
 	case balance.SetTimer:
 		e.seq++
-		heap.Push(&e.timers, timer{at: e.Clock() + a.In, seq: e.seq, mark: a.Mark})
+		e.timers.push(timer{at: e.Clock() + a.In, seq: e.seq, mark: a.Mark})
 	case balance.Watch, balance.Unwatch, balance.Fetch:
 		e.Ask(a.Kind)
 	case balance.Tell:
@@ -226,18 +297,43 @@
 	mark uint64
 }
 
-// timers is a heap by time; what is due at the same time keeps its order.
+// timers is a binary heap by time; what is due at the same time keeps its order. container/heap would box each timer.
 type timers []timer
 
-func (t timers) Len() int { return len(t) }
-func (t timers) Less(i, j int) bool {
+func (t timers) less(i, j int) bool {
 	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].seq < t[j].seq
 }
-func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
-func (t *timers) Pop() any {
-	old := *t
-	x := old[len(old)-1]
-	*t = old[:len(old)-1]
-	return x
+
+func (t *timers) push(x timer) {
+	*t = append(*t, x)
+	h := *t
+	for i := len(h) - 1; i > 0; {
+		up := (i - 1) / 2
+		if !h.less(i, up) {
+			break
+		}
+		h[i], h[up] = h[up], h[i]
+		i = up
+	}
+}
+
+func (t *timers) pop() timer {
+	h := *t
+	first, last := h[0], len(h)-1
+	h[0] = h[last]
+	h = h[:last]
+	*t = h
+	for i := 0; ; {
+		least := i
+		for _, down := range [2]int{2*i + 1, 2*i + 2} {
+			if down < last && h.less(down, least) {
+				least = down
+			}
+		}
+		if least == i {
+			return first
+		}
+		h[i], h[least] = h[least], h[i]
+		i = least
+	}
 }
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -18,6 +18,17 @@
 	})
 }
 
+// Place has the loop take in a request, at once in this goroutine if the loop is free. It reports false when the
+// engine has ended. Any goroutine may call it that holds no lock which a Transport's method wants.
+func (e *Engine) Place(r *Request) bool {
+	if e.enter() {
+		e.Arrive(r)
+		e.leave()
+		return true
+	}
+	return e.Post(func() { e.Arrive(r) })
+}
+
 // Gone takes in that a client has left before its answer. On the loop.
 func (e *Engine) Gone(r *Request) {
 	if e.requests[r.ID] != r || r.answered {
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -17,8 +17,9 @@
 
 // Transport carries attempts to backends over one protocol.
 //
-// The engine calls every method from its loop: none may block or call back into the engine, other than by
-// Attempt.Started, Attempt.Done and the function given to Probe, which any goroutine may call.
+// The engine calls every method from its loop: none may block, or call back into the engine other than by Post,
+// Attempt.Started, Attempt.Done and the function given to Probe. Those are for any goroutine; Attempt.Deliver and Place
+// are for any but the loop's.
 type Transport interface {
 	// Send begins an attempt on a.To. It owes exactly one a.Done, at a.Deadline or soon after it at the latest. An
 	// attempt is one write on one connection, and is never sent again by the transport or by a library below it.
@@ -96,7 +97,12 @@
 // hands on nothing. No answer comes on Reply after true.
 func (a *Attempt) Deliver(res Result) bool {
 	won := a.Request.claimed.CompareAndSwap(false, true)
-	a.engine.Post(func() { a.engine.delivered(a, res, won) })
+	if e := a.engine; e.enter() {
+		e.delivered(a, res, won)
+		e.leave()
+	} else {
+		e.Post(func() { e.delivered(a, res, won) })
+	}
 	return won
 }
 
