--- a/glencartgrpc/stream.go
+++ b/glencartgrpc/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"reflect"
 	"sync"
+	"sync/atomic"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -64,6 +65,8 @@
 	at    *engine.Attempt
 	t     *try
 	once  *sync.Once // tells the engine how the attempt ended
+
+	answered atomic.Bool // a message has come
 }
 
 // place waits for the engine's word on where the stream goes, and opens it there.
@@ -77,11 +80,12 @@
 			inner, err := s.open(t)
 			if err == nil {
 				s.inner, s.at, s.t, s.once = inner, a, t, new(sync.Once)
-				once := s.once
-				// gRPC ends this context with the stream: also when the application drops it, or closes the ClientConn.
-				context.AfterFunc(inner.Context(), func() {
-					once.Do(func() { s.tell(a, t, status.FromContextError(context.Canceled).Err()) })
-				})
+				// The application may drop the stream by ending its context, or by closing the ClientConn (Plugin.follow).
+				// gRPC's own context of the stream is not asked for until an answer has begun: asking gives up gRPC's word
+				// on whether the stream was processed.
+				end := s.abandon(a, t, s.once)
+				context.AfterFunc(t, end)
+				p.streaming(s, end)
 				return nil
 			}
 			v, res := c.ended(a, t, err)
@@ -106,9 +110,17 @@
 	}
 }
 
+// abandon ends an attempt that nobody will ask for its end.
+func (s *placed) abandon(a *engine.Attempt, t *try, once *sync.Once) func() {
+	return func() {
+		once.Do(func() { s.tell(a, t, status.FromContextError(context.Canceled).Err()) })
+	}
+}
+
 // tell ends an attempt at the engine, and returns what the application hears of it.
 func (s *placed) tell(a *engine.Attempt, t *try, err error) error {
 	c := s.c
+	c.p.streaming(s, nil)
 	v, res := c.ended(a, t, err)
 	told := err
 	switch {
@@ -157,40 +169,40 @@
 	defer s.mu.Unlock()
 	for {
 		err := s.inner.SendMsg(m)
-		if err != io.EOF || s.t.has(sawAnswer) {
-			if err != nil && err != io.EOF {
-				s.once.Do(func() { s.tell(s.at, s.t, err) }) // this side's own doing: gRPC has ended the stream
-			}
+		if err == nil {
 			s.started()
-			return err
-		}
-		// It broke before the message was out, and nothing has come back: RecvMsg has the status and no message.
-		why := s.inner.RecvMsg(reflect.New(reflect.TypeOf(m).Elem()).Interface())
-		if why == nil || why == io.EOF {
-			s.started()
-			return io.EOF
+			return nil
 		}
-		told, mine := why, false
-		s.once.Do(func() {
-			mine = true
-			v, res := s.c.ended(s.at, s.t, why)
-			if v.answer || v.local || s.shut() {
-				s.c.free()
-				s.c.gone()
-				s.final = why
-				return
+		why := err
+		if err == io.EOF {
+			if s.t.has(sawAnswer) {
+				s.started() // it has answered already: RecvMsg has the rest
+				return err
 			}
-			a := s.at
-			s.c.p.engine.Post(func() { s.c.busy = false; a.Report(res) })
-		})
-		if s.final == nil {
-			if !mine {
-				s.final = told // ended by its context
-			} else {
-				s.final = s.place()
+			// It broke before the message was out, and nothing has come back: RecvMsg has the status and no message.
+			why = s.inner.RecvMsg(reflect.New(reflect.TypeOf(m).Elem()).Interface())
+			if why == nil || why == io.EOF {
+				s.started()
+				return io.EOF
 			}
 		}
-		if s.final != nil {
+		mine := false
+		s.once.Do(func() { mine = true })
+		if !mine { // its context has ended it
+			s.final = why
+			return err
+		}
+		s.c.p.streaming(s, nil)
+		v, res := s.c.ended(s.at, s.t, why)
+		if v.answer || v.local || s.shut() {
+			s.c.free()
+			s.c.gone()
+			s.final = why
+			return err
+		}
+		a := s.at
+		s.c.p.engine.Post(func() { s.c.busy = false; a.Report(res) })
+		if s.final = s.place(); s.final != nil {
 			return io.EOF // as gRPC does: RecvMsg tells why
 		}
 	}
@@ -202,6 +214,9 @@
 		return s.final
 	}
 	err := s.inner.RecvMsg(m)
+	if err == nil && s.desc.ServerStreams && !s.answered.Swap(true) {
+		context.AfterFunc(s.inner.Context(), s.abandon(s.at, s.t, s.once)) // ended with the stream, however that ends
+	}
 	switch {
 	case err == io.EOF, err == nil && !s.desc.ServerStreams:
 		s.once.Do(func() { s.tell(s.at, s.t, nil) })
