--- a/glencartgrpc/call.go
+++ b/glencartgrpc/call.go
@@ -49,7 +49,7 @@
 	if left <= 0 {
 		left = defaultDeadline
 	}
-	c.Deadline = time.Now().Add(left)
+	c.Deadline = p.engine.Now().Add(left)
 	if d, ok := ctx.Deadline(); ok && (d.Before(c.Deadline) || streams) {
 		c.Deadline = d
 	}
--- a/glencartgrpc/plugin.go
+++ b/glencartgrpc/plugin.go
@@ -100,9 +100,9 @@
 	mu        sync.Mutex
 	followers map[*follower]bool
 	streams   map[*placed]func() // opened, and their end not told: this tells it
-	endpoints []engine.Endpoint // that may be sent to, as told to the followers
-	ready     chan struct{}     // closed when there is a backend; made anew when there is none
-	instances int               // as told to the Balancer
+	endpoints []engine.Endpoint  // that may be sent to, as told to the followers
+	ready     chan struct{}      // closed when there is a backend; made anew when there is none
+	instances int                // as told to the Balancer
 }
 
 type counters struct {
--- a/internal/engine/backends.go
+++ b/internal/engine/backends.go
@@ -110,7 +110,7 @@
 		}
 	}
 	slices.SortFunc(out, func(x, y *Attempt) int {
-		return cmp.Or(cmp.Compare(x.sent, y.sent), cmp.Compare(x.Request.ID, y.Request.ID))
+		return cmp.Or(cmp.Compare(x.sent, y.sent), cmp.Compare(x.Request.seq, y.Request.seq))
 	})
 	for _, a := range out {
 		e.Transport.GiveUp(a)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -56,6 +56,7 @@
 	backends map[string]*backend // by the list's id
 	byNumber map[balance.BackendID]*backend
 	numbers  balance.BackendID // given so far: one is never given again
+	arrived  uint64
 	timers   timers
 	seq      uint64
 
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -11,6 +11,8 @@
 		r.Reply <- Answer{Kind: Doubled}
 		return
 	}
+	e.arrived++
+	r.seq = e.arrived
 	e.requests[r.ID] = r
 	e.Handle(balance.Event{
 		Kind: balance.RequestArrived, Request: r.ID, Class: r.Class, Tenant: r.Tenant, Key: r.Key, HasKey: r.HasKey,
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -56,6 +56,7 @@
 	// Reply takes the one final answer. It needs room for one: the loop waits for nobody. After Gone none comes.
 	Reply chan Answer
 
+	seq      uint64 // in the order of arrival
 	attempts []*Attempt
 	pending  int
 	answered bool
--- /dev/null
+++ b/internal/node/wording.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"net/http"
+	"time"
+
+	"glencart/balance"
+	"glencart/internal/engine"
+	"glencart/internal/settings"
+)
+
+// What follows words and reads the protocol's messages for tests that compare fronts; the node itself calls what
+// stands behind it.
+
+// Early is how much sooner than the client's deadline a request ends (see early).
+const Early = early
+
+// Decode reads a client's request as the node does.
+func Decode(names settings.Settings, hr *http.Request, received time.Time) (*engine.Request, error) {
+	f := &front{names: names}
+	r, _, err := f.read(discard{}, hr, received)
+	return r, err
+}
+
+// Outcome reads a whole answer's status.
+func Outcome(resp *http.Response) balance.Status { return outcome(resp) }
+
+// Report reads a load report.
+func Report(text string) (balance.Load, error) { return parseReport(text) }
+
+// discard is a response that nobody reads.
+type discard struct{}
+
+func (discard) Header() http.Header         { return http.Header{} }
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+func (discard) WriteHeader(int)             {}
