--- a/glencartgrpc/call.go
+++ b/glencartgrpc/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"reflect"
 	"strconv"
 	"time"
 
@@ -11,7 +10,6 @@
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
-	"google.golang.org/protobuf/proto"
 
 	"glencart/balance"
 	"glencart/internal/engine"
@@ -26,9 +24,8 @@
 	p       *Plugin
 	ctx     context.Context
 	class   string
-	run     chan *engine.Attempt            // attempts for the goroutine of the call; has room for one
-	copy    func(a *engine.Attempt, t *try) // carries out an attempt beside it, in a goroutine of its own
-	busy    bool                            // on the loop: the goroutine has an attempt
+	run     chan *engine.Attempt // attempts for the goroutine of the call; has room for one
+	last    *try                 // on the loop: that of the newest attempt
 	streams bool
 }
 
@@ -68,7 +65,8 @@
 	return len(md.Get(keyHeader)) == 0
 }
 
-// Send has the goroutine of the call carry out an attempt, or another one where that has one already.
+// Send has the goroutine of the call carry out an attempt: so the reply is written by nobody when the application has
+// it back.
 func (p *Plugin) Send(a *engine.Attempt) {
 	c := a.Request.Message.(*call)
 	t := &try{to: a.To, stream: c.streams}
@@ -77,16 +75,18 @@
 		t.deadline = a.Deadline
 	}
 	a.State = t
-	if c.busy {
-		if c.copy == nil {
-			t.cancel()
-			a.Done(engine.Result{Status: balance.Unused})
-			return
-		}
-		go c.copy(a, t)
+	if prev := c.last; prev != nil && !prev.returned.Load() && !prev.stopped.Load() {
+		// A second copy. The module sends none today; if it did, this one never left.
+		t.cancel()
+		t.bar()
+		a.Done(engine.Result{Status: balance.Unused})
 		return
 	}
-	c.busy = true
+	c.last = t
+	select {
+	case <-c.run: // given up before the goroutine came to it
+	default:
+	}
 	c.run <- a
 }
 
@@ -113,6 +113,7 @@
 // is decided by it.
 func (c *call) ended(a *engine.Attempt, t *try, err error) (v verdict, res engine.Result) {
 	t.cancel()
+	t.returned.Store(true)
 	s := t.look(err, t.stopped.Load(), !time.Now().Before(a.Deadline) || c.ctx.Err() == context.DeadlineExceeded)
 	v = c.p.judge(s)
 	res = engine.Result{Status: v.status}
@@ -166,9 +167,6 @@
 	if err := p.awaitReady(ctx, opts); err != nil {
 		return err
 	}
-	if p.names.Config.Limits.SecondCopies {
-		c.copy = func(a *engine.Attempt, t *try) { c.aside(a, t, method, req, reply, cc, invoker, opts) }
-	}
 	if !p.engine.Place(&c.Request) {
 		return closedStatus()
 	}
@@ -186,21 +184,12 @@
 					return err
 				}
 			case v.local || cc.GetState() == connectivity.Shutdown:
-				c.free()
 				c.gone()
 				return err
 			default:
-				p.engine.Post(func() { c.busy = false; a.Report(res) })
+				a.Done(res)
 			}
 		case ans := <-c.Reply:
-			if ans.Kind == engine.Served { // by a copy
-				p.stats.served.Add(1)
-				s := ans.Body.(*served)
-				if s.err == nil {
-					move(reply, s.reply)
-				}
-				return s.err
-			}
 			return p.word(ans, c.class)
 		case <-done:
 			if ctx.Err() == context.DeadlineExceeded {
@@ -216,37 +205,6 @@
 	}
 }
 
-// free has the loop know that the goroutine of the call has no attempt.
-func (c *call) free() { c.p.engine.Post(func() { c.busy = false }) }
-
-// served is the answer that a copy brought.
-type served struct {
-	reply any
-	err   error
-}
-
-// aside carries out a second copy, beside the goroutine of the call, into a reply of its own: an attempt that is given
-// up may still write to its reply when the application has the other one.
-func (c *call) aside(a *engine.Attempt, t *try, method string, req, reply any, cc *grpc.ClientConn, invoker grpc.UnaryInvoker, opts []grpc.CallOption) {
-	own := reflect.New(reflect.TypeOf(reply).Elem()).Interface()
-	err := invoker(t, method, req, own, cc, without(opts)...)
-	v, res := c.ended(a, t, err)
-	if v.answer {
-		res.Body = &served{own, err}
-	}
-	a.Done(res)
-}
-
-// move puts one reply into another.
-func move(to, from any) {
-	if t, ok := to.(proto.Message); ok {
-		proto.Reset(t)
-		proto.Merge(t, from.(proto.Message))
-		return
-	}
-	reflect.ValueOf(to).Elem().Set(reflect.ValueOf(from).Elem())
-}
-
 // callOptions takes out what must happen once for a call, not once for each attempt.
 func callOptions(opts []grpc.CallOption) (each []grpc.CallOption, finish []func(error)) {
 	for i, o := range opts {
@@ -268,18 +226,6 @@
 	return each, finish
 }
 
-// without leaves out the options that write to the application's variables.
-func without(opts []grpc.CallOption) (left []grpc.CallOption) {
-	for _, o := range opts {
-		switch o.(type) {
-		case grpc.HeaderCallOption, grpc.TrailerCallOption, grpc.PeerCallOption:
-		default:
-			left = append(left, o)
-		}
-	}
-	return left
-}
-
 // awaitReady holds a call that asked to wait for ready until there is some backend.
 func (p *Plugin) awaitReady(ctx context.Context, opts []grpc.CallOption) error {
 	wait := false
--- a/glencartgrpc/export_test.go
+++ b/glencartgrpc/export_test.go
@@ -19,3 +19,27 @@
 		return v
 	}
 }
+
+// Open counts the calls that the engine still keeps.
+func (p *Plugin) Open() int {
+	n := make(chan int, 1)
+	if !p.engine.Post(func() { n <- p.engine.Open() }) {
+		return 0
+	}
+	select {
+	case open := <-n:
+		return open
+	case <-p.engine.Done():
+		return 0
+	}
+}
+
+// Cut tells whether the plug-in counts as cut off.
+func (p *Plugin) Cut() bool { return p.trust.cut.Load() }
+
+// Instances is what the module divides by.
+func (p *Plugin) Instances() int {
+	n := make(chan int, 1)
+	p.engine.Post(func() { n <- p.instances })
+	return <-n
+}
--- a/glencartgrpc/guard.go
+++ b/glencartgrpc/guard.go
@@ -17,10 +17,10 @@
 
 // GuardConfig is what a Guard is told. Zero values: no bound, nothing remembered.
 type GuardConfig struct {
-	MaxInFlight int           // calls at once; more are answered 'never ran'
-	Window      time.Duration // how long the repeats of a keyed call get the first one's answer
-	MaxKeys     int           // keys remembered at once; 0: 10,000. At the bound, keyed calls that are new are turned away
-	CPU         func() float64
+	MaxInFlight int            // calls at once; more are answered 'never ran'
+	Window      time.Duration  // how long the repeats of a keyed call get the first one's answer
+	MaxKeys     int            // keys remembered at once; 0: 10,000. At the bound, keyed calls that are new are turned away
+	CPU         func() float64 // part of the process's CPU in use, for reports; nil: not reported
 }
 
 // Guard stands in a backend and says what plug-ins can use: that a call never ran (while draining or full), the load
@@ -35,6 +35,9 @@
 	inflight int
 	draining bool
 	conns    int
+	ended    int       // calls that ended in this span
+	spanAt   time.Time // when it began
+	rate     float64   // of the one before, a second
 	keys     map[string]*remembered
 	order    list.List // of *remembered, by when the first call came
 }
@@ -91,10 +94,20 @@
 	return ""
 }
 
+// rateSpan is the time over which calls are counted for the reported rate.
+const rateSpan = time.Second
+
 func (g *Guard) leave() {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.inflight--
-	g.mu.Unlock()
+	g.ended++
+	if now := time.Now(); now.Sub(g.spanAt) >= rateSpan {
+		if !g.spanAt.IsZero() {
+			g.rate = float64(g.ended) / now.Sub(g.spanAt).Seconds()
+		}
+		g.ended, g.spanAt = 0, now
+	}
 }
 
 // away is the status of a call that never ran. The trailer goes with it.
@@ -109,7 +122,7 @@
 // report is the load, as a trailer.
 func (g *Guard) report(extra ...string) metadata.MD {
 	g.mu.Lock()
-	r := &orcapb.OrcaLoadReport{NamedMetrics: map[string]float64{
+	r := &orcapb.OrcaLoadReport{RpsFractional: g.rate, NamedMetrics: map[string]float64{
 		MetricInflight: float64(g.inflight), MetricInstances: float64(g.conns)}}
 	g.mu.Unlock()
 	if g.cfg.CPU != nil {
--- a/glencartgrpc/plugin_test.go
+++ b/glencartgrpc/plugin_test.go
@@ -386,6 +386,19 @@
 	}
 }
 
+// Probes are the first report of a backend's own stream of them.
+func TestProbes(t *testing.T) {
+	s := start(t, box.NewLedger(), 2, func(c *grpcbox.Config) { c.OOB = true })
+	c := connect(t, config())
+	c.set(t, boxes(s...))
+	standin.Eventually(t, "probes", func() bool {
+		if _, err := c.ask(within(t, standin.Patience), grpcbox.Read, "x"); err != nil {
+			t.Fatal(err)
+		}
+		return s[0].Asked.Load() > 2 && s[1].Asked.Load() > 2
+	})
+}
+
 // Other interceptors, call options and the application's own metadata go on working.
 func TestBesideOthers(t *testing.T) {
 	s := start(t, box.NewLedger(), 1)
--- a/glencartgrpc/stream.go
+++ b/glencartgrpc/stream.go
@@ -90,11 +90,10 @@
 			}
 			v, res := c.ended(a, t, err)
 			if v.answer || v.local || s.shut() {
-				c.free()
 				c.gone()
 				return err
 			}
-			p.engine.Post(func() { c.busy = false; a.Report(res) })
+			a.Done(res)
 		case ans := <-c.Reply:
 			return p.word(ans, c.class)
 		case <-done:
@@ -136,7 +135,7 @@
 	default:
 		told = c.p.word(engine.Answer{Kind: engine.Failed, Begun: true, Late: v.status == balance.Expired, Body: &failure{err}}, c.class)
 	}
-	c.p.engine.Post(func() { c.busy = false; a.Report(res) })
+	a.Done(res)
 	for _, f := range s.finish {
 		f(told)
 	}
@@ -195,13 +194,11 @@
 		s.c.p.streaming(s, nil)
 		v, res := s.c.ended(s.at, s.t, why)
 		if v.answer || v.local || s.shut() {
-			s.c.free()
 			s.c.gone()
 			s.final = why
 			return err
 		}
-		a := s.at
-		s.c.p.engine.Post(func() { s.c.busy = false; a.Report(res) })
+		s.at.Done(res)
 		if s.final = s.place(); s.final != nil {
 			return io.EOF // as gRPC does: RecvMsg tells why
 		}
--- a/glencartgrpc/try.go
+++ b/glencartgrpc/try.go
@@ -23,6 +23,7 @@
 	state    atomic.Int32  // queued, begun or barred
 	saw      atomic.Uint32 // what was seen, of the bits below
 	stopped  atomic.Bool   // the engine gave it up
+	returned atomic.Bool   // gRPC is done with it
 	stream   bool          // the application may send or receive more than one message
 
 	mu      sync.Mutex
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -90,9 +90,6 @@
 	a.engine.Post(func() { a.engine.outcome(a, res) })
 }
 
-// Report is Done for who is on the loop already.
-func (a *Attempt) Report(res Result) { a.engine.outcome(a, res) }
-
 // Deliver is Done for an answer that the caller can hand to its client by itself, without a way through the loop. It
 // reports false when another answer has been decided on: then the client gets that one, and the caller
 // hands on nothing. No answer comes on Reply after true.
--- a/internal/standin/grpcbox/grpcbox.go
+++ b/internal/standin/grpcbox/grpcbox.go
@@ -45,6 +45,7 @@
 	*box.Box
 	Addr   string
 	Guard  *glencartgrpc.Guard // nil where Config.Plain
+	Asked  atomic.Int64        // reports out of band so far
 	Spoilt bool                // load reports are garbage
 	cfg    Config
 	extra  []grpc.ServerOption
@@ -84,7 +85,10 @@
 	opts := append([]grpc.ServerOption(nil), s.extra...)
 	s.Guard = nil
 	if !s.cfg.Plain {
-		s.Guard = glencartgrpc.NewGuard(glencartgrpc.GuardConfig{Window: s.cfg.Window})
+		s.Guard = glencartgrpc.NewGuard(glencartgrpc.GuardConfig{Window: s.cfg.Window, CPU: func() float64 {
+			held, _ := s.Held()
+			return float64(min(held, s.Cores)) / float64(s.Cores)
+		}})
 		opts = append(opts, s.Guard.ServerOptions()...)
 	}
 	srv := grpc.NewServer(opts...)
@@ -100,6 +104,7 @@
 
 // ServerMetrics is the report out of band: what weighted_round_robin wants, and the calls held.
 func (s *Server) ServerMetrics() *orca.ServerMetrics {
+	s.Asked.Add(1)
 	held, _ := s.Held()
 	s.mu.Lock()
 	if now := time.Now(); now.Sub(s.countedAt) >= reportEvery {
