--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -126,10 +126,12 @@
 }
 
 type node struct {
-	w     *World
-	n     int
-	front Front
-	e     *engine.Engine
+	touched bool      // something was posted to it, or it was called
+	next    time.Time // when its next timer is due
+	w       *World
+	n       int
+	front   Front
+	e       *engine.Engine
 }
 
 // call is one attempt on its way.
@@ -243,10 +245,8 @@
 			next = w.queue[0].at
 		}
 		for _, n := range w.nodes {
-			if at, ok := n.e.Next(); ok {
-				if t := w.clock.Add(at - n.e.Clock()); t.Before(next) {
-					next = t
-				}
+			if n.next.Before(next) {
+				next = n.next
 			}
 		}
 		if next.After(w.clock) {
@@ -259,7 +259,15 @@
 			heap.Pop(&w.queue).(event).f()
 		}
 		for _, n := range w.nodes {
+			if !n.touched && n.next.After(w.clock) {
+				continue
+			}
+			n.touched = false
 			n.e.Step()
+			n.next = end
+			if at, ok := n.e.Next(); ok {
+				n.next = w.clock.Add(at - n.e.Clock())
+			}
 		}
 		w.collect()
 	}
@@ -293,6 +301,7 @@
 			w.open = append(w.open, q)
 			w.t.Requests++
 			n.e.Arrive(r)
+			n.touched = true
 		})
 	}
 }
@@ -367,6 +376,7 @@
 			}
 		}
 		for _, n := range w.nodes {
+			n.touched = true
 			n.front.List(n.e, text)
 		}
 	})
@@ -462,12 +472,13 @@
 func (n *node) Probe(to engine.Endpoint, told func(engine.Result)) {
 	b := n.w.box(to)
 	n.w.at(n.w.clock.Add(sendIn+backIn), func() {
+		n.touched = true
 		if !b.up || b.fallen {
 			told(engine.Result{Status: balance.DialFailed})
 			return
 		}
 		if b.hung {
-			n.w.at(n.w.clock.Add(150*time.Millisecond), func() { told(engine.Result{Status: balance.Expired}) })
+			n.w.at(n.w.clock.Add(150*time.Millisecond), func() { n.touched = true; told(engine.Result{Status: balance.Expired}) })
 			return
 		}
 		told(n.front.Result(to, Served, b.busy+len(b.waiting)))
@@ -493,6 +504,7 @@
 	c.over = true
 	res := c.n.front.Result(c.a.To, e, c.b.busy+len(c.b.waiting))
 	c.n.w.at(c.n.w.clock.Add(in), func() {
+		c.n.touched = true
 		if !c.left {
 			c.a.Done(res)
 		}
@@ -501,6 +513,7 @@
 
 func (c *call) arrive() {
 	b, w := c.b, c.n.w
+	c.n.touched = true
 	if c.barred || c.left {
 		c.a.Done(engine.Result{Status: balance.Unused})
 		return
