--- a/balance/balance.go
+++ b/balance/balance.go
@@ -357,9 +357,9 @@
 func (b *Balancer) pick(r *request, bound float64) *server {
 	var best *server
 	least, ties := 0.0, 0
-	base := b.meanBase()
+	base, again := b.meanBase(), len(r.attempts) > 0
 	for _, s := range b.ready {
-		if r.tried(s) || !b.mayGo(r, s) || !b.coldAllows(r, s) {
+		if again && (r.tried(s) || !b.mayGo(r, s)) || !b.coldAllows(r, s) {
 			continue
 		}
 		pace := b.pace(s)
--- a/glencartgrpc/obey.go
+++ b/glencartgrpc/obey.go
@@ -108,6 +108,7 @@
 			continue
 		}
 		l := &link{state: connectivity.Idle}
+		//lint:ignore SA1019 pickfirst would add a choice of its own; one address is what is given.
 		sc, err := b.cc.NewSubConn([]resolver.Address{{Addr: ep.Addr}}, balancer.NewSubConnOptions{
 			StateListener: func(st balancer.SubConnState) {
 				b.changed(l, st)
--- a/glencartgrpc/plugin.go
+++ b/glencartgrpc/plugin.go
@@ -149,31 +149,31 @@
 // prepare makes a plug-in with nothing running yet.
 func prepare(cfg Config) (*Plugin, error) {
 	if cfg.Target == "" {
-		return nil, errors.New("Target: missing: name the target that ClientConns dial, as in glencart:///orders")
+		return nil, errors.New("config: Target: missing: name the target that ClientConns dial, as in glencart:///orders")
 	}
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
 	if cfg.Discovery != "" {
 		if _, err := netip.ParseAddrPort(cfg.Discovery); err != nil {
-			return nil, fmt.Errorf("Discovery: %q is not an IP address with a port", cfg.Discovery)
+			return nil, fmt.Errorf("config: Discovery: %q is not an IP address with a port", cfg.Discovery)
 		}
 	}
 	if cfg.CutOffAfter == 0 {
 		cfg.CutOffAfter = cutOffAfter
 	}
 	if cfg.CutOffAfter < 0 || cfg.Instances < 0 {
-		return nil, errors.New("CutOffAfter, Instances: negative")
+		return nil, errors.New("config: CutOffAfter, Instances: negative: 0 stands for the default")
 	}
 	if cfg.Seed == 0 {
 		cfg.Seed = rand.Uint64()
 	}
 	names, err := settings.Parse(cfg.Settings)
 	if err != nil {
-		return nil, fmt.Errorf("Settings: %w", err)
+		return nil, fmt.Errorf("config: Settings: %w", err)
 	}
 	if len(names.Classes) == 0 {
-		return nil, errors.New("Settings: classes: none: a class tells the effect, aim and deadline of calls")
+		return nil, errors.New("config: Settings: classes: none: a class tells the effect, aim and deadline of calls")
 	}
 	bal := &names.Config
 	if cfg.Instances > 0 {
@@ -185,7 +185,7 @@
 	bal.Index = min(bal.Index, max(bal.Instances, 1)-1)
 	if cfg.Zone != "" {
 		if bal.Zone = slices.Index(names.Zones, cfg.Zone); bal.Zone < 0 {
-			return nil, fmt.Errorf("Zone: %q is not one of the settings' zones (%s)", cfg.Zone, strings.Join(names.Zones, ", "))
+			return nil, fmt.Errorf("config: Zone: %q is not one of the settings' zones (%s)", cfg.Zone, strings.Join(names.Zones, ", "))
 		}
 	}
 	p := &Plugin{cfg: cfg, exact: map[string]int{}, service: map[string]int{}, quit: make(chan struct{}), end: func() {},
@@ -195,10 +195,10 @@
 		class := slices.Index(names.Classes, cfg.Methods[method])
 		switch {
 		case class < 0:
-			return nil, fmt.Errorf("Methods: %s: class %q is not one of the settings' classes (%s)", method, cfg.Methods[method],
+			return nil, fmt.Errorf("config: Methods: %s: class %q is not one of the settings' classes (%s)", method, cfg.Methods[method],
 				strings.Join(names.Classes, ", "))
 		case !strings.HasPrefix(method, "/") || strings.Count(method, "/") != 2:
-			return nil, fmt.Errorf("Methods: %q is neither a method, as in /shop.Orders/Place, nor a service, as in /shop.Orders/", method)
+			return nil, fmt.Errorf("config: Methods: %q is neither a method, as in /shop.Orders/Place, nor a service, as in /shop.Orders/", method)
 		case strings.HasSuffix(method, "/"):
 			p.service[method] = class
 		default:
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -20,7 +20,6 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	ran     map[string]int // attempts that ran, by request
-	open    int
 	dropped int
 }
 
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -42,7 +42,6 @@
 // Here a request goes out whole in one Write. net/http still words it and reads the answer.
 type exchanges struct {
 	pool     *pool
-	host     string
 	inline   bool // answers carry load reports
 	complain *lograte.Limited
 	jobs     chan func() // taken by goroutines that wait for more: each new one grows its stack anew
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -122,7 +122,6 @@
 type push struct {
 	at   time.Time
 	work float64
-	cold bool
 }
 
 type node struct {
