--- a/glencartgrpc/trust_test.go
+++ b/glencartgrpc/trust_test.go
@@ -148,6 +148,45 @@
 	}
 }
 
+// emptySoon wants the engine's tables empty well before any deadline (5 s) would empty them.
+func emptySoon(t *testing.T, c *client) {
+	t.Helper()
+	began := time.Now()
+	standin.Eventually(t, "empty tables", func() bool { return c.Open() == 0 })
+	if took := time.Since(began); took > 2500*time.Millisecond {
+		t.Errorf("the tables were empty only after %v: something waited for its deadline", took)
+	}
+}
+
+// A box that says after the first message that a stream never ran: the stream is refused and not placed again.
+func TestStreamIsOneAttempt(t *testing.T) {
+	ledger := box.NewLedger()
+	s := start(t, ledger, 2)
+	c := connect(t, config())
+	c.set(t, boxes(s...))
+	ctx := within(t, standin.Patience)
+	for i := range 30 { // earns retries
+		if _, err := c.ask(ctx, grpcbox.Read, fmt.Sprint("w", i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s[0].Drain(true)
+	s[1].Drain(true)
+	st, err := c.cc.NewStream(ctx, grpcbox.DownDesc, grpcbox.Down)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := st.SendMsg(wrapperspb.String("down")); err != nil {
+		t.Fatal(err)
+	}
+	st.CloseSend()
+	err = st.RecvMsg(new(wrapperspb.StringValue))
+	if _, refused := glencartgrpc.Refused(err); !refused {
+		t.Errorf("%v", err)
+	}
+	emptySoon(t, c)
+}
+
 // Cancels that race replies, streams that are dropped unread, thousands of calls on a box that hangs: each ends, and
 // the engine keeps nothing of them.
 func TestNothingIsLeft(t *testing.T) {
@@ -162,7 +201,11 @@
 		wg.Go(func() {
 			defer cancel()
 			time.AfterFunc(after, cancel)
-			_, err := c.ask(ctx, grpcbox.Place, fmt.Sprint("c", i))
+			method := grpcbox.Place
+			if i%2 == 0 {
+				method = grpcbox.Read // may be placed again, and must not be
+			}
+			_, err := c.ask(ctx, method, fmt.Sprint("c", i))
 			if code := status.Code(err); err != nil && code != codes.Canceled && code != codes.ResourceExhausted {
 				t.Errorf("%v", err)
 			}
@@ -177,7 +220,7 @@
 		})
 	}
 	wg.Wait()
-	standin.Eventually(t, "empty tables", func() bool { return c.Open() == 0 })
+	emptySoon(t, c)
 	s[0].Hang(true)
 	s[1].Hang(true)
 	for i := range 3000 {
@@ -186,7 +229,7 @@
 	wg.Wait()
 	s[0].Hang(false)
 	s[1].Hang(false)
-	standin.Eventually(t, "empty tables", func() bool { return c.Open() == 0 })
+	emptySoon(t, c)
 }
 
 // A stream whose ClientConn is closed while the application holds it unread ends at the engine too.
--- a/internal/engine/scenario_test.go
+++ b/internal/engine/scenario_test.go
@@ -201,3 +201,27 @@
 		})
 	})
 }
+
+// Whatever the module said, nothing is sent to a backend that takes nothing new, or for a request that has its answer.
+func TestSendIsCheckedAgain(t *testing.T) {
+	w := newWorld(t)
+	list := func(p balance.Phase) {
+		w.e.TakeList(balance.MembersAll, List{Complete: true, Members: []Member{{ID: "a", Addr: "10.0.0.1:1", Member: balance.Member{Phase: p}}}})
+	}
+	list(balance.Ready)
+	r := &Request{ID: "x", Class: 1, Deadline: w.clock.Add(time.Second), Reply: make(chan Answer, 1)}
+	w.e.Arrive(r)
+	send := &balance.Action{Kind: balance.Send, Request: "x"}
+	sends := strings.Count(w.said.String(), "send ")
+	w.late["x/0"] = true // it stays out, and the request open
+	list(balance.Draining)
+	w.e.do(send)
+	list(balance.Ready)
+	r.streamed = true
+	w.e.do(send)
+	r.streamed, r.answered = false, true
+	w.e.do(send)
+	if n := strings.Count(w.said.String(), "send "); sends != 1 || n != 1 {
+		t.Errorf("%d sends, then %d: %s", sends, n, w.said.String())
+	}
+}
