--- a/glencartgrpc/plugin.go
+++ b/glencartgrpc/plugin.go
@@ -59,7 +59,8 @@
 	Seed uint64
 	// CutOffAfter is how long the list may be silent before this plug-in counts as cut off; 0: 8 s.
 	CutOffAfter time.Duration
-	// Log takes a few lines, each explained in docs/RPC.md. nil: none.
+	// Log takes a few lines, each explained in docs/RPC.md. nil: none. Its handler must not make calls by this plug-in:
+	// decisions wait for it.
 	Log *slog.Logger
 
 	trace func(engine.Step) // tests
