Plug-in: calls end when it is closed; a stream's own time is its context's

Cause, found by reading the change again: a call on a box that hangs, with no deadline of its own, never ended once the plug-in was closed, since the engine's timer was gone. A stream with no deadline that was opened and left alone was ended by its class's deadline, and one that broke later counted as late. A stream with a far deadline kept a timer until then. The count of calls that gRPC sent again by itself could never rise.

Change: the engine gives up what is out when it ends; a stream is placed by its class's deadline and belongs to the application from then on; headers that leave a second time are counted.

--- a/glencartgrpc/call.go
+++ b/glencartgrpc/call.go
@@ -47,7 +47,7 @@
 		left = defaultDeadline
 	}
 	c.Deadline = p.engine.Now().Add(left)
-	if d, ok := ctx.Deadline(); ok && (d.Before(c.Deadline) || streams) {
+	if d, ok := ctx.Deadline(); ok && d.Before(c.Deadline) {
 		c.Deadline = d
 	}
 	return c
@@ -114,7 +114,12 @@
 func (c *call) ended(a *engine.Attempt, t *try, err error) (v verdict, res engine.Result) {
 	t.cancel()
 	t.returned.Store(true)
-	s := t.look(err, t.stopped.Load(), !time.Now().Before(a.Deadline) || c.ctx.Err() == context.DeadlineExceeded)
+	// A stream's own time is its context's: the class's deadline is for placing it.
+	late := c.ctx.Err() == context.DeadlineExceeded || !c.streams && !time.Now().Before(a.Deadline)
+	s := t.look(err, t.stopped.Load(), late)
+	if t.has(sawSurplus) {
+		c.p.stats.surplus.Add(1)
+	}
 	v = c.p.judge(s)
 	res = engine.Result{Status: v.status}
 	if s.trailer != nil {
@@ -124,7 +129,7 @@
 			c.p.spoilt.Warn("malformed load report", "backend", t.to.ID, "error", bad)
 		}
 		res.Load = load
-		c.p.heardOf(t.to, load, instances)
+		c.p.trust.counted(instances)
 		if why := s.trailer[NeverRan]; v.status == balance.Shed && len(why) > 0 && why[0] == ReasonDraining {
 			c.p.engine.Post(func() { c.p.trust.drained(t.to) })
 		}
@@ -135,11 +140,6 @@
 	return v, res
 }
 
-// heardOf takes in what a report says beside the load.
-func (p *Plugin) heardOf(_ engine.Endpoint, _ balance.Load, instances int) {
-	p.trust.counted(instances)
-}
-
 // gone tells the engine that the application is out of the call. The engine answers nothing more.
 func (c *call) gone() { c.p.engine.Post(func() { c.p.engine.Gone(&c.Request) }) }
 
--- a/glencartgrpc/compare_test.go
+++ b/glencartgrpc/compare_test.go
@@ -165,7 +165,7 @@
 	if err != nil {
 		panic(err)
 	}
-	f.p.heardOf(to, load, instances)
+	f.p.trust.counted(instances)
 	return engine.Result{Status: judge(s).status, Load: load}
 }
 
--- a/glencartgrpc/stream.go
+++ b/glencartgrpc/stream.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -39,7 +40,10 @@
 	if !p.engine.Place(&c.Request) {
 		return nil, closedStatus()
 	}
-	if err := s.place(); err != nil {
+	s.mu.Lock() // against hold, which may ring at once
+	err := s.place()
+	s.mu.Unlock()
+	if err != nil {
 		for _, f := range finish {
 			f(err)
 		}
@@ -65,6 +69,7 @@
 	at    *engine.Attempt
 	t     *try
 	once  *sync.Once // tells the engine how the attempt ended
+	hold  *time.Timer
 
 	answered atomic.Bool // a message has come
 }
@@ -86,6 +91,11 @@
 				end := s.abandon(a, t, s.once)
 				context.AfterFunc(t, end)
 				p.streaming(s, end)
+				// One that the application opens and leaves alone is its own before the class's deadline would end it.
+				if s.hold != nil {
+					s.hold.Stop()
+				}
+				s.hold = time.AfterFunc(time.Until(c.Deadline)*3/4, s.start)
 				return nil
 			}
 			v, res := c.ended(a, t, err)
@@ -152,6 +162,7 @@
 func (s *placed) started() {
 	if !s.begun && s.final == nil {
 		s.begun = true
+		s.hold.Stop()
 		s.at.Started()
 	}
 }
--- a/glencartgrpc/trust_test.go
+++ b/glencartgrpc/trust_test.go
@@ -286,3 +286,59 @@
 		t.Error(err)
 	}
 }
+
+// A plug-in that is closed with calls in it, on a box that hangs and with no deadline of the application's: each ends.
+func TestPluginClosedInFlight(t *testing.T) {
+	s := start(t, box.NewLedger(), 1)
+	s[0].Hang(true)
+	defer s[0].Hang(false)
+	c := connect(t, config())
+	c.set(t, boxes(s...))
+	ended := make(chan error, 2)
+	go func() { _, err := c.ask(context.Background(), grpcbox.Place, "a"); ended <- err }()
+	go func() {
+		st, err := c.cc.NewStream(context.Background(), grpcbox.ChatDesc, grpcbox.Chat)
+		if err == nil {
+			st.SendMsg(wrapperspb.String("b"))
+			err = st.RecvMsg(new(wrapperspb.StringValue))
+		}
+		ended <- err
+	}()
+	standin.Eventually(t, "two calls at the box", func() bool { n, _ := s[0].Held(); return n == 2 })
+	c.Close()
+	for range 2 {
+		if err := standin.Receive(t, "an end", ended); err == nil {
+			t.Error("answered")
+		} else if _, refused := glencartgrpc.Refused(err); refused {
+			t.Errorf("refused, and it ran: %v", err)
+		}
+	}
+}
+
+// A stream outlives its class's deadline, also one that the application opens and uses only later; when it breaks then,
+// it has failed, and is not late.
+func TestStreamOutlivesTheClass(t *testing.T) {
+	s := start(t, box.NewLedger(), 1)
+	c := connect(t, config(func(c *glencartgrpc.Config) {
+		c.Settings = []byte(strings.ReplaceAll(testSettings, `"deadline":5000000000`, `"deadline":200000000`))
+	}))
+	c.set(t, boxes(s...))
+	st, err := c.cc.NewStream(within(t, standin.Patience), grpcbox.ChatDesc, grpcbox.Chat)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(400 * time.Millisecond)
+	for i := range 2 {
+		if err := st.SendMsg(wrapperspb.String(fmt.Sprint(i))); err != nil {
+			t.Fatal(err)
+		}
+		if err := st.RecvMsg(new(wrapperspb.StringValue)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s[0].Kill()
+	err = st.RecvMsg(new(wrapperspb.StringValue))
+	if _, refused := glencartgrpc.Refused(err); refused || status.Code(err) == codes.DeadlineExceeded || err == nil {
+		t.Errorf("%v", err)
+	}
+}
--- a/glencartgrpc/try.go
+++ b/glencartgrpc/try.go
@@ -98,6 +98,9 @@
 			t.set(sawAgain)
 		}
 	case *stats.OutHeader:
+		if t.has(sawHead | sawAgain) {
+			t.set(sawSurplus)
+		}
 		t.set(sawHead)
 	case *stats.OutPayload:
 		t.set(sawMessage)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -189,6 +189,7 @@
 		e.mu.Lock()
 		e.ended, e.queue = true, nil
 		e.mu.Unlock()
+		e.stopAll() // no timer will ring for them
 		e.own.Unlock()
 		close(e.done)
 	}()
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -177,6 +177,17 @@
 	e.forget(r)
 }
 
+// stopAll gives up what is still out when the engine ends.
+func (e *Engine) stopAll() {
+	for _, r := range e.requests {
+		for _, a := range r.attempts {
+			if !a.over && a.begun {
+				e.Transport.GiveUp(a)
+			}
+		}
+	}
+}
+
 // forget drops a request from the table once it is answered and nothing is out for it.
 func (e *Engine) forget(r *Request) {
 	if r.answered && r.pending == 0 && e.requests[r.ID] == r {
