Module: cold servers are a crowd of their own, not taken for as full as the warm ones

Counted per second and by cause at each place(): every refusal had warm servers beyond the bound and cold ones in the list; the cold ones' grants were not spent (1.4 to 4.5 s of work left at a node), so it was not the cold budget. Ruled out: retry budget (0), unsafe requests that may have run (under 1%), no ready server (0), failures (allFail under 0.02). Cause: mean() in balance.go. What others have at a server is told by a rare probe (a node meets one of its 42 servers every 8 to 25 s) and fades within a second into the mean of its zone, which was 20 to 40 at the crowded warm servers. A cold server that no node sends to looked as full as they were. Change: reports of cold servers are a crowd of their own, beside the zones.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -100,6 +100,7 @@
 	allTime, allDepth, answers float64
 	all                        crowd // what other nodes have at a server, over all and by zone
 	zones                      map[int]*crowd
+	cold                       crowd   // and at those that are cold
 	retries                    float64 // attempts that may be sent again
 	freedAt                    time.Duration
 	probes                     float64 // probes sent
@@ -773,6 +774,10 @@
 	at := b.now - time.Duration(ago*float64(time.Second))
 	s.more += min(usualMost, max(0, at-s.toldAt).Seconds()/usualSpan) * (others - b.mean(s) - s.more)
 	s.told, s.toldAt = others, at
+	if b.warmth(s) < 1 {
+		b.cold.learn(b.now, others)
+		return
+	}
 	b.all.learn(b.now, others)
 	s.zone.learn(b.now, others)
 }
@@ -790,7 +795,13 @@
 }
 
 // mean is what other nodes have at a server of the zone: one zone may have more traffic than it can carry.
+//
+// Cold servers are a crowd of their own: all nodes hold back from them, and one that has just started
+// holds next to nothing while the warm ones that stand in for it are crowded.
 func (b *Balancer) mean(s *server) float64 {
+	if b.warmth(s) < 1 {
+		return b.cold.others
+	}
 	if s.zone.reports > 0 {
 		return s.zone.others
 	}
