Discovery that is asked: calls wait their turn, go on from the list held, spread by fleet size

The 56 nodes killed at 11.7 s came back with their remembered list and kept it: at 20 s they had none of the 33 new servers (coldN 0 at all nodes), shed and dial_failed rose to 400 a second, the servers stood at 23% use and 46% of requests were refused. Checked, each call logged with its time: 17 of the first failures were our own deadline of 1 s (callSlack) against a discovery whose turn comes after up to 2 s; with that mended all still failed, some in 16 ms (turned away) and the rest after 2,000 ms to the millisecond (waited too long). So a call that waits is worked through all the same, and as long as 80 nodes come faster than that none is answered; each retry also asked for the whole list (60 lines and the call) where a watch costs the call. At fault: callSlack in follow(); query "" after each failure and at the start; the constant 0.5 to 1 s in onMembers. Change, where lists are asked: a call is waited for up to AskEvery, by when the node counts as told; a watch goes on from the revision held, the remembered one at the start; whole list after what can't be read, versions that go back, or a move. The mean wait after a refusal is AskEvery/20 for each 8 nodes, doubled by each further one, to AskEvery/2. Where lists are pushed nothing changes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -59,8 +59,9 @@
 	idleEntry, freeEntry, baseWeight = 0.1, 1.0, 0.03
 	// fallWeight and riseWeight draw the time between reports to a shorter or longer one.
 	fallWeight, riseWeight = 0.3, 0.01
-	// rewatchParts: a refused call is repeated after AskEvery over this and up to as much again, by chance.
-	rewatchParts = 20
+	// rewatchParts: a refused call is repeated no sooner than AskEvery over this. For each rewatchNodes nodes
+	// of a fleet the mean wait is as much longer.
+	rewatchParts, rewatchNodes = 20, 8
 )
 
 // ---- State ----
@@ -92,6 +93,7 @@
 	shares                     []share
 	crowded                    bool    // answers come late, as logged
 	blind                      bool    // discovery was refused, as logged
+	refusals                   int     // and how often since it last answered
 	allFail                    float64 // rate of failures over all servers
 	allBroke                   float64 // and of those that were no time-out
 	meanValue                  float64 // running mean of what requests are worth for each unit of work
--- a/balance/members.go
+++ b/balance/members.go
@@ -12,12 +12,18 @@
 		// A refused or broken subscription leaves the node blind to drains: ask again.
 		if b.cfg.AskDiscovery {
 			b.state(&b.blind, true, false, "discovery refused: asking again", "")
-			wait := b.cfg.Rules.AskEvery / rewatchParts
-			b.setTimer(wait+time.Duration(b.rng.Float64()*float64(wait)), timer{})
+			// All nodes ask one discovery, which works through calls in turn: as long as they come faster than it works,
+			// each waits until it is too late, and none is answered. So they spread over a time in which one call of
+			// each can be taken, and over twice that after each further refusal.
+			spread := b.cfg.Rules.AskEvery / rewatchParts * time.Duration(max(1, b.cfg.Instances/rewatchNodes))
+			wait := min(spread<<min(b.refusals, 8), b.cfg.Rules.AskEvery/2)
+			b.refusals++
+			least := b.cfg.Rules.AskEvery / rewatchParts
+			b.setTimer(max(least, time.Duration(2*b.rng.Float64()*float64(wait))), timer{})
 		}
 		return
 	}
-	b.blind = false
+	b.blind, b.refusals = false, 0
 	if ev.Kind != MembersChanged {
 		for _, s := range b.servers {
 			s.Phase = Gone // unless the full list names it, also one that this node does not keep to
--- a/internal/members/registry/registry.go
+++ b/internal/members/registry/registry.go
@@ -94,14 +94,23 @@
 	names settings.Settings
 	http  *http.Client
 	log   *slog.Logger
-	wait  time.Duration     // of a watch
-	news  func(engine.List) // takes in a list
-	lost  func()            // a call failed
+	wait  time.Duration // of a watch
+	// patience is how long an answer may take. Discovery that is asked works through the calls of all nodes in turn: one
+	// that is given up while it waits there is worked through all the same, and another waits in its stead. It ends
+	// itself what waits too long. Without an answer for AskEvery the node counts as told.
+	patience time.Duration
+	news     func(engine.List) // takes in a list
+	lost     func()            // a call failed
 
 	// Where discovery is asked only on the module's behalf, its Watch, Unwatch and Fetch come here; nil where
 	// lists are pushed, and the node follows on its own.
 	asked chan balance.ActionKind
 
+	// have is the revision of the list that the module has, where holds. A watch that is begun from there costs what
+	// has changed since, and not the whole list. Of Run alone, once that goes on.
+	have  int64
+	holds bool
+
 	mu    sync.Mutex
 	addr  string
 	leave context.CancelFunc // ends all that goes on at addr
@@ -111,7 +120,7 @@
 // Both are called from Run, which waits for them.
 func New(addr string, names settings.Settings, log *slog.Logger, news func(engine.List), lost func()) *Source {
 	d := &Source{
-		addr: addr, leave: func() {}, names: names, log: log, wait: watchWait, news: news, lost: lost,
+		addr: addr, leave: func() {}, names: names, log: log, wait: watchWait, patience: callSlack, news: news, lost: lost,
 		http: &http.Client{
 			Transport: &http.Transport{
 				DialContext:            (&net.Dialer{Timeout: callSlack}).DialContext,
@@ -126,10 +135,15 @@
 	}
 	if names.Config.AskDiscovery {
 		d.asked, d.wait = make(chan balance.ActionKind, 16), longWait
+		d.patience = max(names.Config.Rules.AskEvery, callSlack)
 	}
 	return d
 }
 
+// Holds tells, before Run, which revision the module has already: a remembered one. It may be old, since a watch from
+// there brings all that came after it.
+func (d *Source) Holds(revision int64) { d.have, d.holds = revision, true }
+
 // Ask passes on what the module wants of discovery. It never blocks.
 func (d *Source) Ask(kind balance.ActionKind) {
 	select {
@@ -180,7 +194,7 @@
 		case d.asked == nil:
 			watch = true
 		case moved:
-			moved = false
+			moved, d.holds = false, false // another registry may count otherwise
 		default:
 			select {
 			case <-ctx.Done():
@@ -214,7 +228,10 @@
 
 // follow reads the whole list and then, if it is to watch, the changes until a call fails.
 func (d *Source) follow(ctx context.Context, addr string, watch bool) (heard bool, err error) {
-	query, within, after := "", callSlack, int64(math.MinInt64)
+	query, within, after := "", d.patience, int64(math.MinInt64)
+	if watch && d.asked != nil && d.holds {
+		after, query, within = d.have, d.watchFrom(d.have), d.wait+d.patience
+	}
 	for ctx.Err() == nil {
 		list, err := d.call(ctx, addr, query, within)
 		if err != nil {
@@ -228,21 +245,32 @@
 		}
 		answered := time.Now()
 		heard = true
+		if !list.Complete && list.Revision < after { // the versions went back: changes to another list
+			d.holds = false
+			query, within, after = "", d.patience, math.MinInt64
+			continue
+		}
 		d.news(list)
+		d.have, d.holds = list.Revision, true
 		if !watch || d.unwatched() {
 			return true, nil
 		}
-		query = fmt.Sprintf("?after=%d&wait_ms=%d", list.Revision, d.wait.Milliseconds())
-		within = d.wait + callSlack
-		if time.Since(answered) > watchGap || !list.Complete && list.Revision < after {
-			// The watch has ended, or the versions went back: what changed in between may be missing.
-			query, within = "", callSlack
+		query = d.watchFrom(list.Revision)
+		within = d.wait + d.patience
+		if d.asked == nil && time.Since(answered) > watchGap {
+			// The watch has ended, and the whole list costs nothing here.
+			query, within = "", d.patience
 		}
 		after = list.Revision
 	}
 	return heard, nil
 }
 
+// watchFrom is the query of a watch for what is newer than a revision.
+func (d *Source) watchFrom(revision int64) string {
+	return fmt.Sprintf("?after=%d&wait_ms=%d", revision, d.wait.Milliseconds())
+}
+
 // unwatched tells whether the module has ended its subscription.
 func (d *Source) unwatched() bool {
 	select {
@@ -274,7 +302,11 @@
 	case len(text) > listMost:
 		return engine.List{}, errors.New("list too long")
 	}
-	return Parse(text, d.names)
+	list, err := Parse(text, d.names)
+	if err != nil {
+		d.holds = false // what it would have told is missing: the whole list has to make up for it
+	}
+	return list, err
 }
 
 // pause waits, or until ctx ends.
--- a/internal/members/registry/registry_test.go
+++ b/internal/members/registry/registry_test.go
@@ -4,12 +4,16 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"glencart/balance"
@@ -169,3 +173,106 @@
 		return len(calls) > 1 && calls[0] == "" && strings.HasPrefix(calls[1], "after=2&")
 	})
 }
+
+// turns is a discovery that works through calls in turn, as the platform's does: each takes work, one that has waited for
+// limit fails, and is worked through all the same.
+type turns struct {
+	work, limit time.Duration
+
+	mu   sync.Mutex
+	free time.Time
+}
+
+func (s *turns) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	now := time.Now()
+	if s.free.Before(now) {
+		s.free = now
+	}
+	s.free = s.free.Add(s.work)
+	wait := s.free.Sub(now)
+	s.mu.Unlock()
+	time.Sleep(min(wait, s.limit))
+	if wait > s.limit {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, standin.ListText(5, true))
+}
+
+// A call that is given up while it waits for its turn is worked through all the same, and the next one waits behind it.
+func TestACallWaitsForItsTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &turns{work: 1500 * time.Millisecond, limit: 2 * time.Second}
+		asked := make(chan balance.ActionKind, 16)
+		names, _ := settings.Parse([]byte(testSettings))
+		names.Config.AskDiscovery, names.Config.Rules.AskEvery = true, 10*time.Second
+		got, lost := 0, 0
+		d := New("discovery:1", names, standin.Quiet(), func(engine.List) { got++ }, func() { lost++ })
+		d.asked, d.http = asked, &http.Client{Transport: direct{s}}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { d.Run(ctx); close(ended) }()
+		asked <- balance.Fetch
+		time.Sleep(5 * time.Second)
+		if got != 1 || lost != 0 {
+			t.Errorf("%d lists, %d calls lost", got, lost)
+		}
+		cancel()
+		<-ended
+	})
+}
+
+// direct carries requests to a handler without a socket, and ends with the request's context.
+type direct struct{ to http.Handler }
+
+func (d direct) RoundTrip(r *http.Request) (*http.Response, error) {
+	done := make(chan *http.Response, 1)
+	go func() {
+		w := httptest.NewRecorder()
+		d.to.ServeHTTP(w, r)
+		done <- w.Result()
+	}()
+	select {
+	case resp := <-done:
+		return resp, nil
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+}
+
+// Where a call costs discovery work for each line, a watch goes on from what the module has: the remembered list at the
+// start, and the last list after a failure. Only an answer that can't be read, or from before, makes it read all again.
+func TestAskedWatchesGoOnFromWhatIsHeld(t *testing.T) {
+	reg := standin.NewRegistry(t, standin.ListText(50, true))
+	var d *Source
+	lists, lost := followed(t, reg.Addr, func(made *Source) {
+		d = made
+		d.asked = make(chan balance.ActionKind, 16)
+		d.Holds(41)
+	})
+	asks := func(n int, prefix string) {
+		t.Helper()
+		standin.Eventually(t, fmt.Sprintf("call %d is %q", n, prefix), func() bool {
+			calls := reg.Asked()
+			return len(calls) > n && strings.HasPrefix(calls[n], prefix) && (prefix != "" || calls[n] == "")
+		})
+	}
+	d.asked <- balance.Watch
+	asks(0, "after=41&")
+	reg.Next <- standin.ListText(43, false, standin.Listed{ID: "s", Addr: "127.0.0.1:1", Phase: "ready"})
+	if l := standin.Receive(t, "the change", lists); l.Revision != 43 || l.Complete {
+		t.Fatalf("%+v", l)
+	}
+	asks(1, "after=43&")
+	reg.Next <- "no list" // can't be read
+	standin.Eventually(t, "the failure", func() bool { return lost.Load() == 1 })
+	d.asked <- balance.Watch
+	asks(2, "")
+	asks(3, "after=50&")
+	reg.Next <- standin.ListText(7, false) // another history
+	asks(4, "")
+	if l := awaitList(t, "the whole list again", lists, func(l engine.List) bool { return l.Complete }); l.Revision != 50 {
+		t.Fatalf("%+v", l)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,6 +92,9 @@
 	defer wg.Wait()
 	defer stop()
 	known := n.cfg.Known
+	if known.Complete && len(known.Members) > 0 {
+		n.disco.Holds(known.Revision)
+	}
 	known.Complete = true
 	n.loop.TakeList(balance.MembersRemembered, known)
 	wg.Go(func() { n.loop.Run(work.Done()) })
