Nodes pass their probes' reports on to one another where traffic is thin

A node probes 1.5 to 5 times a second, so it meets each of its 42 servers every 8 to 25 s; one report that all hear costs 0.0185 of a first try (7 bytes to 79 nodes), a probe 0.05. Change: the result of a probe goes to all peers, 7 bytes (version, number, name of the server, queue), where a node's own probes meet a server less than once in meanSpan (balance/peers.go). It moves the mean of what servers hold at all nodes, and is taken like an own probe by 4 of them, drawn at random. What is malformed, of another version, repeated, late, from nobody or of a server not ready in the node's own list changes nothing. Off where nodes are few (3 nodes on 14 servers).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,8 +28,9 @@
 	// A node keeps to partServers of each zone, or to as many as it has requests in partSpan seconds.
 	partServers, partSpan = 8, 0.5
 	// The mean of what a zone's servers hold is learned over meanSpan seconds, what is usual at one of them
-	// over usualSpan, but by meanMost and usualMost a report at most: a single look is chance.
-	meanSpan, meanMost, usualSpan, usualMost = 4.0, 0.25, 15.0, 0.1
+	// over usualSpan, but by meanMost and usualMost a report at most: a single look is chance. Where reports
+	// of all nodes come together, the mean is that of the last meanLeast seconds at least.
+	meanSpan, meanMost, usualSpan, usualMost, meanLeast = 4.0, 0.25, 15.0, 0.1, 1.0
 	// retryEarn is what a first send adds to the retry budget, retryMost the most that it holds.
 	retryEarn, retryMost = 0.1, 20.0
 	// firstPace, in aims, stands for a pace and the time of a request until there is one. A new answer weighs
@@ -102,8 +103,14 @@
 	allTime, allDepth, answers float64
 	all                        crowd // what other nodes have at a server, over all and by zone
 	zones                      map[int]*crowd
-	cold                       crowd   // and at those that are cold
-	retries                    float64 // attempts that may be sent again
+	names                      map[uint32]*server // by the name that all nodes know
+	numbers                    map[int]uint16     // of the last message of each peer
+	passed                     uint16             // the number of the last message to peers
+	passDue                    float64            // messages that reports have paid for
+	perSecond                  float64            // requests a second that this node is to get
+	complainedAt               time.Duration      // of a peer's message
+	cold                       crowd              // and at those that are cold
+	retries                    float64            // attempts that may be sent again
 	freedAt                    time.Duration
 	probes                     float64 // probes sent
 	refresh                    float64 // seconds between two reports of a server that differ
@@ -211,6 +218,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: map[BackendID]*server{}, requests: map[string]*request{},
 		timers: map[uint64]timer{}, zones: map[int]*crowd{}, probedAt: -1,
+		names: map[uint32]*server{}, numbers: map[int]uint16{}, perSecond: perSecond,
 		meanAim: aim.value(), gap: aim.value(), peerPace: firstPace * aim.value(), part: partFirst,
 		partSize: max(partServers, int(perSecond*partSpan)),
 		classes:  make([]classStats, len(cfg.Classes)), shares: shares,
@@ -239,6 +247,7 @@
 	case Probed:
 		if s := b.servers[ev.Backend]; s != nil {
 			b.report(s, ev.Load)
+			b.pass(s, ev.Load)
 			if b.pairs < pairsMost && s.seen > 0 {
 				b.pairs++
 				gap := cmp.Or(b.refresh, 2*b.peerPace) / 2
@@ -252,6 +261,8 @@
 		b.onOutcome(&ev)
 	case StreamAnswered:
 		b.onAnswered(&ev)
+	case PeerMessage:
+		b.onHearsay(&ev)
 	case InstancesCounted: // what cold servers and tenants may be sent is divided by it from here on
 		b.cfg.Instances = max(ev.Instances, 1)
 	}
@@ -537,6 +548,9 @@
 // probe asks distinct servers, drawn at random, once in a tick with arrivals.
 func (b *Balancer) probe() {
 	due := min(probesPerTick, probeSpend/max(b.cfg.Prices.Probe, 1e-9))
+	if b.passes() {
+		due = min(probesPerTick, probeSpend/max(b.cfg.Prices.Probe+b.passPrice(), 1e-9))
+	}
 	if b.probes < float64(len(b.ready)) {
 		due = max(due, 1) // a node that has just started knows nothing
 	}
@@ -771,63 +785,6 @@
 	b.tell(s, max(0, queue-s.out), b.refresh)
 }
 
-// tell takes in what other nodes had at a server some seconds ago.
-func (b *Balancer) tell(s *server, others, ago float64) {
-	at := b.now - time.Duration(ago*float64(time.Second))
-	s.more += min(usualMost, max(0, at-s.toldAt).Seconds()/usualSpan) * (others - b.mean(s) - s.more)
-	s.told, s.toldAt = others, at
-	if b.warmth(s) < 1 {
-		b.cold.learn(b.now, others)
-		return
-	}
-	b.all.learn(b.now, others)
-	s.zone.learn(b.now, others)
-}
-
-// crowd is the mean of what other nodes have at some servers by the latest reports.
-type crowd struct {
-	others, reports float64
-	at              time.Duration
-}
-
-func (c *crowd) learn(now time.Duration, others float64) {
-	c.reports++
-	w := min(meanMost, (now-c.at).Seconds()/meanSpan)
-	c.others, c.at = c.others+max(paceWeight, 1/c.reports, w)*(others-c.others), now
-}
-
-// mean is what other nodes have at a server of the zone: one zone may have more traffic than it can carry.
-//
-// Cold servers are a crowd of their own: all nodes hold back from them, and one that has just started
-// holds next to nothing while the warm ones that stand in for it are crowded.
-func (b *Balancer) mean(s *server) float64 {
-	if b.warmth(s) < 1 {
-		return b.cold.others
-	}
-	if s.zone.reports > 0 {
-		return s.zone.others
-	}
-	return b.all.others // nothing heard of this zone yet
-}
-
-// others is the part of other nodes by now: what was told fades into what is usual, as a queue turns over.
-// Taken at its word, an old report makes all nodes rush at once to the server that was idle then, and in a
-// large fleet the smallest entry is the oldest one. So the usual follows the mean of what all servers say.
-func (b *Balancer) others(s *server, pace float64) float64 {
-	usual := b.usual(s)
-	return usual + (s.told-usual)*b.fresh(s, usual, pace)
-}
-
-// usual is what other nodes have at a server when nothing newer is known.
-func (b *Balancer) usual(s *server) float64 { return max(0, b.mean(s)+s.more) }
-
-// fresh is the part of what was told last that still holds, squared where other nodes act on the same report.
-func (b *Balancer) fresh(s *server, usual, pace float64) float64 {
-	turn := (usual + 1) * pace
-	part := turn / (turn + (b.now - s.toldAt).Seconds())
-	return part * part
-}
-
 // ---- Cold servers ----
 
 // warmth returns the part of its capacity that a server surely has by now.
--- a/balance/members.go
+++ b/balance/members.go
@@ -54,6 +54,7 @@
 	if s == nil {
 		s = &server{toldAt: b.now, since: b.now, rank: mix(uint64(m.Backend) ^ mix(uint64(b.cfg.Index)))}
 		b.servers[m.Backend] = s
+		b.names[(&server{Member: m}).name()] = s
 	} else if started {
 		// What was out at the old process is lost with it; its outcomes are still to come.
 		s.more, s.told, s.stuck, s.credit, s.since, s.served = 0, 0, 0, 0, b.now, 0
@@ -75,6 +76,7 @@
 func (b *Balancer) forget(s *server) {
 	if s.Phase == Gone && s.out == 0 && b.servers[s.Backend] == s {
 		delete(b.servers, s.Backend)
+		delete(b.names, s.name())
 	}
 }
 
--- a/balance/types.go
+++ b/balance/types.go
@@ -175,6 +175,7 @@
 	Weight   float64       // meaning by Config.Weights
 	Launched time.Duration // clock time of the last start; 0: long ago
 	Phase    Phase
+	Name     uint32 // the same at every node, by the lower 24 bits; 0: Backend is
 }
 
 // Status is how an attempt or a probe ended.
--- a/internal/engine/backends.go
+++ b/internal/engine/backends.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"glencart/balance"
 )
 
@@ -54,6 +56,7 @@
 		b.to, b.phase = to, m.Phase
 		line := m.Member
 		line.Backend = b.number
+		line.Name = name(m.ID)
 		members = append(members, line)
 	}
 	ready := false
@@ -72,6 +75,9 @@
 	}
 }
 
+// name is what all nodes call a backend when they speak of it to one another: the lower half of XXH64 of its id.
+func name(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
 // Backend tells what the list says of an id, and whether the engine still knows it. On the loop.
 func (e *Engine) Backend(id string) (to Endpoint, number balance.BackendID, phase balance.Phase, known bool) {
 	b := e.backends[id]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,7 +66,7 @@
 		func() { n.loop.Post(func() { n.loop.Handle(balance.Event{Kind: balance.MembersRefused}) }) })
 	n.loop.Ask = n.disco.Ask
 	if cfg.PeerListen != "" {
-		if n.peers, err = listenPeers(&cfg); err != nil {
+		if n.peers, err = listenPeers(&cfg, log); err != nil {
 			return nil, fmt.Errorf("peer_listen: %w", err)
 		}
 		n.loop.Tell = n.peers.tell
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/netip"
 
 	"glencart/balance"
+	"glencart/internal/lograte"
 )
 
 // datagramMost is the longest datagram between nodes.
@@ -18,6 +20,7 @@
 	addrs []netip.AddrPort // by number
 	all   netip.AddrPort
 	out   chan datagram
+	odd   lograte.Limited // complaints of datagrams that are not heard
 }
 
 type datagram struct {
@@ -26,12 +29,12 @@
 }
 
 // listenPeers opens the node's socket for datagrams.
-func listenPeers(cfg *Config) (*peers, error) {
+func listenPeers(cfg *Config, log *slog.Logger) (*peers, error) {
 	addr, err := net.ResolveUDPAddr("udp", cfg.PeerListen)
 	if err != nil {
 		return nil, err
 	}
-	p := &peers{out: make(chan datagram, 64)}
+	p := &peers{out: make(chan datagram, 64), odd: lograte.Limited{Log: log}}
 	for _, s := range cfg.Peers {
 		a, err := netip.ParseAddrPort(s)
 		if err != nil {
@@ -66,7 +69,8 @@
 	}
 }
 
-// run passes on what other nodes say until ctx ends. What is too long, or from nobody known, is ignored.
+// run passes on what other nodes say until ctx ends. What is too long, or from nobody known, is
+// ignored with a line.
 func (p *peers) run(ctx context.Context, heard func(peer int, payload []byte)) {
 	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
 	defer stop()
@@ -94,8 +98,10 @@
 			continue // what a peer's machine sent back for a datagram of ours
 		}
 		i, ok := number[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
-		if ok && n <= datagramMost {
-			heard(i, append([]byte(nil), buf[:n]...))
+		if !ok || n > datagramMost {
+			p.odd.Warn("datagram ignored: too long, or from nobody in peers", "from", from, "bytes", n)
+			continue
 		}
+		heard(i, append([]byte(nil), buf[:n]...))
 	}
 }
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"bytes"
 	"context"
+	"log/slog"
 	"net"
 	"strings"
 	"testing"
@@ -21,8 +23,9 @@
 
 func TestPeers(t *testing.T) {
 	peer, stranger := udp(t), udp(t)
+	var logged bytes.Buffer // read when run has ended
 	p, err := listenPeers(&Config{PeerListen: "127.0.0.1:0", PeersAll: peer.LocalAddr().String(),
-		Peers: []string{"127.0.0.1:1", peer.LocalAddr().String()}})
+		Peers: []string{"127.0.0.1:1", peer.LocalAddr().String()}}, slog.New(slog.NewTextHandler(&logged, nil)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -59,4 +62,7 @@
 	}
 	cancel()
 	receive(t, "the end", ended)
+	if n := strings.Count(logged.String(), "datagram ignored"); n != 1 { // two within a second
+		t.Errorf("%d lines: %s", n, logged.String())
+	}
 }
