An empty list empties no pool; a remembered list that can't be read stops no start

Need: a registry that has lost its list answers with a whole list of none, and a node that believed it refused everything; known that could not be read ended the start with an error, though it only bridges the time until discovery answers. Change: a whole list of none after one that named backends fails the call (registry.follow); the last list holds and the registry is asked again. A bad known is logged and left out.

--- a/internal/members/registry/registry.go
+++ b/internal/members/registry/registry.go
@@ -110,6 +110,9 @@
 	// has changed since, and not the whole list. Of Run alone, once that goes on.
 	have  int64
 	holds bool
+	// named tells that a list has named a backend. A whole list of none after that is taken for a fault of the registry:
+	// boxes that are really gone answer no connection, and a pool emptied by mistake refuses everything.
+	named bool
 
 	mu    sync.Mutex
 	addr  string
@@ -142,7 +145,7 @@
 
 // Holds tells, before Run, which revision the module has already: a remembered one. It may be old, since a watch from
 // there brings all that came after it.
-func (d *Source) Holds(revision int64) { d.have, d.holds = revision, true }
+func (d *Source) Holds(revision int64) { d.have, d.holds, d.named = revision, true, true }
 
 // Ask passes on what the module wants of discovery. It never blocks.
 func (d *Source) Ask(kind balance.ActionKind) {
@@ -243,8 +246,11 @@
 		if query == "" && !list.Complete {
 			return heard, errors.New("the whole list was asked for, and changes came")
 		}
+		if list.Complete && len(list.Members) == 0 && d.named {
+			return heard, errors.New("the whole list names no backend: the last one holds")
+		}
 		answered := time.Now()
-		heard = true
+		heard, d.named = true, d.named || len(list.Members) > 0
 		if !list.Complete && list.Revision < after { // the versions went back: changes to another list
 			d.holds = false
 			query, within, after = "", d.patience, math.MinInt64
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,6 +92,9 @@
 	defer wg.Wait()
 	defer stop()
 	known := n.cfg.Known
+	if err := n.cfg.knownErr; err != nil {
+		n.log.Warn("known: the remembered list can't be read: waiting for discovery", "error", err)
+	}
 	if known.Complete && len(known.Members) > 0 {
 		n.disco.Holds(known.Revision)
 	}
