--- a/internal/members/registry/registry_test.go
+++ b/internal/members/registry/registry_test.go
@@ -215,11 +215,11 @@
 		go func() { d.Run(ctx); close(ended) }()
 		asked <- balance.Fetch
 		time.Sleep(5 * time.Second)
+		cancel()
+		<-ended
 		if got != 1 || lost != 0 {
 			t.Errorf("%d lists, %d calls lost", got, lost)
 		}
-		cancel()
-		<-ended
 	})
 }
 
