Discovery: a silent watch ends when its news counts as told; older lists are not believed

What it has to tell counts as told 2 s after the wait, so on a connection that had gone silent a node could send to a drained box for 8 s more. It now has 2 s, and a call for the whole list 6 s, by which that counts as told (registry.go, listPatience and watchPatience). - a watch went on from the revision held after any failure. A registry that broke may have started again and count from another beginning, and changes between would be missing for good. It goes on only after 503; after a break, a silence or what can't be read the whole list is asked for. - a whole list older than the one held was believed: from a replica that lags it brings back what drains. It is read again, and believed the second time (a registry that counts anew). Versions that went back were re-read without a pause: two registries that take turns made a loop. Tests: one table of nine scripts in virtual time in place of three tests; each of the first three was seen to fail with its line taken out.

--- a/balance/crowd.go
+++ b/balance/crowd.go
@@ -12,13 +12,15 @@
 	b.learnCrowd(s, others)
 }
 
+// learnCrowd takes in a report of the others at a server into the means. Cold servers are a crowd of their own.
 func (b *Balancer) learnCrowd(s *server, others float64) {
+	together := b.passes()
 	if b.warmth(s) < 1 {
-		b.cold.learn(b.now, others, b.passes())
+		b.cold.learn(b.now, others, together)
 		return
 	}
-	b.all.learn(b.now, others, b.passes())
-	s.zone.learn(b.now, others, b.passes())
+	b.all.learn(b.now, others, together)
+	s.zone.learn(b.now, others, together)
 }
 
 // crowd is the mean of what other nodes have at some servers by the latest reports.
--- a/balance/members.go
+++ b/balance/members.go
@@ -14,12 +14,12 @@
 			b.state(&b.blind, true, false, "discovery refused: asking again", "")
 			// All nodes ask one discovery, which works through calls in turn: as long as they come faster than it works,
 			// each waits until it is too late, and none is answered. So they spread over a time in which one call of
-			// each can be taken, and over twice that after each further refusal.
-			spread := b.cfg.Rules.AskEvery / rewatchParts * time.Duration(max(1, b.cfg.Instances/rewatchNodes))
-			wait := min(spread<<min(b.refusals, 8), b.cfg.Rules.AskEvery/2)
-			b.refusals++
+			// each can be taken, and over up to four times that after further refusals.
 			least := b.cfg.Rules.AskEvery / rewatchParts
-			b.setTimer(max(least, time.Duration(2*b.rng.Float64()*float64(wait))), timer{})
+			wait := least * time.Duration(max(1, b.cfg.Instances/rewatchNodes)<<min(b.refusals, 2))
+			b.refusals++
+			in := 2 * b.rng.Float64() * float64(min(wait, b.cfg.Rules.AskEvery/2))
+			b.setTimer(max(least, time.Duration(in)), timer{})
 		}
 		return
 	}
@@ -54,7 +54,9 @@
 	if s == nil {
 		s = &server{toldAt: b.now, since: b.now, rank: mix(uint64(m.Backend) ^ mix(uint64(b.cfg.Index)))}
 		b.servers[m.Backend] = s
-		b.names[(&server{Member: m}).name()] = s
+		if o := b.names[m.name()]; o == nil || o.Phase == Gone {
+			b.names[m.name()] = s // of two by one name, the second is not spoken of
+		}
 	} else if started {
 		// What was out at the old process is lost with it; its outcomes are still to come.
 		s.more, s.told, s.stuck, s.credit, s.since, s.served = 0, 0, 0, 0, b.now, 0
@@ -76,7 +78,9 @@
 func (b *Balancer) forget(s *server) {
 	if s.Phase == Gone && s.out == 0 && b.servers[s.Backend] == s {
 		delete(b.servers, s.Backend)
-		delete(b.names, s.name())
+		if b.names[s.name()] == s {
+			delete(b.names, s.name())
+		}
 	}
 }
 
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -3,6 +3,7 @@
 package balance
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 )
@@ -51,12 +52,7 @@
 }
 
 // name is what all nodes call a server.
-func (s *server) name() uint32 {
-	if s.Name != 0 {
-		return s.Name & nameMask
-	}
-	return uint32(s.Backend) & nameMask
-}
+func (m *Member) name() uint32 { return cmp.Or(m.Name, uint32(m.Backend)) & nameMask }
 
 // onHearsay takes in a report that another node passed on. It names a server of this node's own list or is ignored.
 func (b *Balancer) onHearsay(ev *Event) {
--- a/internal/members/registry/registry.go
+++ b/internal/members/registry/registry.go
@@ -28,8 +28,11 @@
 	// watchWait is how long a watch asks discovery to wait. A cut-off discovery says nothing, so it is short:
 	// news is then late by no more than this and callSlack. Where each call costs discovery work it is longWait.
 	watchWait, longWait = 2 * time.Second, 20 * time.Second
-	// callSlack is how long an answer may take beyond that.
-	callSlack = time.Second
+	// callSlack is how long an answer may take beyond that. Discovery that is asked works through the calls of all nodes in
+	// turn: one that is given up while it waits there is worked through all the same, and another waits in its stead. So it
+	// has listPatience, or watchPatience beyond a watch's wait: by then its news counts as told, whether or not it came.
+	callSlack                   = time.Second
+	listPatience, watchPatience = 6 * time.Second, 2 * time.Second
 	// watchGap is the longest time between two calls of a watch for which nothing can have been missed; it
 	// stays below the 200 ms after which discovery ends one.
 	watchGap = 150 * time.Millisecond
@@ -39,6 +42,9 @@
 	listMost = 4 << 20
 )
 
+// errTurnedAway is an answer 503: discovery is there, and has too much to do.
+var errTurnedAway = errors.New("status 503")
+
 // Parse decodes a list as discovery words it. One malformed entry spoils the whole list: half a list
 // could hide a drain.
 func Parse(text []byte, names settings.Settings) (engine.List, error) {
@@ -94,20 +100,18 @@
 	names settings.Settings
 	http  *http.Client
 	log   *slog.Logger
-	wait  time.Duration // of a watch
-	// patience is how long an answer may take. Discovery that is asked works through the calls of all nodes in turn: one
-	// that is given up while it waits there is worked through all the same, and another waits in its stead. It ends
-	// itself what waits too long. Without an answer for AskEvery the node counts as told.
-	patience time.Duration
-	news     func(engine.List) // takes in a list
-	lost     func()            // a call failed
+	wait  time.Duration     // of a watch
+	most  time.Duration     // that the answer to a call for the whole list may take
+	over  time.Duration     // and one to a watch, beyond its wait
+	news  func(engine.List) // takes in a list
+	lost  func()            // a call failed
 
 	// Where discovery is asked only on the module's behalf, its Watch, Unwatch and Fetch come here; nil where
 	// lists are pushed, and the node follows on its own.
 	asked chan balance.ActionKind
 
-	// have is the revision of the list that the module has, where holds. A watch that is begun from there costs what
-	// has changed since, and not the whole list. Of Run alone, once that goes on.
+	// have is the revision of the list that the module has, where holds: a watch from there costs what has changed since,
+	// and not the whole list. Of Run alone, once that goes on.
 	have  int64
 	holds bool
 	// named tells that a list has named a backend. A whole list of none after that is taken for a fault of the registry:
@@ -123,7 +127,8 @@
 // Both are called from Run, which waits for them.
 func New(addr string, names settings.Settings, log *slog.Logger, news func(engine.List), lost func()) *Source {
 	d := &Source{
-		addr: addr, leave: func() {}, names: names, log: log, wait: watchWait, patience: callSlack, news: news, lost: lost,
+		addr: addr, leave: func() {}, names: names, log: log, wait: watchWait, most: callSlack, over: callSlack, news: news,
+		lost: lost,
 		http: &http.Client{
 			Transport: &http.Transport{
 				DialContext:            (&net.Dialer{Timeout: callSlack}).DialContext,
@@ -137,8 +142,8 @@
 		},
 	}
 	if names.Config.AskDiscovery {
-		d.asked, d.wait = make(chan balance.ActionKind, 16), longWait
-		d.patience = max(names.Config.Rules.AskEvery, callSlack)
+		d.asked = make(chan balance.ActionKind, 16)
+		d.wait, d.most, d.over = longWait, listPatience, watchPatience
 	}
 	return d
 }
@@ -192,12 +197,13 @@
 func (d *Source) runAt(ctx context.Context, addr string, moved, watch bool) bool {
 	complain := lograte.Limited{Log: d.log}
 	wait := retryLeast
+	d.holds = d.holds && !moved // another registry may count otherwise
 	for ctx.Err() == nil {
 		switch {
 		case d.asked == nil:
 			watch = true
 		case moved:
-			moved, d.holds = false, false // another registry may count otherwise
+			moved = false
 		default:
 			select {
 			case <-ctx.Done():
@@ -229,52 +235,53 @@
 	return watch
 }
 
-// follow reads the whole list and then, if it is to watch, the changes until a call fails.
+// follow reads the whole list and then, if it is to watch, the changes until a call fails. Where calls cost discovery work,
+// a watch goes on from the list that the module has.
 func (d *Source) follow(ctx context.Context, addr string, watch bool) (heard bool, err error) {
-	query, within, after := "", d.patience, int64(math.MinInt64)
-	if watch && d.asked != nil && d.holds {
-		after, query, within = d.have, d.watchFrom(d.have), d.wait+d.patience
-	}
+	whole := !watch || d.asked == nil || !d.holds
 	for ctx.Err() == nil {
+		query, within := "", d.most
+		if !whole {
+			query, within = fmt.Sprintf("?after=%d&wait_ms=%d", d.have, d.wait.Milliseconds()), d.wait+d.over
+		}
 		list, err := d.call(ctx, addr, query, within)
+		if err == nil && ctx.Err() == nil {
+			err = d.check(list, whole)
+		}
 		if err != nil {
+			// One that turns a call away still counts as it did. After anything else a part of its news may be missing, or
+			// it may have started again and count from another beginning: the whole list has to make up for that.
+			d.holds = d.holds && errors.Is(err, errTurnedAway)
 			return heard, err
 		}
 		if ctx.Err() != nil {
 			return heard, ctx.Err() // this discovery is not the one any more
 		}
-		if query == "" && !list.Complete {
-			return heard, errors.New("the whole list was asked for, and changes came")
-		}
-		if list.Complete && len(list.Members) == 0 && d.named {
-			return heard, errors.New("the whole list names no backend: the last one holds")
-		}
 		answered := time.Now()
-		heard, d.named = true, d.named || len(list.Members) > 0
-		if !list.Complete && list.Revision < after { // the versions went back: changes to another list
-			d.holds = false
-			query, within, after = "", d.patience, math.MinInt64
-			continue
-		}
+		heard = true
 		d.news(list)
-		d.have, d.holds = list.Revision, true
+		d.have, d.holds, d.named = list.Revision, true, d.named || len(list.Members) > 0
 		if !watch || d.unwatched() {
 			return true, nil
 		}
-		query = d.watchFrom(list.Revision)
-		within = d.wait + d.patience
-		if d.asked == nil && time.Since(answered) > watchGap {
-			// The watch has ended, and the whole list costs nothing here.
-			query, within = "", d.patience
-		}
-		after = list.Revision
+		// A late call begins a new watch, which brings what came after have; where it costs nothing, all is read anew.
+		whole = d.asked == nil && time.Since(answered) > watchGap
 	}
 	return heard, nil
 }
 
-// watchFrom is the query of a watch for what is newer than a revision.
-func (d *Source) watchFrom(revision int64) string {
-	return fmt.Sprintf("?after=%d&wait_ms=%d", revision, d.wait.Milliseconds())
+// check tells what speaks against an answer.
+func (d *Source) check(list engine.List, whole bool) error {
+	switch {
+	case whole && !list.Complete:
+		return errors.New("the whole list was asked for, and changes came")
+	case list.Complete && len(list.Members) == 0 && d.named:
+		return errors.New("the whole list names no backend: the last one holds")
+	case d.holds && list.Revision < d.have:
+		// From a replica that lags, it would bring back what drains. A registry that counts anew says it again.
+		return fmt.Errorf("revision %d came after %d: the whole list is read anew", list.Revision, d.have)
+	}
+	return nil
 }
 
 // unwatched tells whether the module has ended its subscription.
@@ -303,16 +310,14 @@
 	switch {
 	case err != nil:
 		return engine.List{}, err
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		return engine.List{}, errTurnedAway
 	case resp.StatusCode != http.StatusOK:
 		return engine.List{}, fmt.Errorf("status %d", resp.StatusCode)
 	case len(text) > listMost:
 		return engine.List{}, errors.New("list too long")
 	}
-	list, err := Parse(text, d.names)
-	if err != nil {
-		d.holds = false // what it would have told is missing: the whole list has to make up for it
-	}
-	return list, err
+	return Parse(text, d.names)
 }
 
 // pause waits, or until ctx ends.
--- a/internal/members/registry/registry_test.go
+++ b/internal/members/registry/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -10,7 +11,6 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -174,120 +174,77 @@
 	})
 }
 
-// turns is a discovery that works through calls in turn, as the platform's does: each takes work, one that has waited for
-// limit fails, and is worked through all the same.
-type turns struct {
-	work, limit time.Duration
-
-	mu   sync.Mutex
-	free time.Time
-}
-
-func (s *turns) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	now := time.Now()
-	if s.free.Before(now) {
-		s.free = now
-	}
-	s.free = s.free.Add(s.work)
-	wait := s.free.Sub(now)
-	s.mu.Unlock()
-	time.Sleep(min(wait, s.limit))
-	if wait > s.limit {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+// A discovery whose calls cost it work, against a source that the module asks again after each loss. Each step is a call as it
+// has to come, how long its answer takes, and the answer: a failure, or a list by revision, * for a whole one and its members.
+// news are the revisions that the module gets.
+func TestAskedDiscovery(t *testing.T) {
+	for _, c := range []struct{ name, script, news string }{
+		{"a call waits for its turn", "whole 5s 1*1; after=1 0s 2+1", "[1 2]"},
+		{"goes on from the remembered list", "known; after=41 0s 43+1; after=43 0s 44+0", "[43 44]"},
+		{"and after being turned away", "known; after=41 0s 503; after=41 0s 43+1", "[43]"},
+		{"may have started again", "known; after=41 0s reset; whole 0s 43*1", "[43]"},
+		{"answers what can't be read", "known; after=41 0s text; whole 0s 43*1", "[43]"},
+		{"is silent until its news counts as told", "known; after=41 22s silent; whole 6s silent; whole 0s 43*1", "[43]"},
+		{"counts anew", "known; after=41 0s 7+1; whole 0s 7*1; after=7 0s 8+1", "[7 8]"},
+		{"lags", "known; after=41 0s 40*1; whole 0s 42*1", "[42]"},
+		{"lost its list", "known; after=41 0s 43*0; whole 0s 44*0; whole 0s 45*1", "[45]"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			names, _ := settings.Parse([]byte(strings.Replace(testSettings, "{", `{"membershipMode":"ask",`, 1)))
+			ctx, cancel := context.WithCancel(t.Context())
+			var news []int64
+			d := New("discovery:1", names, standin.Quiet(), func(l engine.List) { news = append(news, l.Revision) }, nil)
+			d.lost = func() { d.Ask(balance.Watch) }
+			steps := strings.Split(c.script, "; ")
+			if steps[0] == "known" { // revision 41 is remembered
+				steps = steps[1:]
+				d.Holds(41)
+			}
+			d.http = &http.Client{Transport: roundTrip(func(r *http.Request) (*http.Response, error) {
+				if len(steps) == 0 {
+					cancel()
+					return nil, context.Canceled
+				}
+				var call, answer string
+				var rev, members int
+				var kind rune
+				var took time.Duration
+				step, began, w := strings.Fields(steps[0]), time.Now(), httptest.NewRecorder()
+				call, took, answer, steps = step[0], must(time.ParseDuration(step[1])), step[2], steps[1:]
+				if got := cmp.Or(strings.Split(r.URL.RawQuery, "&")[0], "whole"); got != call {
+					t.Errorf("%s: %q came where %q was due", c.name, got, call)
+				}
+				if answer == "silent" {
+					<-r.Context().Done()
+					if since := time.Since(began); since != took {
+						t.Errorf("%s: given up after %v", c.name, since)
+					}
+				} else if pause(r.Context(), took); answer == "reset" {
+					return nil, io.ErrUnexpectedEOF
+				} else if answer == "503" {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				} else if n, _ := fmt.Sscanf(answer, "%d%c%d", &rev, &kind, &members); n == 3 {
+					io.WriteString(w, standin.ListText(rev, kind == '*',
+						slices.Repeat([]standin.Listed{{ID: "s", Addr: "127.0.0.1:1", Phase: "ready"}}, members)...))
+				}
+				return w.Result(), r.Context().Err()
+			})}
+			d.Ask(balance.Watch)
+			d.Run(ctx)
+			if fmt.Sprint(news) != c.news {
+				t.Errorf("%s: the module got %v, want %s", c.name, news, c.news)
+			}
+		})
 	}
-	io.WriteString(w, standin.ListText(5, true))
 }
 
-// A call that is given up while it waits for its turn is worked through all the same, and the next one waits behind it.
-func TestACallWaitsForItsTurn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := &turns{work: 1500 * time.Millisecond, limit: 2 * time.Second}
-		asked := make(chan balance.ActionKind, 16)
-		names, _ := settings.Parse([]byte(testSettings))
-		names.Config.AskDiscovery, names.Config.Rules.AskEvery = true, 10*time.Second
-		got, lost := 0, 0
-		d := New("discovery:1", names, standin.Quiet(), func(engine.List) { got++ }, func() { lost++ })
-		d.asked, d.http = asked, &http.Client{Transport: direct{s}}
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan struct{})
-		go func() { d.Run(ctx); close(ended) }()
-		asked <- balance.Fetch
-		time.Sleep(5 * time.Second)
-		cancel()
-		<-ended
-		if got != 1 || lost != 0 {
-			t.Errorf("%d lists, %d calls lost", got, lost)
-		}
-	})
-}
-
-// direct carries requests to a handler without a socket, and ends with the request's context.
-type direct struct{ to http.Handler }
-
-func (d direct) RoundTrip(r *http.Request) (*http.Response, error) {
-	done := make(chan *http.Response, 1)
-	go func() {
-		w := httptest.NewRecorder()
-		d.to.ServeHTTP(w, r)
-		done <- w.Result()
-	}()
-	select {
-	case resp := <-done:
-		return resp, nil
-	case <-r.Context().Done():
-		return nil, r.Context().Err()
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
 	}
+	return v
 }
 
-// Where a call costs discovery work for each line, a watch goes on from what the module has: the remembered list at the
-// start, and the last list after a failure. Only an answer that can't be read, or from before, makes it read all again.
-func TestAskedWatchesGoOnFromWhatIsHeld(t *testing.T) {
-	reg := standin.NewRegistry(t, standin.ListText(50, true, standin.Listed{ID: "s", Addr: "127.0.0.1:1", Phase: "ready"}))
-	var d *Source
-	lists, lost := followed(t, reg.Addr, func(made *Source) {
-		d = made
-		d.asked = make(chan balance.ActionKind, 16)
-		d.Holds(41)
-	})
-	asks := func(n int, prefix string) {
-		t.Helper()
-		standin.Eventually(t, fmt.Sprintf("call %d is %q", n, prefix), func() bool {
-			calls := reg.Asked()
-			return len(calls) > n && strings.HasPrefix(calls[n], prefix) && (prefix != "" || calls[n] == "")
-		})
-	}
-	d.asked <- balance.Watch
-	asks(0, "after=41&")
-	reg.Next <- standin.ListText(43, false, standin.Listed{ID: "s", Addr: "127.0.0.1:1", Phase: "ready"})
-	if l := standin.Receive(t, "the change", lists); l.Revision != 43 || l.Complete {
-		t.Fatalf("%+v", l)
-	}
-	asks(1, "after=43&")
-	reg.Next <- "no list" // can't be read
-	standin.Eventually(t, "the failure", func() bool { return lost.Load() == 1 })
-	d.asked <- balance.Watch
-	asks(2, "")
-	asks(3, "after=50&")
-	reg.Next <- standin.ListText(7, false) // another history
-	asks(4, "")
-	if l := awaitList(t, "the whole list again", lists, func(l engine.List) bool { return l.Complete }); l.Revision != 50 {
-		t.Fatalf("%+v", l)
-	}
-}
+type roundTrip func(*http.Request) (*http.Response, error)
 
-// A registry that has lost its list says that there are no boxes. It must not empty a pool that works.
-func TestAnEmptyListDoesNotEmptyAPool(t *testing.T) {
-	full := standin.ListText(7, true, standin.Listed{ID: "s", Addr: "127.0.0.1:1", Phase: "ready"})
-	reg := standin.NewRegistry(t, full)
-	lists, lost := followed(t, reg.Addr, nil)
-	standin.Receive(t, "the whole list", lists)
-	reg.Whole(standin.ListText(8, true))
-	reg.Next <- standin.ListText(8, true)
-	standin.Eventually(t, "a call that is taken for failed", func() bool { return lost.Load() > 1 })
-	reg.Whole(full)
-	if l := awaitList(t, "the list again", lists, func(l engine.List) bool { return l.Complete }); len(l.Members) != 1 {
-		t.Errorf("%+v", l)
-	}
-}
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 type Node struct {
 	cfg      Config
 	log      *slog.Logger
+	hears    atomic.Int32 // messages of peers that wait for the loop
 	listener *boundedListener
 	peers    *peers
 	pool     *pool
@@ -85,6 +86,20 @@
 // Addr is the address that the node listens on for clients.
 func (n *Node) Addr() net.Addr { return n.listener.Addr() }
 
+// hearMost bounds the messages of peers that wait for the loop, each some 200 bytes: a loop that is behind or a peer that
+// floods must not fill the memory, and a datagram may be lost anyway.
+const hearMost = 256
+
+// hear passes a peer's message on to the loop.
+func (n *Node) hear(peer int, payload []byte) {
+	if n.hears.Add(1) > hearMost || !n.loop.Post(func() {
+		n.hears.Add(-1)
+		n.loop.Handle(balance.Event{Kind: balance.PeerMessage, Peer: peer, Payload: payload})
+	}) {
+		n.hears.Add(-1)
+	}
+}
+
 // Run serves until ctx ends, then answers all that it has taken and returns.
 func (n *Node) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -105,11 +120,7 @@
 	wg.Go(func() { n.disco.Run(work) })
 	if n.peers != nil {
 		wg.Go(func() {
-			n.peers.run(work, func(peer int, payload []byte) {
-				n.loop.Post(func() {
-					n.loop.Handle(balance.Event{Kind: balance.PeerMessage, Peer: peer, Payload: payload})
-				})
-			})
+			n.peers.run(work, n.hear)
 		})
 	}
 	srv := n.front.server()
