--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -115,6 +115,8 @@
 	if len(r.logs) != 1 {
 		t.Errorf("%q", r.logs)
 	}
+	r.arrive("x", safe)
+	r.sent() // the old list still serves
 }
 
 // A restarted server is a new process: what the old one was sent while cold is not the new one's, nor its speed.
