Module: a node that has just started passes no reports on

Cause: pass() in balance/peers.go. Nodes that start ask each of 52 backends at their first arrivals and passed each answer on to 79 others: 56 nodes that come back together send as many messages as all do in 10 s, of what each has just seen itself. Change: reports are passed on once a node has asked each server; probe() and pass() share the test (starting).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -551,8 +551,8 @@
 	if b.passes() {
 		due = min(probesPerTick, probeSpend/max(b.cfg.Prices.Probe+b.passPrice(), 1e-9))
 	}
-	if b.probes < float64(len(b.ready)) {
-		due = max(due, 1) // a node that has just started knows nothing
+	if b.starting() {
+		due = max(due, 1)
 	}
 	b.probeDue = min(b.probeDue+due, 2*probesPerTick)
 	if !b.cfg.Limits.Probing || b.probedAt == b.now {
@@ -570,6 +570,9 @@
 	}
 }
 
+// starting tells whether this node has just started and knows nothing: it has not asked each server once.
+func (b *Balancer) starting() bool { return b.probes < float64(len(b.ready)) }
+
 // entry is the queue estimate: what other nodes have there, what this node has out, and what
 // was not accepted.
 func (b *Balancer) entry(s *server) float64 { return b.others(s, b.pace(s)) + s.out + s.stuck }
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -24,9 +24,11 @@
 )
 
 // pass tells the other nodes what a probe brought. One message that reaches all of them costs less than the probes by
-// which each would learn it; where it costs more than a probe does, a part of the reports goes out.
+// which each would learn it; where it costs more than a probe does, a part of the reports goes out. A node that starts
+// asks every server, and so do all that start with it: told to all, those would be as many messages as servers times the
+// square of the nodes, and of what each of them has just seen itself.
 func (b *Balancer) pass(s *server, l Load) {
-	if !b.passes() || l.Has&HasActive == 0 {
+	if !b.passes() || b.starting() || l.Has&HasActive == 0 {
 		return
 	}
 	if b.passDue += min(1, b.cfg.Prices.Probe/max(b.passPrice(), 1e-9)); b.passDue < 1 {
--- a/internal/engine/scenario_test.go
+++ b/internal/engine/scenario_test.go
@@ -237,6 +237,7 @@
 				d.ScanArgs(t, "quota", &quota)
 				w = newWorld(t, func(c *balance.Config) {
 					c.Instances, c.Limits.Peers, c.Prices.Peer, c.Prices.Probe = nodes, !d.HasArg("alone"), 0.01, 0.05
+					c.Limits.Probing = true
 					c.Tenants = []balance.Tenant{{QuotaPerSecond: float64(quota), Share: 1}}
 				})
 			case "probed":
