The operators' door: ready, figures, backends out by hand merged before the engine

Change: members/ merges discovery's list with the operators' word; internal/node/management.go answers calls ahead of requests (Engine.PostFirst) and lets silent callers give way; figures are atomics. A backend put back is a cold process, and the first request goes there as soon as its budget has room.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -137,6 +137,7 @@
 	credit float64       // work that may be sent while cold, in this window
 	served float64       // work answered since the last roll of the warm rate
 	since  time.Duration
+	used   bool    // something was sent since it started
 	spent  float64 // requests sent, each over the declared weight
 	rank   uint64  // place in this node's own order of the servers
 }
@@ -396,6 +397,9 @@
 		}
 		// Own attempts count twice: counted once, nothing keeps nodes from servers of their own.
 		entry := cost + s.out*pace + b.lead(s, weight, behind)
+		if s.Returned && !s.used {
+			entry = -1 // operators see it in use soon, as far as its cold budget goes
+		}
 		if best == nil || entry < least {
 			best, least, ties = s, entry, 1
 		} else if entry == least {
@@ -427,6 +431,7 @@
 		s.owesAt = b.now
 	}
 	s.out++
+	s.used = true
 	b.spend(s)
 	s.credit -= b.work(r)
 	r.pending++
--- a/balance/members.go
+++ b/balance/members.go
@@ -60,7 +60,7 @@
 	} else if started {
 		// What was out at the old process is lost with it; its outcomes are still to come.
 		s.more, s.told, s.stuck, s.credit, s.since, s.served = 0, 0, 0, 0, b.now, 0
-		s.time, s.fails, s.failed, s.owesAt = 0, 0, false, b.now
+		s.time, s.fails, s.failed, s.owesAt, s.used = 0, 0, false, b.now, false
 	}
 	_, behind := b.declared()
 	s.spent = max(s.spent, behind) // owed nothing for a time away
@@ -105,6 +105,20 @@
 	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.Backend, y.Backend) })
 }
 
+// Avoided counts the servers in the list, ready ones, that this node sends nothing or next to nothing by choice.
+func (b *Balancer) Avoided() int {
+	n := -len(b.ready)
+	for _, s := range b.servers {
+		if s.Phase == Ready {
+			n++
+			if s.failed { // one that fails is kept among those that may be sent to
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // chance is the part of a server's cost for failures that chance explains: a rate strays from that of all. Where one
 // attempt in ten breaks everywhere, servers take turns in looking worse than a full queue. That may decide
 // which one gets a request, and is no reason to refuse it.
--- a/balance/types.go
+++ b/balance/types.go
@@ -176,6 +176,7 @@
 	Launched time.Duration // clock time of the last start; 0: long ago
 	Phase    Phase
 	Name     uint32 // the same at every node, by the lower 24 bits; 0: Backend is
+	Returned bool   // operators have put it back, at Launched
 }
 
 // Status is how an attempt or a probe ended.
--- a/cmd/glencart/main.go
+++ b/cmd/glencart/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -43,6 +44,8 @@
 	if err != nil {
 		return err
 	}
+	// What this process was told wins: two processes may read one file, and each has a door of its own.
+	cfg.Management = cmp.Or(os.Getenv("BALANCER_MANAGEMENT"), cfg.Management)
 	limit(cfg.Limits)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
@@ -54,7 +57,7 @@
 	go func() {
 		for range reload {
 			if cfg, err := node.LoadConfig(path); err != nil {
-				log.Error("configuration not reloaded, the old one holds", "error", err)
+				n.NotReloaded(err)
 			} else {
 				n.Reload(cfg)
 			}
--- a/internal/engine/backends.go
+++ b/internal/engine/backends.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"glencart/balance"
+	"glencart/members"
 )
 
 // List is a list of backends, or of changes to one.
@@ -16,12 +17,8 @@
 	Members  []Member
 }
 
-// Member is one backend in a List. Its Backend number is the engine's to give.
-type Member struct {
-	ID   string
-	Addr string
-	balance.Member
-}
+// Member is one backend in a List.
+type Member = members.Line
 
 // TakeList takes in what a source says of the backends. kind is balance.MembersRemembered, MembersAll or
 // MembersChanged. On the loop.
@@ -34,7 +31,7 @@
 			b.phase = balance.Gone // unless the list names it
 		}
 	}
-	members := make([]balance.Member, 0, len(list.Members))
+	lines := make([]balance.Member, 0, len(list.Members))
 	for _, m := range list.Members {
 		b := e.backends[m.ID]
 		if b == nil {
@@ -57,7 +54,7 @@
 		line := m.Member
 		line.Backend = b.number
 		line.Name = name(m.ID)
-		members = append(members, line)
+		lines = append(lines, line)
 	}
 	ready := false
 	for _, b := range e.backends {
@@ -68,7 +65,7 @@
 		}
 	}
 	e.ready.Store(ready)
-	e.Handle(balance.Event{Kind: kind, Members: members})
+	e.Handle(balance.Event{Kind: kind, Members: lines})
 	e.unsend()
 	for _, b := range e.backends {
 		e.drop(b)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -44,8 +44,10 @@
 
 	mu    sync.Mutex
 	queue []func() // posted, not run yet
+	ahead []func() // and what goes before it
 	ended bool
 
+	urgent atomic.Bool   // ahead holds something
 	wake   chan struct{} // Run has something to look at
 	armed  time.Duration // when Run looks at the timers next, under own
 	spare  []func()
@@ -117,6 +119,20 @@
 	return true
 }
 
+// PostFirst is Post for the few things that must not wait behind what requests have posted.
+func (e *Engine) PostFirst(f func()) bool {
+	e.mu.Lock()
+	if e.ended {
+		e.mu.Unlock()
+		return false
+	}
+	e.ahead = append(e.ahead, f)
+	e.urgent.Store(true)
+	e.mu.Unlock()
+	e.nudge()
+	return true
+}
+
 func (e *Engine) nudge() {
 	select {
 	case e.wake <- struct{}{}:
@@ -154,6 +170,7 @@
 func (e *Engine) drain() bool {
 	some := false
 	for {
+		some = e.drainAhead() || some
 		e.mu.Lock()
 		batch := e.queue
 		e.queue = e.spare[:0]
@@ -166,11 +183,30 @@
 		for i, f := range batch {
 			batch[i] = nil
 			f()
+			if e.urgent.Load() {
+				e.drainAhead()
+			}
 		}
 		e.spare = batch[:0]
 	}
 }
 
+// drainAhead runs what goes first. On the loop.
+func (e *Engine) drainAhead() bool {
+	if !e.urgent.Load() {
+		return false
+	}
+	e.mu.Lock()
+	batch := e.ahead
+	e.ahead = nil
+	e.urgent.Store(false)
+	e.mu.Unlock()
+	for _, f := range batch {
+		f()
+	}
+	return len(batch) > 0
+}
+
 // Done is closed when Run has ended: no answer comes from then on.
 func (e *Engine) Done() <-chan struct{} { return e.done }
 
@@ -187,7 +223,7 @@
 	defer func() {
 		e.own.Lock()
 		e.mu.Lock()
-		e.ended, e.queue = true, nil
+		e.ended, e.queue, e.ahead = true, nil, nil
 		e.mu.Unlock()
 		e.stopAll() // no timer will ring for them
 		e.own.Unlock()
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -57,6 +57,7 @@
 	header http.Header
 	body   []byte
 	probe  bool
+	count  *classFigures // nil: nobody counts
 }
 
 // reply is the answer of a backend that served.
@@ -166,6 +167,9 @@
 		}
 		return engine.Result{Status: x.broken(ctx, err)}
 	}
+	if m.count != nil {
+		m.count.attempts.Add(1)
+	}
 	resp, body, err := cn.answer(m.method)
 	if err != nil {
 		x.pool.discard(cn)
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -50,6 +50,7 @@
 type front struct {
 	loop     *engine.Engine
 	names    settings.Settings
+	counts   []*classFigures // by class
 	log      *slog.Logger
 	most     int64 // requests at once
 	inFlight atomic.Int64
@@ -78,10 +79,14 @@
 )
 
 // newFront returns the client side for a node that may hold so many connections of clients.
-func newFront(l *engine.Engine, names settings.Settings, conns int, log *slog.Logger) *front {
+func newFront(l *engine.Engine, names settings.Settings, conns int, fig *figures, log *slog.Logger) *front {
 	// Each request in flight may need a connection to a backend, beside those of probes.
-	return &front{loop: l, names: names, log: log, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
+	f := &front{loop: l, names: names, log: log, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
 		conns: map[net.Conn]*clientConn{}}
+	for _, name := range names.Classes {
+		f.counts = append(f.counts, fig.class(name))
+	}
+	return f
 }
 
 // server returns the HTTP server of the client side.
@@ -236,8 +241,12 @@
 	r, status, err := f.read(w, hr, received)
 	if err != nil {
 		f.turnAway(w, hr, err, status)
+		if i := slices.Index(f.names.Classes, hr.Header.Get("X-Qos")); i >= 0 && i < len(f.counts) {
+			f.counts[i].failed.Add(1)
+		}
 		return
 	}
+	count := r.Message.(*message).count
 	if !f.begin(hr.Context()) {
 		panic(http.ErrAbortHandler) // it has given way
 	}
@@ -246,6 +255,7 @@
 		f.inFlight.Add(-1)
 		w.Header().Set("Connection", "close")
 		refuse(w, fullRetry)
+		count.refused.Add(1)
 		return
 	}
 	defer f.inFlight.Add(-1)
@@ -286,12 +296,14 @@
 			w.Header().Set("Connection", "close")
 		}
 		write(w, a)
+		r.Message.(*message).count.answered(a.Kind)
 	case <-ctx.Done():
 		f.loop.Post(func() { f.loop.Gone(r) })
 		// Returning would have the library word an empty 200.
 		panic(http.ErrAbortHandler)
 	case <-f.loop.Done(): // the node is ending
 		fail(w, http.StatusBadGateway)
+		r.Message.(*message).count.failed.Add(1)
 	}
 }
 
@@ -419,11 +431,15 @@
 	}
 	delete(h, "X-Expires-In") // the node's own goes on
 	delete(h, "Host")
+	var count *classFigures
 	// Whatever Connection named, a backend needs these to tell a request from its repeat.
 	h.Set("X-Trace-Id", r.ID)
 	if key != "" {
 		h.Set("Idempotency-Key", key)
 	}
-	r.Message = &message{method: method, url: hr.URL, host: hr.Host, header: h, body: body}
+	if r.Class < len(f.counts) {
+		count = f.counts[r.Class]
+	}
+	r.Message = &message{count: count, method: method, url: hr.URL, host: hr.Host, header: h, body: body}
 	return r, 0, nil
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -19,6 +19,7 @@
 	Name       string
 	Listen     string
 	Discovery  string
+	Management string // where operators call; empty: nowhere
 	Seed       uint64
 	Limits     Limits
 	PeerListen string
@@ -58,6 +59,7 @@
 		Name       string          `json:"name"`
 		Listen     string          `json:"listen"`
 		Discovery  string          `json:"discovery"`
+		Management string          `json:"management"`
 		Seed       string          `json:"seed"`
 		Limits     Limits          `json:"limits"`
 		PeerListen string          `json:"peer_listen"`
@@ -69,7 +71,7 @@
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return Config{}, err
 	}
-	cfg := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Limits: raw.Limits,
+	cfg := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Management: raw.Management, Limits: raw.Limits,
 		PeerListen: raw.PeerListen, Peers: raw.Peers, PeersAll: raw.PeersAll}
 	var err error
 	if raw.Seed != "" {
@@ -101,7 +103,7 @@
 		needed     bool
 	}{
 		{"listen", c.Listen, true}, {"discovery", c.Discovery, true},
-		{"peer_listen", c.PeerListen, false}, {"peers_all", c.PeersAll, false},
+		{"management", c.Management, false}, {"peer_listen", c.PeerListen, false}, {"peers_all", c.PeersAll, false},
 	} {
 		if a.addr == "" && !a.needed {
 			continue
--- /dev/null
+++ b/internal/node/figures.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"glencart/internal/engine"
+)
+
+// figures are what the node counts for its operators, from the start of the process.
+type figures struct {
+	mu      sync.Mutex
+	classes []*classFigures // in the order in which settings named them; one that vanished keeps its counts
+	byName  map[string]*classFigures
+
+	reloadsOK, reloadsFailed atomic.Int64
+	known, excluded          atomic.Int64 // backends, as the loop last told
+}
+
+// classFigures are the counts of one class.
+type classFigures struct {
+	name                              string
+	served, refused, failed, attempts atomic.Int64
+}
+
+// figuresEvery is how often what the loop owns is copied out; figures may be 0.5 s old.
+const figuresEvery = 200 * time.Millisecond
+
+// class returns the counts of a class, which begin at 0 when it is first named.
+func (f *figures) class(name string) *classFigures {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.byName[name]
+	if c == nil {
+		c = &classFigures{name: name}
+		if f.byName == nil {
+			f.byName = map[string]*classFigures{}
+		}
+		f.byName[name] = c
+		f.classes = append(f.classes, c)
+	}
+	return c
+}
+
+// answered counts a request by the final answer that its client was given.
+func (c *classFigures) answered(kind engine.AnswerKind) {
+	switch kind {
+	case engine.Served:
+		c.served.Add(1)
+	case engine.Refused:
+		c.refused.Add(1)
+	default:
+		c.failed.Add(1)
+	}
+}
+
+// text words the figures, a line each.
+func (f *figures) text(inFlight int64) []byte {
+	b := make([]byte, 0, 1<<10)
+	line := func(name string, n int64) {
+		b = append(append(b, "app."...), name...)
+		b = append(strconv.AppendInt(append(b, '='), n, 10), '\n')
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var attempts int64
+	for _, c := range f.classes {
+		n := c.attempts.Load()
+		attempts += n
+		for _, k := range []struct {
+			name string
+			n    int64
+		}{{"served", c.served.Load()}, {"refused", c.refused.Load()}, {"failed", c.failed.Load()}, {"attempts", n}} {
+			line("requests."+c.name+"."+k.name, k.n)
+		}
+	}
+	line("attempts", attempts)
+	line("in_flight", inFlight)
+	line("backends_known", f.known.Load())
+	line("backends_excluded", f.excluded.Load())
+	line("reloads_ok", f.reloadsOK.Load())
+	line("reloads_failed", f.reloadsFailed.Load())
+	return b
+}
--- /dev/null
+++ b/internal/node/management.go
@@ -0,0 +1,205 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"glencart/balance"
+	"glencart/internal/engine"
+	"glencart/members"
+)
+
+const (
+	// doorMost bounds the connections of operators; of those whose call is not whole the oldest gives way. They stand in
+	// what otherSockets keeps aside.
+	doorMost = 12
+	// doorWithin is how long a call may take to come, and its answer to be read. A call is answered after doorWaits even
+	// where the loop has not got to it: operators are owed an answer within 1 s.
+	doorWithin, doorWaits = 5 * time.Second, 700 * time.Millisecond
+	// idMost bounds a backend's id in a call.
+	idMost = 256
+)
+
+// door is where operators call: a listener of its own, one call to a connection.
+type door struct {
+	node *Node
+	srv  *http.Server
+
+	mu    sync.Mutex
+	conns map[net.Conn]time.Time // those whose call is not whole
+	open  int
+}
+
+func newDoor(n *Node) *door {
+	d := &door{node: n, conns: map[net.Conn]time.Time{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /control/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.canServe() {
+			reply1(w, http.StatusServiceUnavailable, "not ready\n")
+			return
+		}
+		reply1(w, http.StatusOK, "ready\n")
+	})
+	mux.HandleFunc("GET /control/counters", func(w http.ResponseWriter, _ *http.Request) {
+		reply1(w, http.StatusOK, string(n.figures.text(n.front.inFlight.Load())))
+	})
+	mux.HandleFunc("POST /control/backends/{id}/offline", func(w http.ResponseWriter, r *http.Request) { d.byHand(w, r, true) })
+	mux.HandleFunc("POST /control/backends/{id}/online", func(w http.ResponseWriter, r *http.Request) { d.byHand(w, r, false) })
+	d.srv = &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			d.whole(connOfDoor(r.Context()))
+			w.Header().Set("Connection", "close")
+			mux.ServeHTTP(w, r)
+		}),
+		ReadTimeout: doorWithin, WriteTimeout: doorWithin, MaxHeaderBytes: 4 << 10,
+		ErrorLog:  slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+		ConnState: d.track,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+	}
+	return d
+}
+
+func connOfDoor(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	return c
+}
+
+// track has the oldest connection without a whole call give way where they are too many.
+func (d *door) track(c net.Conn, s http.ConnState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch s {
+	case http.StateNew:
+		d.conns[c] = time.Now()
+		d.open++
+		for d.open > doorMost && len(d.conns) > 1 {
+			var oldest net.Conn
+			for o, at := range d.conns {
+				if o != c && (oldest == nil || at.Before(d.conns[oldest])) {
+					oldest = o
+				}
+			}
+			delete(d.conns, oldest)
+			d.open--
+			oldest.Close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		if _, waits := d.conns[c]; waits {
+			delete(d.conns, c)
+			d.open--
+		}
+	}
+}
+
+// whole marks a connection whose call has come: it is answered, and closed by that.
+func (d *door) whole(c net.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, waits := d.conns[c]; waits {
+		delete(d.conns, c)
+		d.open--
+	}
+}
+
+// byHand takes a backend out, or puts it back. The answer is yes once the Balancer has it.
+func (d *door) byHand(w http.ResponseWriter, r *http.Request, out bool) {
+	id := r.PathValue("id")
+	if len(id) > idMost {
+		reply1(w, http.StatusBadRequest, "backend: the id is too long\n")
+		return
+	}
+	n := d.node
+	done := make(chan bool, 1)
+	if !n.loop.PostFirst(func() { done <- n.byHand(id, out) }) {
+		reply1(w, http.StatusServiceUnavailable, "the node is ending\n")
+		return
+	}
+	late := time.NewTimer(doorWaits)
+	defer late.Stop()
+	select {
+	case known := <-done:
+		if !known {
+			reply1(w, http.StatusNotFound, "backend: discovery has named none with this id\n")
+			return
+		}
+		reply1(w, http.StatusOK, "ok\n")
+	case <-late.C:
+		reply1(w, http.StatusGatewayTimeout, "the node is busy: the call still counts as soon as it gets to it\n")
+	}
+}
+
+// reply1 writes a short answer.
+func reply1(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	w.Write([]byte(text))
+}
+
+// unixNow is the time on the clock that all machines read.
+func unixNow() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
+// takeList merges a list with what operators took out and gives it to the engine. On the loop, or before it runs.
+func (n *Node) takeList(kind balance.EventKind, list engine.List) {
+	list.Members = n.hand.Take(list.Members, list.Complete, unixNow())
+	n.loop.TakeList(kind, list)
+	n.countBackends()
+}
+
+// byHand takes in a call of operators and tells whether anybody has this id. On the loop.
+func (n *Node) byHand(id string, out bool) bool {
+	lines, known := n.hand.Say(id, out, unixNow())
+	if len(lines) > 0 {
+		word := "put back"
+		if out {
+			word = "taken out"
+		}
+		n.log.Info("backend "+word+" by hand", "id", id)
+	}
+	n.heed(lines)
+	return known
+}
+
+// heed tells the engine of lines that the operators' word has changed. On the loop.
+func (n *Node) heed(lines []members.Line) {
+	if len(lines) > 0 {
+		n.loop.TakeList(balance.MembersChanged, engine.List{Members: lines})
+	}
+	n.countBackends()
+}
+
+// countBackends copies out what the loop owns. On the loop.
+func (n *Node) countBackends() {
+	listed, out := n.hand.Counts()
+	n.figures.known.Store(int64(listed))
+	n.figures.excluded.Store(int64(out + n.loop.Balancer.Avoided()))
+}
+
+// countOften copies out what the loop owns until ctx ends: which backends it avoids changes with each answer.
+func (n *Node) countOften(ctx context.Context) {
+	t := time.NewTicker(figuresEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			n.loop.PostFirst(n.countBackends)
+		}
+	}
+}
+
+// canServe tells whether this process can serve: it has had a list that names a backend, and is not about to end.
+func (n *Node) canServe() bool {
+	if n.loop.Ready() {
+		n.listed.Store(true)
+	}
+	return n.listed.Load() && n.running.Load() && !n.front.leaving.Load()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"glencart/internal/engine"
 	"glencart/internal/members/registry"
 	"glencart/internal/settings"
+	"glencart/members"
 )
 
 const (
@@ -41,6 +42,11 @@
 	loop     *engine.Engine
 	front    *front
 	disco    *registry.Source
+	door     net.Listener // for operators; nil: none
+	hand     members.Hand // of the loop
+	figures  *figures
+	listed   atomic.Bool // a list has named a backend that may be sent to
+	running  atomic.Bool // clients are let in
 }
 
 // New returns a node that is ready to run.
@@ -49,20 +55,20 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{cfg: cfg, log: log}
+	n := &Node{cfg: cfg, log: log, figures: &figures{}}
 	limits := cfg.Settings.Config.Limits
 	clients, backends := cfg.Limits.share()
 	n.pool = newPool(backends, limits.ConnectTimeout, limits.IdleClose)
 	n.loop = engine.New(engine.Config{Balancer: bal, Log: log,
 		Transport: newExchanges(n.pool, cfg.Settings.Config.Reports == balance.InlineReports, log)})
-	n.front = newFront(n.loop, cfg.Settings, clients, log)
+	n.front = newFront(n.loop, cfg.Settings, clients, n.figures, log)
 	n.disco = registry.New(cfg.Discovery, cfg.Settings, log,
 		func(list engine.List) {
 			kind := balance.MembersChanged
 			if list.Complete {
 				kind = balance.MembersAll
 			}
-			n.loop.Post(func() { n.loop.TakeList(kind, list) })
+			n.loop.Post(func() { n.takeList(kind, list) })
 		},
 		func() { n.loop.Post(func() { n.loop.Handle(balance.Event{Kind: balance.MembersRefused}) }) })
 	n.loop.Ask = n.disco.Ask
@@ -74,15 +80,29 @@
 	}
 	l, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
-		if n.peers != nil {
-			n.peers.conn.Close()
-		}
+		n.close()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	n.listener = limitListener(l, clients)
+	if cfg.Management != "" {
+		if n.door, err = net.Listen("tcp", cfg.Management); err != nil {
+			n.close()
+			return nil, fmt.Errorf("management: %w", err)
+		}
+	}
 	return n, nil
 }
 
+// close ends the sockets of a node that does not come to run.
+func (n *Node) close() {
+	if n.peers != nil {
+		n.peers.conn.Close()
+	}
+	if n.listener != nil {
+		n.listener.Close()
+	}
+}
+
 // Addr is the address that the node listens on for clients.
 func (n *Node) Addr() net.Addr { return n.listener.Addr() }
 
@@ -114,7 +134,7 @@
 		n.disco.Holds(known.Revision)
 	}
 	known.Complete = true
-	n.loop.TakeList(balance.MembersRemembered, known)
+	n.takeList(balance.MembersRemembered, known)
 	wg.Go(func() { n.loop.Run(work.Done()) })
 	wg.Go(func() { n.pool.run(work) })
 	wg.Go(func() { n.disco.Run(work) })
@@ -124,6 +144,13 @@
 		})
 	}
 	srv := n.front.server()
+	if n.door != nil {
+		d := newDoor(n)
+		wg.Go(func() { d.srv.Serve(n.door) })
+		wg.Go(func() { n.countOften(work) })
+		defer d.srv.Close()
+	}
+	n.running.Store(true)
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(n.listener) }()
 	n.log.Info("serving", "name", n.cfg.Name, "listen", n.Addr().String())
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -25,6 +25,13 @@
 	if len(fixed) > 0 {
 		n.log.Warn("changes that need a restart", "keys", strings.Join(fixed, " "))
 	}
+	n.figures.reloadsOK.Add(1)
 	n.log.Info("configuration read anew", "discovery", cfg.Discovery)
 	n.disco.Move(cfg.Discovery)
 }
+
+// NotReloaded tells and counts that a configuration was turned down: the old one holds, whole.
+func (n *Node) NotReloaded(err error) {
+	n.figures.reloadsFailed.Add(1)
+	n.log.Error("configuration not reloaded, the old one holds", "error", err)
+}
--- /dev/null
+++ b/members/hand.go
@@ -0,0 +1,186 @@
+// Package members merges what sources say of backends before a Balancer is told: what discovery lists, and what operators
+// took out by hand. It has no I/O and no clock.
+package members
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"glencart/balance"
+)
+
+// Line is what a source says of one backend. Its Backend number is the engine's to give.
+type Line struct {
+	ID   string
+	Addr string
+	balance.Member
+}
+
+// Call is the last word of operators on a backend. Times are Unix time.
+type Call struct {
+	ID   string        `json:"id"`
+	Out  bool          `json:"out"`
+	At   time.Duration `json:"at"`             // when it was given
+	Back time.Duration `json:"back,omitempty"` // when the backend was last put back; 0: never
+}
+
+// Hand holds the backends that discovery has named, and the word of operators on each. The zero value is ready.
+type Hand struct {
+	all map[string]*known
+}
+
+type known struct {
+	line Line // as discovery said it last; Gone for one that it never named
+	call Call
+	gone time.Duration // when it left the list
+}
+
+// goneMost bounds how many backends are remembered that have left the list and that nobody took out: a call on one that
+// has just left is a word on a backend, and not on nobody.
+const goneMost = 512
+
+// Take merges a list, or changes to one, and returns what the engine is to be told instead. lines is not changed.
+func (h *Hand) Take(lines []Line, complete bool, now time.Duration) []Line {
+	if complete {
+		listed := make(map[string]bool, len(lines))
+		for _, l := range lines {
+			listed[l.ID] = true
+		}
+		for id, k := range h.all {
+			if !listed[id] {
+				k.leave(now)
+			}
+		}
+	}
+	told := make([]Line, 0, len(lines))
+	for _, l := range lines {
+		k := h.all[l.ID]
+		if k == nil {
+			if l.Phase == balance.Gone {
+				continue
+			}
+			k = h.add(l.ID)
+		}
+		if l.Phase == balance.Gone {
+			k.leave(now)
+			l.Addr = cmp.Or(l.Addr, k.line.Addr)
+		} else {
+			k.line = l
+		}
+		told = append(told, k.told(l))
+	}
+	h.forget()
+	return told
+}
+
+// Say takes in a call of operators: out, or back. It returns the lines that the engine has to be told, none where the call
+// changes nothing, and whether anybody has this id.
+func (h *Hand) Say(id string, out bool, now time.Duration) ([]Line, bool) {
+	k := h.all[id]
+	if k == nil {
+		return nil, false
+	}
+	if k.call.Out == out {
+		return nil, true // two calls out need one call back
+	}
+	c := Call{ID: id, Out: out, At: max(now, k.call.At+1), Back: k.call.Back}
+	if !out {
+		c.Back = now
+	}
+	return h.Hear([]Call{c}), true
+}
+
+// Hear takes in calls that were given at another process of the same node: the later word holds. Each is remembered, also
+// for a backend that this process has not heard of yet. It returns the lines that the engine has to be told.
+func (h *Hand) Hear(calls []Call) []Line {
+	var told []Line
+	for _, c := range calls {
+		k := h.all[c.ID]
+		if k == nil {
+			k = h.add(c.ID)
+			k.line.Phase = balance.Gone
+		}
+		if c.At < k.call.At || c.At == k.call.At && !c.Out {
+			continue
+		}
+		before := k.told(k.line)
+		k.call = c
+		if after := k.told(k.line); after != before && k.line.Phase != balance.Gone {
+			told = append(told, after)
+		}
+	}
+	return told
+}
+
+// Calls returns the last word on each backend that there was one on, by id: what another process has to know.
+func (h *Hand) Calls() []Call {
+	var calls []Call
+	for _, k := range h.all {
+		if k.call.At > 0 {
+			calls = append(calls, k.call)
+		}
+	}
+	slices.SortFunc(calls, func(x, y Call) int { return cmp.Compare(x.ID, y.ID) })
+	return calls
+}
+
+// Counts tells how many backends are listed, and how many of them are out by hand.
+func (h *Hand) Counts() (listed, out int) {
+	for _, k := range h.all {
+		if k.line.Phase != balance.Gone {
+			listed++
+			if k.call.Out {
+				out++
+			}
+		}
+	}
+	return listed, out
+}
+
+func (h *Hand) add(id string) *known {
+	if h.all == nil {
+		h.all = map[string]*known{}
+	}
+	k := &known{}
+	k.line.ID = id
+	h.all[id] = k
+	return k
+}
+
+func (k *known) leave(now time.Duration) {
+	if k.line.Phase != balance.Gone {
+		k.line.Phase, k.gone = balance.Gone, now
+	}
+}
+
+// told is a line with the operators' word in it. A backend that is out drains, whatever discovery says. One that was put
+// back may have been restarted while it was out, which discovery tells late or never: it started no earlier than that.
+func (k *known) told(l Line) Line {
+	if k.call.Out && l.Phase == balance.Ready {
+		l.Phase = balance.Draining
+	}
+	if l.Launched < k.call.Back {
+		l.Launched, l.Returned = k.call.Back, true
+	}
+	return l
+}
+
+// forget bounds what is kept of backends that left the list. One that is out stays out if it comes back.
+func (h *Hand) forget() {
+	var gone []*known
+	for _, k := range h.all {
+		if k.line.Phase == balance.Gone && !k.call.Out {
+			gone = append(gone, k)
+		}
+	}
+	if len(gone) <= goneMost {
+		return
+	}
+	slices.SortFunc(gone, func(x, y *known) int {
+		return cmp.Or(cmp.Compare(x.gone, y.gone), cmp.Compare(x.line.ID, y.line.ID))
+	})
+	for _, k := range gone[:len(gone)-goneMost] {
+		delete(h.all, k.line.ID)
+	}
+}
