A process takes over from one that runs: inherited socket, locks, shared word on backends

Change: internal/handover (listener on BALANCER_ACCEPT_FD, OFD locks tell who is beside, a versioned state file carries the operators' calls), half of descriptors, memory and cold budget while both live, and an end of its own for a process that is followed.

--- a/cmd/glencart/main.go
+++ b/cmd/glencart/main.go
@@ -46,6 +46,9 @@
 	}
 	// What this process was told wins: two processes may read one file, and each has a door of its own.
 	cfg.Management = cmp.Or(os.Getenv("BALANCER_MANAGEMENT"), cfg.Management)
+	if cfg.AcceptFD = os.Getenv("BALANCER_ACCEPT_FD"); cfg.AcceptFD != "" {
+		cfg.Shared = os.Getenv("TMPDIR")
+	}
 	limit(cfg.Limits)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
@@ -72,7 +75,7 @@
 		runtime.GOMAXPROCS(max(1, int(math.Round(l.Cores))))
 	}
 	if l.MemoryMB > 0 {
-		debug.SetMemoryLimit(l.MemoryMB << 20 / 10 * 7)
+		debug.SetMemoryLimit(l.Heap())
 		debug.SetGCPercent(200)
 	}
 }
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,290 @@
+// Package handover lets a process take over from one that runs: the clients' listening socket that both inherit, who is
+// beside whom, and the operators' word, which binds both.
+package handover
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"glencart/members"
+)
+
+// Listener returns a listener on the socket that a descriptor names: text is the value of BALANCER_ACCEPT_FD. The descriptor
+// belongs to the listener from then on; the socket stays open for all others that hold it.
+func Listener(text string) (net.Listener, error) {
+	fd, err := strconv.Atoi(text)
+	if err != nil || fd < 3 || fd > math.MaxInt32 {
+		return nil, fmt.Errorf("BALANCER_ACCEPT_FD: %q is not the number of an inherited descriptor", text)
+	}
+	if accepts, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN); err != nil {
+		return nil, fmt.Errorf("BALANCER_ACCEPT_FD: descriptor %d: %w: it has to be inherited, open, and a socket", fd, err)
+	} else if accepts == 0 {
+		return nil, fmt.Errorf("BALANCER_ACCEPT_FD: descriptor %d is a socket that does not listen", fd)
+	}
+	syscall.CloseOnExec(fd)
+	f := os.NewFile(uintptr(fd), "clients")
+	defer f.Close()
+	return net.FileListener(f)
+}
+
+// Files in the folder that both processes share.
+const (
+	servingLock, nextLock = "glencart.serving", "glencart.next"
+	writeLock, stateFile  = "glencart.write", "glencart.state"
+)
+
+const (
+	// lookEvery is how often a process looks for the other one and for what was written.
+	lookEvery = 50 * time.Millisecond
+	// stateVersion is the form of the state file. stateMost bounds its bytes, callsMost its calls, idMost an id.
+	stateVersion, stateMost, callsMost, idMost = 1, 1 << 20, 4096, 256
+)
+
+// State is what both processes of a node have to know.
+type State struct {
+	Version int            `json:"version"`
+	Node    string         `json:"node"`
+	Calls   []members.Call `json:"calls"`
+}
+
+// Place is one process's place in the folder.
+type Place struct {
+	dir, node string
+	log       *slog.Logger
+
+	serving, next *os.File
+
+	mu    sync.Mutex
+	has   bool        // the serving lock
+	waits bool        // the next lock
+	seen  os.FileInfo // of the state file, as last read
+}
+
+// Open takes a place: that of the serving process, or, where one is beside, that of its successor. A folder that can't
+// be used is an error: without it the two would not know of each other.
+func Open(dir, node string, log *slog.Logger) (*Place, error) {
+	p := &Place{dir: dir, node: node, log: log}
+	var err error
+	if p.serving, err = p.open(servingLock); err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	if p.next, err = p.open(nextLock); err != nil {
+		p.serving.Close()
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	p.look()
+	return p, nil
+}
+
+func (p *Place) open(name string) (*os.File, error) {
+	return os.OpenFile(filepath.Join(p.dir, name), os.O_CREATE|os.O_RDWR, 0o600)
+}
+
+// Close gives the place up.
+func (p *Place) Close() {
+	p.serving.Close()
+	p.next.Close()
+}
+
+// Follows tells whether this process waits for another one to end.
+func (p *Place) Follows() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.has
+}
+
+// Followed tells whether another process waits for this one to end.
+func (p *Place) Followed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.has && taken(p.next)
+}
+
+// look takes the locks as they come free and tells whether another process is beside.
+func (p *Place) look() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.has {
+		p.has = lock(p.serving, syscall.F_WRLCK, ofdSetLock) == nil
+		switch {
+		case p.has && p.waits:
+			lock(p.next, syscall.F_UNLCK, ofdSetLock)
+			p.waits = false
+		case !p.has && !p.waits:
+			p.waits = lock(p.next, syscall.F_WRLCK, ofdSetLock) == nil
+		}
+		return !p.has
+	}
+	return taken(p.next)
+}
+
+// Run tells whether another process is beside, at the start and at each change, and of calls that the other one has written,
+// until ctx ends.
+func (p *Place) Run(ctx context.Context, beside func(bool), heard func([]members.Call)) {
+	t := time.NewTicker(lookEvery)
+	defer t.Stop()
+	var was, told bool
+	for {
+		if is := p.look(); is != was || !told {
+			was, told = is, true
+			beside(is)
+		}
+		if calls := p.Read(); len(calls) > 0 {
+			heard(calls)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// Read returns the calls in the state file if it has changed since it was last read. One that can't be read is told once
+// and changes nothing.
+func (p *Place) Read() []members.Call {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, err := os.Stat(filepath.Join(p.dir, stateFile))
+	if err != nil || p.seen != nil && os.SameFile(at, p.seen) && at.ModTime().Equal(p.seen.ModTime()) && at.Size() == p.seen.Size() {
+		return nil
+	}
+	p.seen = at
+	calls, err := p.load()
+	if err != nil {
+		p.log.Warn("the state that processes share can't be read: what is known here holds", "error", err)
+	}
+	return calls
+}
+
+func (p *Place) load() ([]members.Call, error) {
+	f, err := os.Open(filepath.Join(p.dir, stateFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, stateMost+1))
+	if err != nil {
+		return nil, err
+	}
+	return Parse(text, p.node)
+}
+
+// Parse decodes and checks a state file of a node.
+func Parse(text []byte, node string) ([]members.Call, error) {
+	var s State
+	if len(text) > stateMost {
+		return nil, fmt.Errorf("%s: over %d bytes", stateFile, stateMost)
+	}
+	if err := json.Unmarshal(text, &s); err != nil {
+		return nil, fmt.Errorf("%s: %w", stateFile, err)
+	}
+	switch {
+	case s.Version != stateVersion:
+		return nil, fmt.Errorf("%s: version %d, this program writes %d", stateFile, s.Version, stateVersion)
+	case s.Node != node:
+		return nil, fmt.Errorf("%s: of node %q, this one is %q", stateFile, s.Node, node)
+	case len(s.Calls) > callsMost:
+		return nil, fmt.Errorf("%s: over %d calls", stateFile, callsMost)
+	}
+	for _, c := range s.Calls {
+		if c.ID == "" || len(c.ID) > idMost || c.At <= 0 || c.Back < 0 || c.Back > c.At {
+			return nil, fmt.Errorf("%s: a call that can't be one: %q at %d", stateFile, c.ID, c.At)
+		}
+	}
+	return s.Calls, nil
+}
+
+// Write adds calls to what the file holds; of two on one backend the later holds. Killed at any point it leaves the old file
+// or the new one, whole.
+func (p *Place) Write(calls []members.Call) error {
+	w, err := p.open(writeLock)
+	if err != nil {
+		return err
+	}
+	defer w.Close() // and the lock with it
+	if err := lock(w, syscall.F_WRLCK, ofdWaitLock); err != nil {
+		return fmt.Errorf("%s: %w", writeLock, err)
+	}
+	held, err := p.load()
+	if err != nil {
+		p.log.Warn("the state that processes share can't be read: it is written anew", "error", err)
+	}
+	latest := map[string]members.Call{}
+	for _, c := range append(held, calls...) {
+		if old, ok := latest[c.ID]; !ok || c.At > old.At || c.At == old.At && c.Out {
+			latest[c.ID] = c
+		}
+	}
+	s := State{Version: stateVersion, Node: p.node}
+	for _, c := range latest {
+		s.Calls = append(s.Calls, c)
+	}
+	slices.SortFunc(s.Calls, func(x, y members.Call) int { return cmp.Compare(x.ID, y.ID) })
+	for len(s.Calls) > callsMost { // the oldest word on a backend that is back is of the least use
+		oldest := -1
+		for i, c := range s.Calls {
+			if !c.Out && (oldest < 0 || c.At < s.Calls[oldest].At) {
+				oldest = i
+			}
+		}
+		if oldest < 0 {
+			return fmt.Errorf("%s: over %d backends are out", stateFile, callsMost)
+		}
+		s.Calls = slices.Delete(s.Calls, oldest, oldest+1)
+	}
+	text, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	name := filepath.Join(p.dir, stateFile)
+	if err := os.WriteFile(name+".new", text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(name+".new", name)
+}
+
+// Commands of fcntl(2) for locks of open file descriptions, which syscall does not name.
+const ofdGetLock, ofdSetLock, ofdWaitLock = 36, 37, 38
+
+func lock(f *os.File, kind int16, cmd int) error {
+	return control(f, func(fd uintptr) error {
+		return syscall.FcntlFlock(fd, cmd, &syscall.Flock_t{Type: kind, Whence: io.SeekStart})
+	})
+}
+
+// taken tells whether somebody else holds a lock.
+func taken(f *os.File) bool {
+	l := syscall.Flock_t{Type: syscall.F_WRLCK, Whence: io.SeekStart}
+	err := control(f, func(fd uintptr) error { return syscall.FcntlFlock(fd, ofdGetLock, &l) })
+	return err == nil && l.Type != syscall.F_UNLCK
+}
+
+func control(f *os.File, do func(uintptr) error) error {
+	raw, err := f.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	if err := raw.Control(func(fd uintptr) { failed = do(fd) }); err != nil {
+		return err
+	}
+	return failed
+}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -52,9 +52,9 @@
 	names    settings.Settings
 	counts   []*classFigures // by class
 	log      *slog.Logger
-	most     int64 // requests at once
+	most     atomic.Int64 // requests at once
 	inFlight atomic.Int64
-	crowded  int          // so many connections that idle ones give way and answers close theirs
+	crowded  int          // so many connections that idle ones give way and answers close theirs; by mu
 	leaving  atomic.Bool  // the node is about to end: it is not ready
 	closing  atomic.Bool  // and answers close their connections
 	longest  atomic.Int64 // the longest time that a client gave a request, as a time.Duration
@@ -68,6 +68,7 @@
 type clientConn struct {
 	state connState
 	since time.Time
+	began bool // some byte of a request has come
 }
 
 type connState uint8
@@ -80,15 +81,36 @@
 
 // newFront returns the client side for a node that may hold so many connections of clients.
 func newFront(l *engine.Engine, names settings.Settings, conns int, fig *figures, log *slog.Logger) *front {
-	// Each request in flight may need a connection to a backend, beside those of probes.
-	f := &front{loop: l, names: names, log: log, most: int64(conns) * 7 / 8, crowded: conns * 3 / 4,
-		conns: map[net.Conn]*clientConn{}}
+	f := &front{loop: l, names: names, log: log, conns: map[net.Conn]*clientConn{}}
+	f.resize(conns)
 	for _, name := range names.Classes {
 		f.counts = append(f.counts, fig.class(name))
 	}
 	return f
 }
 
+// resize changes how many connections of clients there may be.
+func (f *front) resize(conns int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	// Each request in flight may need a connection to a backend, beside those of probes.
+	f.most.Store(int64(conns) * 7 / 8)
+	f.crowded = conns * 3 / 4
+}
+
+// closeQuiet closes the connections on which no part of a request has come, read or not.
+func (f *front) closeQuiet() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c, cc := range f.conns {
+		if fc, ok := c.(*framedConn); cc.state == connOpen || cc.began || ok && (fc.unread() || fc.asking.Load()) {
+			continue
+		}
+		f.remove(c)
+		c.Close()
+	}
+}
+
 // server returns the HTTP server of the client side.
 func (f *front) server() *http.Server {
 	return &http.Server{
@@ -116,14 +138,19 @@
 			f.giveWay()
 		}
 	case http.StateActive:
-		if f.conns[c] != nil && f.conns[c].state == connIdle {
-			f.enter(c, connWaits)
+		if cc := f.conns[c]; cc != nil {
+			if cc.state == connIdle {
+				f.enter(c, connWaits)
+			}
+			cc.began = true
 		}
 	case http.StateIdle:
 		if fc, ok := c.(*framedConn); ok {
 			fc.asking.Store(false)
 		}
-		f.enter(c, connIdle)
+		if f.enter(c, connIdle) {
+			f.conns[c].began = false
+		}
 	case http.StateClosed, http.StateHijacked:
 		f.remove(c)
 	}
@@ -251,7 +278,7 @@
 		panic(http.ErrAbortHandler) // it has given way
 	}
 	// Only whole requests count: else a few clients that send theirs slowly would have the rest refused.
-	if f.inFlight.Add(1) > f.most {
+	if f.inFlight.Add(1) > f.most.Load() {
 		f.inFlight.Add(-1)
 		w.Header().Set("Connection", "close")
 		refuse(w, fullRetry)
--- a/internal/node/client_test.go
+++ b/internal/node/client_test.go
@@ -203,7 +203,7 @@
 	}))
 	n := startOn(t, b.Addr().String())
 	n.onLoop(t, func() {})
-	n.front.inFlight.Store(n.front.most - 1) // all places but one are taken
+	n.front.inFlight.Store(n.front.most.Load() - 1) // all places but one are taken
 	first := make(chan int, 1)
 	go func() {
 		resp, _ := do(t, ask(t, n.url+"/api/x", "order"))
@@ -218,7 +218,7 @@
 	if status := receive(t, "the answer of the one taken", first); status != 200 {
 		t.Errorf("the one taken: %d", status)
 	}
-	n.front.inFlight.Add(1 - n.front.most)
+	n.front.inFlight.Add(1 - n.front.most.Load())
 }
 
 // A crowd of idle connections gives way to clients that have something to ask.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -20,6 +21,8 @@
 	Listen     string
 	Discovery  string
 	Management string // where operators call; empty: nowhere
+	AcceptFD   string // the inherited descriptor of the clients' listening socket; empty: the node opens one
+	Shared     string // the folder that it shares with a process that it follows; only with AcceptFD
 	Seed       uint64
 	Limits     Limits
 	PeerListen string
@@ -134,6 +137,15 @@
 	usualSockets = 1024
 )
 
+// beside returns the limits of each of two processes that run on one machine.
+func (l Limits) beside() Limits {
+	l.Sockets, l.MemoryMB = cmp.Or(l.Sockets, usualSockets)/2, l.MemoryMB/2
+	return l
+}
+
+// Heap is the limit that the collector is told, in bytes; 0: none.
+func (l Limits) Heap() int64 { return l.MemoryMB << 20 / 10 * 7 }
+
 // share divides the descriptors: so many connections of clients, and so many to backends. A request in flight
 // holds one of each; backends get the rest as idle ones are kept there and probes need some.
 func (l Limits) share() (clients, backends int) {
@@ -141,6 +153,6 @@
 	if n == 0 {
 		n = usualSockets
 	}
-	n -= otherSockets
+	n = max(n-otherSockets, otherSockets)
 	return n / 2, n - n/2
 }
--- a/internal/node/management.go
+++ b/internal/node/management.go
@@ -117,7 +117,19 @@
 	}
 	n := d.node
 	done := make(chan bool, 1)
-	if !n.loop.PostFirst(func() { done <- n.byHand(id, out) }) {
+	if !n.loop.PostFirst(func() {
+		call, known := n.byHand(id, out)
+		if n.place == nil || call.At == 0 {
+			done <- known
+			return
+		}
+		go func() { // files may be slow
+			if err := n.place.Write([]members.Call{call}); err != nil {
+				n.log.Error("a call on a backend is not written down: another process will not know of it", "id", id, "error", err)
+			}
+			done <- known
+		}()
+	}) {
 		reply1(w, http.StatusServiceUnavailable, "the node is ending\n")
 		return
 	}
@@ -154,8 +166,8 @@
 }
 
 // byHand takes in a call of operators and tells whether anybody has this id. On the loop.
-func (n *Node) byHand(id string, out bool) bool {
-	lines, known := n.hand.Say(id, out, unixNow())
+func (n *Node) byHand(id string, out bool) (members.Call, bool) {
+	lines, call, known := n.hand.Say(id, out, unixNow())
 	if len(lines) > 0 {
 		word := "put back"
 		if out {
@@ -164,7 +176,7 @@
 		n.log.Info("backend "+word+" by hand", "id", id)
 	}
 	n.heed(lines)
-	return known
+	return call, known
 }
 
 // heed tells the engine of lines that the operators' word has changed. On the loop.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 
 	"glencart/balance"
 	"glencart/internal/engine"
+	"glencart/internal/handover"
 	"glencart/internal/members/registry"
 	"glencart/internal/settings"
 	"glencart/members"
@@ -42,10 +43,12 @@
 	loop     *engine.Engine
 	front    *front
 	disco    *registry.Source
-	door     net.Listener // for operators; nil: none
-	hand     members.Hand // of the loop
+	door     net.Listener    // for operators; nil: none
+	place    *handover.Place // where this process stands beside another; nil: there is none
+	hand     members.Hand    // of the loop
 	figures  *figures
 	listed   atomic.Bool // a list has named a backend that may be sent to
+	heard    atomic.Bool // discovery has told a list
 	running  atomic.Bool // clients are let in
 }
 
@@ -68,7 +71,10 @@
 			if list.Complete {
 				kind = balance.MembersAll
 			}
-			n.loop.Post(func() { n.takeList(kind, list) })
+			n.loop.Post(func() {
+				n.takeList(kind, list)
+				n.heard.Store(true)
+			})
 		},
 		func() { n.loop.Post(func() { n.loop.Handle(balance.Event{Kind: balance.MembersRefused}) }) })
 	n.loop.Ask = n.disco.Ask
@@ -78,7 +84,12 @@
 		}
 		n.loop.Tell = n.peers.tell
 	}
-	l, err := net.Listen("tcp", cfg.Listen)
+	var l net.Listener
+	if cfg.AcceptFD == "" {
+		l, err = net.Listen("tcp", cfg.Listen)
+	} else {
+		l, err = handover.Listener(cfg.AcceptFD)
+	}
 	if err != nil {
 		n.close()
 		return nil, fmt.Errorf("listen: %w", err)
@@ -90,6 +101,16 @@
 			return nil, fmt.Errorf("management: %w", err)
 		}
 	}
+	if cfg.Shared != "" {
+		if n.place, err = handover.Open(cfg.Shared, cfg.Name, log); err != nil {
+			n.close()
+			return nil, err
+		}
+		n.hand.Hear(n.place.Read())
+		if n.place.Follows() {
+			n.beside(true)
+		}
+	}
 	return n, nil
 }
 
@@ -101,6 +122,9 @@
 	if n.listener != nil {
 		n.listener.Close()
 	}
+	if n.door != nil {
+		n.door.Close()
+	}
 }
 
 // Addr is the address that the node listens on for clients.
@@ -150,6 +174,15 @@
 		wg.Go(func() { n.countOften(work) })
 		defer d.srv.Close()
 	}
+	if n.place != nil {
+		defer n.place.Close()
+		wg.Go(func() {
+			n.place.Run(work, n.beside, func(calls []members.Call) {
+				n.loop.PostFirst(func() { n.heed(n.hand.Hear(calls)) })
+			})
+		})
+		n.awaitList(ctx)
+	}
 	n.running.Store(true)
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(n.listener) }()
@@ -166,6 +199,9 @@
 // each connection after its answer. Clients keep to their connections: one closed early, with other nodes out
 // for a restart too, leaves them none.
 func (n *Node) leave(srv *http.Server) error {
+	if n.place != nil && n.place.Followed() {
+		return n.yield(srv)
+	}
 	stay := max(lameDuck, longestDeadline(n.cfg.Settings)+killAfter-spare-time.Duration(n.front.longest.Load()))
 	n.log.Info("leaving", "most", stay)
 	n.front.leaving.Store(true)
@@ -214,41 +250,66 @@
 // limitListener bounds how many connections are open at once. Beyond that they wait in the backlog, where
 // accepting them would run the process out of descriptors.
 func limitListener(l net.Listener, most int) *boundedListener {
-	return &boundedListener{Listener: l, room: make(chan struct{}, most), closed: make(chan struct{})}
+	b := &boundedListener{Listener: l, most: most}
+	b.free.L = &b.mu
+	return b
 }
 
 type boundedListener struct {
 	net.Listener
-	room   chan struct{}
-	open   atomic.Int64 // accepted and not closed
-	once   sync.Once
-	closed chan struct{}
+	mu         sync.Mutex
+	free       sync.Cond
+	open, most int // accepted and not closed, and how many may be
+	closed     bool
 }
 
 // full tells whether connections have to wait.
 func (l *boundedListener) full() bool {
-	// One place is Accept's own, while it waits.
-	return l.open.Load() >= int64(cap(l.room))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open >= l.most
 }
 
+// resize changes how many may be open. What is open is let be.
+func (l *boundedListener) resize(most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most = most
+	l.free.Broadcast()
+}
+
+// Accept is for one goroutine.
 func (l *boundedListener) Accept() (net.Conn, error) {
-	select {
-	case <-l.closed:
+	l.mu.Lock()
+	for l.open >= l.most && !l.closed {
+		l.free.Wait()
+	}
+	closed := l.closed
+	l.mu.Unlock()
+	if closed {
 		return nil, net.ErrClosed
-	case l.room <- struct{}{}:
 	}
 	c, err := l.Listener.Accept()
 	if err != nil {
-		<-l.room
 		return nil, err
 	}
-	l.open.Add(1)
-	bounded := &boundedConn{Conn: c, release: sync.OnceFunc(func() { l.open.Add(-1); <-l.room })}
+	l.mu.Lock()
+	l.open++
+	l.mu.Unlock()
+	bounded := &boundedConn{Conn: c, release: sync.OnceFunc(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.open--
+		l.free.Signal()
+	})}
 	return &framedConn{Conn: bounded, framing: framing{length: -1}}, nil
 }
 
 func (l *boundedListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
+	l.mu.Lock()
+	l.closed = true
+	l.free.Broadcast()
+	l.mu.Unlock()
 	return l.Listener.Close()
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,11 +6,15 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"syscall"
 
 	"glencart/balance"
 	"glencart/internal/lograte"
 )
 
+// soReusePort is SO_REUSEPORT of socket(7), which syscall does not name everywhere.
+const soReusePort = 0xf
+
 // datagramMost is the longest datagram between nodes.
 const datagramMost = 256
 
@@ -47,8 +51,25 @@
 			return nil, err
 		}
 	}
-	p.conn, err = net.ListenUDP("udp", addr)
-	return p, err
+	var lc net.ListenConfig
+	if cfg.AcceptFD != "" {
+		// Two processes of one node may run at once. Datagrams go to either; one that the other gets is as good as lost.
+		lc.Control = func(_, _ string, c syscall.RawConn) error {
+			var failed error
+			if err := c.Control(func(fd uintptr) {
+				failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, soReusePort, 1)
+			}); err != nil {
+				return err
+			}
+			return failed
+		}
+	}
+	pc, err := lc.ListenPacket(context.Background(), "udp", addr.String())
+	if err != nil {
+		return nil, err
+	}
+	p.conn = pc.(*net.UDPConn)
+	return p, nil
 }
 
 // tell sends a datagram to one peer or to all of them. It never blocks: a datagram may be lost anyway.
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -125,6 +125,11 @@
 		p.open++
 		return true
 	}
+	return p.giveWay()
+}
+
+// giveWay closes the connection that has been idle longest, if there is one. Its place is still counted.
+func (p *pool) giveWay() bool {
 	var oldest *conn
 	for _, list := range p.idle {
 		if oldest == nil || list[0].idleAt.Before(oldest.idleAt) {
@@ -139,6 +144,16 @@
 	return true
 }
 
+// resize changes how many connections there may be. Idle ones make room; one in use is let be.
+func (p *pool) resize(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = most
+	for p.open > most && p.giveWay() {
+		p.open--
+	}
+}
+
 func (p *pool) release() {
 	p.mu.Lock()
 	p.open--
@@ -149,8 +164,13 @@
 func (p *pool) put(c *conn) {
 	c.idleAt = time.Now()
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open > p.most { // there were more places when it was dialed
+		c.Close()
+		p.open--
+		return
+	}
 	p.idle[c.to] = append(p.idle[c.to], c)
-	p.mu.Unlock()
 }
 
 // discard ends a connection.
--- a/internal/node/rude_test.go
+++ b/internal/node/rude_test.go
@@ -164,7 +164,7 @@
 	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("x") }))
 	n := startOn(t, b.Addr().String())
 	n.onLoop(t, func() {})
-	n.front.inFlight.Store(n.front.most - 1) // all places but one are taken
+	n.front.inFlight.Store(n.front.most.Load() - 1) // all places but one are taken
 	for i := range 8 {
 		fmt.Fprintf(n.dial(t), "%sX-Trace-Id: slow-%d\r\nContent-Length: 10\r\n\r\nabc", orderHead, i)
 	}
@@ -173,7 +173,7 @@
 	if resp, _ := do(t, ask(t, n.url+"/api/x", "order")); resp.StatusCode != 200 {
 		t.Errorf("answered %d", resp.StatusCode)
 	}
-	n.front.inFlight.Add(1 - n.front.most)
+	n.front.inFlight.Add(1 - n.front.most.Load())
 }
 
 // What stands unread since the node is slow, and what has been read whole and waits for its turn, does not give way:
--- a/members/hand.go
+++ b/members/hand.go
@@ -75,20 +75,20 @@
 }
 
 // Say takes in a call of operators: out, or back. It returns the lines that the engine has to be told, none where the call
-// changes nothing, and whether anybody has this id.
-func (h *Hand) Say(id string, out bool, now time.Duration) ([]Line, bool) {
+// changes nothing, the last word on this backend, and whether anybody has this id.
+func (h *Hand) Say(id string, out bool, now time.Duration) ([]Line, Call, bool) {
 	k := h.all[id]
 	if k == nil {
-		return nil, false
+		return nil, Call{}, false
 	}
 	if k.call.Out == out {
-		return nil, true // two calls out need one call back
+		return nil, k.call, true // two calls out need one call back
 	}
 	c := Call{ID: id, Out: out, At: max(now, k.call.At+1), Back: k.call.Back}
 	if !out {
-		c.Back = now
+		c.Back = c.At
 	}
-	return h.Hear([]Call{c}), true
+	return h.Hear([]Call{c}), c, true
 }
 
 // Hear takes in calls that were given at another process of the same node: the later word holds. Each is remembered, also
