--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,7 +24,7 @@
 	holdMost, pairsMost = 0.05, 16
 	// coldMargin is the part of the cold-start budget that is spent: the rest is for uneven work. An old peak
 	// of the warm rate fades by rateDecay, once a window.
-	coldMargin, rateDecay = 0.3, 0.9
+	coldMargin, rateDecay = 0.3, 0.97
 	// A node keeps to partServers of each zone, or to as many as it has requests in partSpan seconds.
 	partServers, partSpan = 8, 0.5
 	// The mean of what a zone's servers hold is learned over meanSpan seconds, what is usual at one of them
@@ -839,7 +839,7 @@
 	}
 	var warm mean
 	for _, s := range b.ready {
-		if b.warmth(s) == 1 && s.since <= b.rolledAt {
+		if b.warmth(s) == 1 && s.since <= b.rolledAt && s.fails < failsHigh { // one that fails could do more
 			warm.add(s.served / span)
 		}
 		s.served = 0
--- a/internal/node/management.go
+++ b/internal/node/management.go
@@ -11,13 +11,16 @@
 
 	"glencart/balance"
 	"glencart/internal/engine"
+	"glencart/internal/sock"
 	"glencart/members"
 )
 
 const (
-	// doorMost bounds the connections of operators; of those whose call is not whole the oldest gives way. They stand in
-	// what otherSockets keeps aside.
-	doorMost = 12
+	// doorMost bounds the connections of operators whose call is not whole: beyond it the oldest silent one gives way, and
+	// beyond doorLast the oldest. They stand in what otherSockets keeps aside.
+	doorMost, doorLast = 10, 18
+	// doorFresh is how long a caller has for the first byte before it counts as silent.
+	doorFresh = 20 * time.Millisecond
 	// doorWithin is how long a call may take to come, and its answer to be read. A call is answered after doorWaits even
 	// where the loop has not got to it: operators are owed an answer within 1 s.
 	doorWithin, doorWaits = 5 * time.Second, 700 * time.Millisecond
@@ -79,16 +82,14 @@
 	case http.StateNew:
 		d.conns[c] = time.Now()
 		d.open++
-		for d.open > doorMost && len(d.conns) > 1 {
-			var oldest net.Conn
-			for o, at := range d.conns {
-				if o != c && (oldest == nil || at.Before(d.conns[oldest])) {
-					oldest = o
-				}
+		for d.open > doorMost {
+			out := d.silent(c)
+			if out == nil {
+				return
 			}
-			delete(d.conns, oldest)
+			delete(d.conns, out)
 			d.open--
-			oldest.Close()
+			out.Close()
 		}
 	case http.StateClosed, http.StateHijacked:
 		if _, waits := d.conns[c]; waits {
@@ -98,6 +99,27 @@
 	}
 }
 
+// silent returns the oldest connection but for one on which nothing stands unread, and beyond doorLast the oldest of all. A
+// call that came together with many silent callers has not been looked at when the last of them is let in.
+func (d *door) silent(but net.Conn) net.Conn {
+	var quiet, oldest net.Conn
+	for c, at := range d.conns {
+		if c == but {
+			continue
+		}
+		if oldest == nil || at.Before(d.conns[oldest]) {
+			oldest = c
+		}
+		if n, _ := sock.Peek(c); n <= 0 && time.Since(at) > doorFresh && (quiet == nil || at.Before(d.conns[quiet])) {
+			quiet = c
+		}
+	}
+	if quiet == nil && d.open > doorLast {
+		return oldest
+	}
+	return quiet
+}
+
 // whole marks a connection whose call has come: it is answered, and closed by that.
 func (d *door) whole(c net.Conn) {
 	d.mu.Lock()
