Settings change at SIGHUP; files that are broken are turned down whole

Change: settings.Missing compares each file with the one in use, Settings.Adopt keeps class numbers by name, balance takes SettingsChanged, the front swaps its half on the loop after it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -196,13 +196,12 @@
 	if cfg.Instances < 0 || cfg.Index < 0 || cfg.Limits.MaxAttempts < 0 {
 		return nil, errors.New("balance: negative count in Config")
 	}
-	var aim mean
 	for _, c := range cfg.Classes {
 		if c.Deadline < 0 || c.Aim < 0 || c.Window < 0 {
 			return nil, errors.New("balance: negative time in a Class")
 		}
-		aim.add(c.Aim.Seconds())
 	}
+	aim := meanAim(cfg.Classes)
 	cfg.Instances, cfg.Limits.MaxAttempts = max(cfg.Instances, 1), max(cfg.Limits.MaxAttempts, 1)
 	var perSecond float64
 	for _, t := range cfg.Tenants {
@@ -220,12 +219,40 @@
 		servers: map[BackendID]*server{}, requests: map[string]*request{},
 		timers: map[uint64]timer{}, zones: map[int]*crowd{}, probedAt: -1,
 		names: map[uint32]*server{}, numbers: map[int]uint16{}, perSecond: perSecond,
-		meanAim: aim.value(), gap: aim.value(), peerPace: firstPace * aim.value(), part: partFirst,
+		meanAim: aim, gap: aim, peerPace: firstPace * aim, part: partFirst,
 		partSize: max(partServers, int(perSecond*partSpan)),
 		classes:  make([]classStats, len(cfg.Classes)), shares: shares,
 	}, nil
 }
 
+// meanAim is the mean aim of the classes in use, seconds.
+func meanAim(classes []Class) float64 {
+	var aim mean
+	for i := range classes {
+		if !classes[i].Gone {
+			aim.add(classes[i].Aim.Seconds())
+		}
+	}
+	return aim.value()
+}
+
+// adopt takes in settings that follow on those in use. Requests under way hold on to their class as it was.
+func (b *Balancer) adopt(cfg *Config) {
+	was, known := b.cfg, b.classes
+	b.cfg = *cfg
+	b.cfg.Index, b.cfg.Instances, b.cfg.Zone = was.Index, was.Instances, was.Zone
+	b.cfg.Limits.MaxAttempts = max(cfg.Limits.MaxAttempts, 1)
+	b.meanAim, b.classes = meanAim(cfg.Classes), make([]classStats, len(cfg.Classes))
+	for i := range min(len(known), len(b.classes)) {
+		if !was.Classes[i].Gone { // its number may be another class's now
+			b.classes[i] = known[i]
+		}
+	}
+	for i := len(b.shares); i < len(cfg.Tenants); i++ {
+		b.shares = append(b.shares, share{left: shareLeast, at: b.now})
+	}
+}
+
 // Handle takes one event and appends the actions that answer it to out.
 func (b *Balancer) Handle(now time.Duration, ev Event, out []Action) []Action {
 	b.now, b.out = max(b.now, now), out // a clock that goes back is held
@@ -264,6 +291,8 @@
 		b.onAnswered(&ev)
 	case PeerMessage:
 		b.onHearsay(&ev)
+	case SettingsChanged:
+		b.adopt(ev.Settings)
 	case InstancesCounted: // what cold servers and tenants may be sent is divided by it from here on
 		b.cfg.Instances = max(ev.Instances, 1)
 	}
@@ -820,7 +849,7 @@
 func (b *Balancer) meanBase() float64 {
 	var m mean
 	for i := range b.classes {
-		if b.classes[i].base > 0 {
+		if b.classes[i].base > 0 && !b.cfg.Classes[i].Gone {
 			m.add(b.classes[i].base)
 		}
 	}
--- a/balance/types.go
+++ b/balance/types.go
@@ -52,6 +52,7 @@
 	Points     float64       // worth of one request
 	Stream     bool          // the answer is streamed
 	Attempts   int           // attempts per request; 0: Limits.MaxAttempts
+	Gone       bool          // no new request is of it: only its number is still in use
 }
 
 // Tenant describes one tenant and its share.
@@ -240,6 +241,7 @@
 	Outcome                            // Request, Attempt, Backend, Spent, Status, NoMore, Load
 	PeerMessage                        // Peer, Payload
 	InstancesCounted                   // Instances
+	SettingsChanged                    // Settings: what follows on Config, without its Index, Instances and Zone
 	StreamAnswered                     // Request, Attempt, Backend: its answer has begun, and may last
 )
 
@@ -267,6 +269,8 @@
 	Members []Member
 
 	Instances int // how many instances there are by now, this one included
+
+	Settings *Config // kept
 }
 
 // ActionKind says what to do.
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -49,8 +49,7 @@
 // front is the client side: it reads requests, has the loop decide and writes the answers.
 type front struct {
 	loop     *engine.Engine
-	names    settings.Settings
-	counts   []*classFigures // by class
+	tuning   atomic.Pointer[tuning]
 	log      *slog.Logger
 	most     atomic.Int64 // requests at once
 	inFlight atomic.Int64
@@ -81,11 +80,9 @@
 
 // newFront returns the client side for a node that may hold so many connections of clients.
 func newFront(l *engine.Engine, names settings.Settings, conns int, fig *figures, log *slog.Logger) *front {
-	f := &front{loop: l, names: names, log: log, conns: map[net.Conn]*clientConn{}}
+	f := &front{loop: l, log: log, conns: map[net.Conn]*clientConn{}}
+	f.tuning.Store(newTuning(names, fig))
 	f.resize(conns)
-	for _, name := range names.Classes {
-		f.counts = append(f.counts, fig.class(name))
-	}
 	return f
 }
 
@@ -117,7 +114,6 @@
 		Handler:        f,
 		ReadTimeout:    requestWithin, // head and body together
 		IdleTimeout:    idleWithin,
-		WriteTimeout:   requestWithin + longestDeadline(f.names) + answerWithin,
 		MaxHeaderBytes: headMost,
 		ErrorLog:       slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 		ConnState:      f.track,
@@ -242,6 +238,8 @@
 // ServeHTTP answers one request of a client.
 func (f *front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	received := time.Now()
+	// The last request's would hold on.
+	http.NewResponseController(w).SetWriteDeadline(received.Add(requestWithin + answerWithin))
 	if f.closing.Load() || f.isCrowded() {
 		// Closing after an answer crosses no request, as closing an idle connection may.
 		w.Header().Set("Connection", "close")
@@ -268,8 +266,8 @@
 	r, status, err := f.read(w, hr, received)
 	if err != nil {
 		f.turnAway(w, hr, err, status)
-		if i := slices.Index(f.names.Classes, hr.Header.Get("X-Qos")); i >= 0 && i < len(f.counts) {
-			f.counts[i].failed.Add(1)
+		if t := f.tuning.Load(); t.Class(hr.Header.Get("X-Qos")) >= 0 {
+			t.counts[t.Class(hr.Header.Get("X-Qos"))].failed.Add(1)
 		}
 		return
 	}
@@ -383,7 +381,7 @@
 	bad := func(format string, args ...any) (*engine.Request, int, error) {
 		return nil, http.StatusBadRequest, fmt.Errorf(format, args...)
 	}
-	h := hr.Header
+	h, t := hr.Header, f.tuning.Load()
 	for _, name := range []string{"X-Trace-Id", "X-Qos", "X-Customer", "X-Expires-In", "Idempotency-Key"} {
 		if len(h[name]) > 1 {
 			return bad("%s: given more than once", name)
@@ -393,16 +391,16 @@
 	if r.ID == "" {
 		return bad("X-Trace-Id: missing")
 	}
-	if r.Class = slices.Index(f.names.Classes, h.Get("X-Qos")); r.Class < 0 {
+	if r.Class = t.Class(h.Get("X-Qos")); r.Class < 0 {
 		return bad("X-Qos: no such class")
 	}
-	if len(f.names.Tenants) > 0 {
-		if r.Tenant = slices.Index(f.names.Tenants, h.Get("X-Customer")); r.Tenant < 0 {
+	if len(t.Tenants) > 0 {
+		if r.Tenant = slices.Index(t.Tenants, h.Get("X-Customer")); r.Tenant < 0 {
 			return bad("X-Customer: no such customer")
 		}
 	}
 	key := h.Get("Idempotency-Key")
-	class := &f.names.Config.Classes[r.Class]
+	class := &t.Config.Classes[r.Class]
 	method, keyed := http.MethodPost, false
 	switch class.Effect {
 	case balance.Safe:
@@ -447,7 +445,9 @@
 		return nil, http.StatusRequestTimeout, errors.New("body cut short")
 	}
 	// A deadline that passes while the request is served would look as if the client had gone.
-	http.NewResponseController(w).SetReadDeadline(time.Time{})
+	rc := http.NewResponseController(w)
+	rc.SetReadDeadline(time.Time{})
+	rc.SetWriteDeadline(r.Deadline.Add(answerWithin))
 	for _, line := range h["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
 			h.Del(strings.TrimSpace(name))
@@ -458,15 +458,11 @@
 	}
 	delete(h, "X-Expires-In") // the node's own goes on
 	delete(h, "Host")
-	var count *classFigures
 	// Whatever Connection named, a backend needs these to tell a request from its repeat.
 	h.Set("X-Trace-Id", r.ID)
 	if key != "" {
 		h.Set("Idempotency-Key", key)
 	}
-	if r.Class < len(f.counts) {
-		count = f.counts[r.Class]
-	}
-	r.Message = &message{count: count, method: method, url: hr.URL, host: hr.Host, header: h, body: body}
+	r.Message = &message{count: t.counts[r.Class], method: method, url: hr.URL, host: hr.Host, header: h, body: body}
 	return r, 0, nil
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -31,6 +31,7 @@
 	Known      engine.List
 	knownErr   error // why there is none, where it could not be read
 	Settings   settings.Settings
+	keys       any // the file, for the keys that one to replace it has to have; without known
 }
 
 // Limits are those of the machine that a node runs on. Zero: not told.
@@ -97,6 +98,12 @@
 			cfg.Known, cfg.knownErr = engine.List{}, err
 		}
 	}
+	var keys map[string]any
+	if err := json.Unmarshal(text, &keys); err != nil {
+		return Config{}, err
+	}
+	delete(keys, "known")
+	cfg.keys = keys
 	return cfg, cfg.check()
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -202,7 +202,7 @@
 	if n.place != nil && n.place.Followed() {
 		return n.yield(srv)
 	}
-	stay := max(lameDuck, longestDeadline(n.cfg.Settings)+killAfter-spare-time.Duration(n.front.longest.Load()))
+	stay := max(lameDuck, longestDeadline(n.front.tuning.Load().Settings)+killAfter-spare-time.Duration(n.front.longest.Load()))
 	n.log.Info("leaving", "most", stay)
 	n.front.leaving.Store(true)
 	time.Sleep(lameDuck)
@@ -210,7 +210,7 @@
 		time.Sleep(lookEvery)
 	}
 	n.front.closing.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), longestDeadline(n.cfg.Settings))
+	ctx, cancel := context.WithTimeout(context.Background(), longestDeadline(n.front.tuning.Load().Settings))
 	defer cancel()
 	// What stands in the backlog for want of room has been taken too, and closing the listener would reset it.
 	for free := time.Duration(0); free < clearFor && ctx.Err() == nil; free += lookEvery {
@@ -242,6 +242,9 @@
 func longestDeadline(s settings.Settings) time.Duration {
 	var longest time.Duration
 	for _, c := range s.Config.Classes {
+		if c.Gone {
+			continue
+		}
 		longest = max(longest, cmp.Or(c.Deadline, defaultDeadline))
 	}
 	return longest
