Bodies and answers of up to 32 MB pass through, held where there is room or as they come

Need: what was over 64 KiB was answered 413 or failed, and head and body together had 2 s. Longer bodies are held within a quarter of the memory, else streamed by one attempt that is the last; longer answers go on through Attempt.Deliver with their first bytes. Limits are on progress (3 s of silence, 16 KiB a second), a request's time begins with its last byte, and giving way goes by the last byte that came.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -6,10 +6,14 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math"
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,15 +59,26 @@
 	url    *url.URL
 	host   string
 	header http.Header
-	body   []byte
+	body   []byte   // at most bodyMost of it
+	more   [][]byte // and what follows, where it is longer and held
+	up     *upload  // and what is still to come, where it is not
 	probe  bool
 	count  *classFigures // nil: nobody counts
+
+	left0  time.Duration // the request's time, from its last byte on
+	held   int64         // bytes that the budget counts
+	budget *budget
+
+	mu      sync.Mutex
+	left    bool         // the client's goroutine is gone
+	streams chan *stream // takes an answer that is still coming; it has room for one
 }
 
 // reply is the answer of a backend that served.
 type reply struct {
 	body        []byte
 	contentType string
+	neverRan    bool // in place of an answer: an upload broke before its last byte
 }
 
 // replyOf is the answer in a result; an empty one where there is none.
@@ -77,6 +92,7 @@
 // call is an exchange under way.
 type call struct {
 	cancel context.CancelFunc
+	own    *engine.Attempt // nil for a probe
 	state  atomic.Int32
 }
 
@@ -93,7 +109,7 @@
 
 // Send, Bar, GiveUp, Probe and Drop make exchanges the engine's transport.
 func (x *exchanges) Send(a *engine.Attempt) {
-	a.State = x.attempt(a.To, a.Request.Message.(*message), a.Deadline, a.Done)
+	a.State = x.begin(a, a.To, a.Request.Message.(*message), a.Deadline, a.Done)
 }
 
 // Bar is call.bar.
@@ -108,11 +124,23 @@
 // attempt sends a message to an endpoint and calls done, from another goroutine, with how it ended. What is not
 // over by the deadline is ended then, and its connection with it.
 func (x *exchanges) attempt(to engine.Endpoint, m *message, deadline time.Time, done func(engine.Result)) *call {
+	return x.begin(nil, to, m, deadline, done)
+}
+
+// begin is attempt for one that the engine may hand over as a stream.
+func (x *exchanges) begin(own *engine.Attempt, to engine.Endpoint, m *message, deadline time.Time, done func(engine.Result)) *call {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	c := &call{cancel: cancel}
+	if m.up != nil {
+		// Its time begins with the last byte of the body.
+		cancel()
+		ctx, cancel = context.WithCancel(context.Background())
+	}
+	c := &call{cancel: cancel, own: own}
 	x.work(func() {
 		defer cancel()
-		done(x.exchange(ctx, c, to, m, deadline))
+		if r, handed := x.exchange(ctx, c, to, m, deadline); !handed {
+			done(r)
+		}
 	})
 	return c
 }
@@ -142,57 +170,87 @@
 	}()
 }
 
-// exchange carries out one attempt on one connection, once.
-func (x *exchanges) exchange(ctx context.Context, c *call, to engine.Endpoint, m *message, deadline time.Time) engine.Result {
+// exchange carries out one attempt on one connection, once. It reports true where it handed the answer on as a stream, and
+// told the engine.
+func (x *exchanges) exchange(ctx context.Context, c *call, to engine.Endpoint, m *message, deadline time.Time) (engine.Result, bool) {
+	ended := func(st balance.Status) (engine.Result, bool) { return engine.Result{Status: st}, false }
+	if m.up != nil && (m.up.begun.Load() || !m.up.taken.CompareAndSwap(false, true)) {
+		return ended(balance.Unused) // a part of the body has gone elsewhere
+	}
 	cn, err := x.pool.get(ctx, to, m.probe)
+	if err != nil {
+		m.up.giveBack()
+	}
 	switch {
 	case errors.Is(err, errNoRoom):
-		return engine.Result{Status: balance.Unused} // says nothing of the backend
+		return ended(balance.Unused) // says nothing of the backend
 	case err != nil:
-		return engine.Result{Status: balance.DialFailed}
+		return ended(balance.DialFailed)
 	}
 	text := m.wire(to.Addr, time.Until(deadline))
 	if ctx.Err() != nil || !c.state.CompareAndSwap(callQueued, callWriting) {
+		m.up.giveBack()
 		x.pool.discard(cn)
-		return engine.Result{Status: balance.Unused}
+		return ended(balance.Unused)
 	}
 	// Given up means closed, at once: nothing that comes later can reach anyone.
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	defer stop()
 	cn.SetDeadline(deadline)
-	if n, err := cn.Write(text); err != nil {
+	if n, all, err := m.send(cn, text); err != nil {
+		m.up.giveBack()
 		x.pool.discard(cn)
-		if n < len(text) {
-			return engine.Result{Status: balance.DialFailed} // the last byte never left
+		if n < all || m.up != nil {
+			return ended(balance.DialFailed) // the last byte never left
+		}
+		return ended(x.broken(ctx, err))
+	}
+	if m.up != nil {
+		// From here on this attempt is the last one.
+		c.own.Started()
+		if err := m.up.pass(cn, m.up.length < 0); err != nil {
+			x.pool.discard(cn)
+			r := engine.Result{Status: balance.DialFailed, Body: &reply{neverRan: true}}
+			if errors.Is(err, errClient) {
+				r.Status = balance.Unused // says nothing of the backend
+			}
+			return r, false
 		}
-		return engine.Result{Status: x.broken(ctx, err)}
+		cn.SetDeadline(time.Now().Add(m.left0))
 	}
 	if m.count != nil {
 		m.count.attempts.Add(1)
 	}
-	resp, body, err := cn.answer(m.method)
+	resp, body, err := cn.answer(m.method, c.own != nil)
 	if err != nil {
 		x.pool.discard(cn)
 		st := x.broken(ctx, err)
 		if st == balance.Dropped {
 			x.pool.wear.note(cn.age, true)
 		}
-		return engine.Result{Status: st}
+		return ended(st)
 	}
 	x.pool.wear.note(cn.age, false)
-	if resp.Close || cn.read.Buffered() > 0 || !stop() {
+	r := engine.Result{Status: outcome(resp)}
+	if text := resp.Header.Get(reportHeader); text != "" && x.inline {
+		r.Load = x.report(text)
+	}
+	whole := reply{body: body, contentType: resp.Header.Get("Content-Type")}
+	if resp.Body != http.NoBody { // more is to come
+		if r.Status == balance.Delivered {
+			return x.handOn(ctx, c.own, stop, m, &stream{reply: whole, length: resp.ContentLength, rest: resp.Body, cn: cn,
+				keep: !resp.Close, pool: x.pool}, r.Load)
+		}
+		x.pool.discard(cn)
+	} else if resp.Close || cn.read.Buffered() > 0 || !stop() {
 		x.pool.discard(cn)
 	} else {
 		x.pool.put(cn) // the next one sets its own deadline
 	}
-	r := engine.Result{Status: outcome(resp)}
 	if r.Status == balance.Delivered {
-		r.Body = &reply{body: body, contentType: resp.Header.Get("Content-Type")}
-	}
-	if text := resp.Header.Get(reportHeader); text != "" && x.inline {
-		r.Load = x.report(text)
+		r.Body = &whole
 	}
-	return r
+	return r, false
 }
 
 // broken tells how an attempt ended that was written whole and got no whole answer. It may have run.
@@ -232,15 +290,27 @@
 	}
 	b = append(b, "X-Expires-In: "...)
 	b = strconv.AppendFloat(b, max(left, 0).Seconds(), 'f', 3, 64)
-	if len(m.body) > 0 || m.method != http.MethodGet {
-		b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), int64(len(m.body)), 10)
+	switch {
+	case m.up != nil && m.up.length < 0:
+		b = append(b, "\r\nTransfer-Encoding: chunked\r\n\r\n"...)
+		b = strconv.AppendInt(b, m.size(), 16)
+		b = append(append(b, "\r\n"...), m.body...)
+		for _, piece := range m.more {
+			b = append(b, piece...)
+		}
+		return append(b, "\r\n"...)
+	case m.up != nil:
+		b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), m.up.length, 10)
+	case len(m.body) > 0 || m.method != http.MethodGet:
+		b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), m.size(), 10)
 	}
 	b = append(b, "\r\n\r\n"...)
 	return append(b, m.body...)
 }
 
-// answer reads one whole answer.
-func (c *conn) answer(method string) (*http.Response, []byte, error) {
+// answer reads one answer: whole, or, where long ones are wanted, its first bodyMost bytes. Of a whole one Body is
+// http.NoBody.
+func (c *conn) answer(method string, long bool) (*http.Response, []byte, error) {
 	c.limit.N = answerMost
 	req := &http.Request{Method: method}
 	for range informMost {
@@ -251,24 +321,46 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		if resp.ContentLength > bodyMost {
-			return nil, nil, errors.New("answer too long")
+		size := resp.ContentLength
+		if size > bodyMost || size < 0 {
+			size = bodyMost
+		}
+		body := make([]byte, 0, min(size+1, 4<<10))
+		for err = error(nil); err == nil && len(body) <= bodyMost; {
+			if len(body) == cap(body) {
+				grown := make([]byte, len(body), min(4*cap(body), bodyMost+1))
+				copy(grown, body)
+				body = grown
+			}
+			var n int
+			n, err = resp.Body.Read(body[len(body):cap(body)])
+			body = body[:len(body)+n]
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, bodyMost+1))
 		switch {
-		case err != nil:
+		case err != nil && !errors.Is(err, io.EOF):
 			return nil, nil, err
-		case len(body) > bodyMost:
-			return nil, nil, errors.New("answer too long")
-		case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
-			// It ended with its connection: nothing tells whether it is whole.
+		case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !c.saysClose(resp):
+			// It ended with its connection, which nothing announced: nothing tells whether it is whole.
 			return nil, nil, io.ErrUnexpectedEOF
+		case err == nil && !long:
+			return nil, nil, errors.New("answer too long")
+		case err == nil:
+			c.limit.N = math.MaxInt64
+			return resp, body, nil
 		}
+		resp.Body = http.NoBody
 		return resp, body, nil
 	}
 	return nil, nil, errors.New("too many 1xx answers")
 }
 
+// saysClose tells whether a backend has announced that its answer ends with the connection (RFC 9112, section 6.3).
+func (c *conn) saysClose(resp *http.Response) bool {
+	return !resp.ProtoAtLeast(1, 1) || slices.ContainsFunc(resp.Header.Values("Connection"), func(line string) bool {
+		return strings.Contains(strings.ToLower(line), "close")
+	})
+}
+
 // Probe asks an endpoint for its load report.
 func (x *exchanges) Probe(to engine.Endpoint, done func(engine.Result)) {
 	x.attempt(to, &message{method: http.MethodGet, url: &url.URL{Path: "/stats"}, host: to.Addr, header: http.Header{}, probe: true},
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -25,9 +25,9 @@
 )
 
 const (
-	// requestWithin is how long a client may take from its connection, or the first byte of a further request,
-	// to the last byte of the body; idleWithin how long it may keep a connection without a request.
-	requestWithin, idleWithin = 2 * time.Second, 4 * time.Second
+	// headWithin is how long a client may take from its connection, or the first byte of a further request,
+	// to the last byte of the head; idleWithin how long it may keep a connection without a request.
+	headWithin, idleWithin = 3 * time.Second, 4 * time.Second
 	// slowAfter is when a connection without a whole request is the first to give way: the usual clients send
 	// theirs at once.
 	slowAfter = 250 * time.Millisecond
@@ -36,7 +36,7 @@
 	// drainMost bounds what is read of a body that is turned away.
 	drainMost = 4 * bodyMost
 	// answerWithin is how long a client may take to read its answer.
-	answerWithin = 5 * time.Second
+	answerWithin = 20 * time.Second
 	// early is how much sooner than the client's deadline a request ends: its way here and the answer's way
 	// back take part of the time, and neither can be seen from here.
 	early = 8 * time.Millisecond
@@ -50,6 +50,8 @@
 type front struct {
 	loop     *engine.Engine
 	tuning   atomic.Pointer[tuning]
+	held     budget       // of bodies over bodyMost
+	bodyMost atomic.Int64 // the longest body, bytes
 	log      *slog.Logger
 	most     atomic.Int64 // requests at once
 	inFlight atomic.Int64
@@ -82,6 +84,7 @@
 func newFront(l *engine.Engine, names settings.Settings, conns int, fig *figures, log *slog.Logger) *front {
 	f := &front{loop: l, log: log, conns: map[net.Conn]*clientConn{}}
 	f.tuning.Store(newTuning(names, fig))
+	f.bodyMost.Store(uploadMost)
 	f.resize(conns)
 	return f
 }
@@ -111,13 +114,13 @@
 // server returns the HTTP server of the client side.
 func (f *front) server() *http.Server {
 	return &http.Server{
-		Handler:        f,
-		ReadTimeout:    requestWithin, // head and body together
-		IdleTimeout:    idleWithin,
-		MaxHeaderBytes: headMost,
-		ErrorLog:       slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
-		ConnState:      f.track,
-		ConnContext:    withConn,
+		Handler:           f,
+		ReadHeaderTimeout: headWithin, // a body has as long as it goes on coming
+		IdleTimeout:       idleWithin,
+		MaxHeaderBytes:    headMost,
+		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
+		ConnState:         f.track,
+		ConnContext:       withConn,
 	}
 }
 
@@ -187,13 +190,13 @@
 			if fc, ok := c.(*framedConn); ok && fc.asking.Load() {
 				continue // a whole request has been read from it
 			}
-			if o := oldest[cc.state]; o == nil || cc.since.Before(f.conns[o].since) {
+			if o := oldest[cc.state]; o == nil || f.moved(c).Before(f.moved(o)) {
 				oldest[cc.state] = c
 			}
 		}
 		slow, idle := oldest[connWaits], oldest[connIdle]
 		out := idle
-		if slow != nil && (idle == nil || f.waiting > f.crowded/3 || time.Since(f.conns[slow].since) > slowAfter) {
+		if slow != nil && (idle == nil || f.waiting > f.crowded/3 || time.Since(f.moved(slow)) > slowAfter) {
 			out = slow
 		}
 		if out == nil {
@@ -209,6 +212,18 @@
 	}
 }
 
+// moved is when a connection came into its state, or when a byte came on it last: a request that is written slowly is not
+// one that has stopped.
+func (f *front) moved(c net.Conn) time.Time {
+	at := f.conns[c].since
+	if fc, ok := c.(*framedConn); ok {
+		if last := time.Unix(0, fc.readAt.Load()); last.After(at) {
+			return last
+		}
+	}
+	return at
+}
+
 // begin marks the connection of a whole request. It fails where that has given way.
 func (f *front) begin(ctx context.Context) bool {
 	c := connOf(ctx)
@@ -239,7 +254,7 @@
 func (f *front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	received := time.Now()
 	// The last request's would hold on.
-	http.NewResponseController(w).SetWriteDeadline(received.Add(requestWithin + answerWithin))
+	http.NewResponseController(w).SetWriteDeadline(received.Add(headWithin + answerWithin))
 	if f.closing.Load() || f.isCrowded() {
 		// Closing after an answer crosses no request, as closing an idle connection may.
 		w.Header().Set("Connection", "close")
@@ -271,7 +286,13 @@
 		}
 		return
 	}
-	count := r.Message.(*message).count
+	m := r.Message.(*message)
+	count := m.count
+	defer m.release()
+	defer m.leave()
+	if m.up != nil {
+		defer m.up.stop()
+	}
 	if !f.begin(hr.Context()) {
 		panic(http.ErrAbortHandler) // it has given way
 	}
@@ -290,6 +311,7 @@
 // turnAway answers what can't be read and closes the connection.
 func (f *front) turnAway(w http.ResponseWriter, hr *http.Request, err error, status int) {
 	w.Header().Set("Connection", "close")
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(silentMost)) // for what is left of the body
 	text := err.Error() + "\n"
 	w.Header().Set("Content-Type", "text/plain")
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
@@ -314,21 +336,31 @@
 
 // serve has the loop decide on a request and passes on the one final answer.
 func (f *front) serve(w http.ResponseWriter, ctx context.Context, r *engine.Request) {
+	m := r.Message.(*message)
 	f.loop.Post(func() { f.loop.Arrive(r) })
 	select {
 	case a := <-r.Reply:
 		if f.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		if a.Kind == engine.Failed && replyOf(a.Body).neverRan {
+			a.Kind = engine.Refused // the only attempt broke before its last byte
+		}
 		write(w, a)
-		r.Message.(*message).count.answered(a.Kind)
+		m.count.answered(a.Kind)
+	case s := <-m.streams:
+		if f.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		m.count.served.Add(1)
+		f.pass(w, s)
 	case <-ctx.Done():
 		f.loop.Post(func() { f.loop.Gone(r) })
 		// Returning would have the library word an empty 200.
 		panic(http.ErrAbortHandler)
 	case <-f.loop.Done(): // the node is ending
 		fail(w, http.StatusBadGateway)
-		r.Message.(*message).count.failed.Add(1)
+		m.count.failed.Add(1)
 	}
 }
 
@@ -422,7 +454,6 @@
 		}
 		left = min(left, time.Duration(min(s, 1e6)*float64(time.Second)))
 	}
-	r.Deadline = received.Add(left - early)
 	if l := int64(left); l > f.longest.Load() {
 		f.longest.Store(l) // two at once may leave the lesser: the next one mends it
 	}
@@ -434,16 +465,18 @@
 		io.WriteString(sum, subject)
 		r.Key, r.HasKey = sum.Sum64()>>11, true
 	}
-	if hr.ContentLength > bodyMost {
-		return nil, http.StatusRequestEntityTooLarge, errors.New("body too long")
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, bodyMost))
-	if err != nil {
-		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
-			return nil, http.StatusRequestEntityTooLarge, errors.New("body too long")
-		}
-		return nil, http.StatusRequestTimeout, errors.New("body cut short")
-	}
+	m := &message{count: t.counts[r.Class], method: method, url: hr.URL, host: hr.Host, header: h, left0: left - early,
+		streams: make(chan *stream, 1)}
+	switch err := f.body(w, hr, m); {
+	case errors.Is(err, errTooLong):
+		m.release()
+		return nil, http.StatusRequestEntityTooLarge, err
+	case err != nil:
+		m.release()
+		return nil, http.StatusRequestTimeout, err
+	}
+	// A request's time begins with its last byte.
+	r.Deadline = time.Now().Add(left - early)
 	// A deadline that passes while the request is served would look as if the client had gone.
 	rc := http.NewResponseController(w)
 	rc.SetReadDeadline(time.Time{})
@@ -463,6 +496,6 @@
 	if key != "" {
 		h.Set("Idempotency-Key", key)
 	}
-	r.Message = &message{count: t.counts[r.Class], method: method, url: hr.URL, host: hr.Host, header: h, body: body}
+	r.Message = m
 	return r, 0, nil
 }
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"glencart/internal/sock"
 )
@@ -24,6 +25,8 @@
 	// asking: a whole request has been read, and not been answered.
 	asking atomic.Bool
 
+	readAt atomic.Int64 // when a byte came last, Unix time in nanoseconds
+
 	line   []byte // the head's line so far, cut at lineMost
 	long   bool   // and whether it is longer
 	length int64  // by the head so far; -1 when it gives none
@@ -97,6 +100,9 @@
 
 func (c *framedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.readAt.Store(time.Now().UnixNano())
+	}
 	c.saw(p[:n])
 	return n, err
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,6 +65,7 @@
 	n.loop = engine.New(engine.Config{Balancer: bal, Log: log,
 		Transport: newExchanges(n.pool, cfg.Settings.Config.Reports == balance.InlineReports, log)})
 	n.front = newFront(n.loop, cfg.Settings, clients, n.figures, log)
+	n.front.held.left.Store(cmp.Or(cfg.Limits.MemoryMB<<20/holdPart, usualHold))
 	n.disco = registry.New(cfg.Discovery, cfg.Settings, log,
 		func(list engine.List) {
 			kind := balance.MembersChanged
--- a/internal/node/wording.go
+++ b/internal/node/wording.go
@@ -18,6 +18,8 @@
 // Decode reads a client's request as the node does.
 func Decode(names settings.Settings, hr *http.Request, received time.Time) (*engine.Request, error) {
 	f := &front{}
+	f.bodyMost.Store(uploadMost)
+	f.held.left.Store(usualHold)
 	f.tuning.Store(newTuning(names, &figures{}))
 	r, _, err := f.read(discard{}, hr, received)
 	return r, err
