Crowds: idle and silent clients give way early, fresh ones wait; a leaving node keeps its clients

Change: giving way begins at six tenths, spares who wrote or came within 30 ms, and is tried each 20 ms; descriptors are split 55 to 45 after 26 for the rest; a node that leaves closes its door after 0.6 s, keeps connections to 0.9 s before its end and answers all by then.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -31,6 +31,11 @@
 	// slowAfter is when a connection without a whole request is the first to give way: the usual clients send
 	// theirs at once.
 	slowAfter = 250 * time.Millisecond
+	// freshFor is how long nothing has to come on a connection before it can be missed: who has just connected, or writes on,
+	// is about to ask, and whoever finds no place waits to be let in. relieveEvery is how often places are looked for.
+	freshFor, relieveEvery = 30 * time.Millisecond, 20 * time.Millisecond
+	// probesOut are connections to backends that are kept for probes.
+	probesOut = 4
 	// giveWayTries bounds how many connections are looked at for one that can be missed.
 	giveWayTries = 8
 	// drainMost bounds what is read of a body that is turned away.
@@ -55,10 +60,13 @@
 	log      *slog.Logger
 	most     atomic.Int64 // requests at once
 	inFlight atomic.Int64
-	crowded  int          // so many connections that idle ones give way and answers close theirs; by mu
-	leaving  atomic.Bool  // the node is about to end: it is not ready
-	closing  atomic.Bool  // and answers close their connections
-	longest  atomic.Int64 // the longest time that a client gave a request, as a time.Duration
+	crowded  int                       // so many connections that answers close theirs; by mu
+	soft     int                       // so many that idle ones give way; by mu
+	full     int                       // so many that silent ones give way too; by mu
+	leaving  atomic.Bool               // the node is about to end: it is not ready
+	end      atomic.Pointer[time.Time] // and by when all has to be answered
+	closing  atomic.Bool               // and answers close their connections
+	longest  atomic.Int64              // the longest time that a client gave a request, as a time.Duration
 
 	mu      sync.Mutex
 	conns   map[net.Conn]*clientConn
@@ -81,21 +89,51 @@
 )
 
 // newFront returns the client side for a node that may hold so many connections of clients.
-func newFront(l *engine.Engine, names settings.Settings, conns int, fig *figures, log *slog.Logger) *front {
+func newFront(l *engine.Engine, names settings.Settings, clients, backends int, fig *figures, log *slog.Logger) *front {
 	f := &front{loop: l, log: log, conns: map[net.Conn]*clientConn{}}
 	f.tuning.Store(newTuning(names, fig))
 	f.bodyMost.Store(uploadMost)
-	f.resize(conns)
+	f.resize(clients, backends)
 	return f
 }
 
-// resize changes how many connections of clients there may be.
-func (f *front) resize(conns int) {
+// resize changes how many connections of clients there may be, and how many to backends they may need.
+func (f *front) resize(clients, backends int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	// Each request in flight may need a connection to a backend, beside those of probes.
-	f.most.Store(int64(conns) * 7 / 8)
-	f.crowded = conns * 3 / 4
+	f.most.Store(int64(min(clients, backends-probesOut)))
+	f.crowded, f.full = clients*3/4, clients*6/10
+}
+
+// leaveBy has the node say that it is about to end, and answer by then whatever it takes.
+func (f *front) leaveBy(end time.Time) {
+	f.end.Store(&end)
+	f.leaving.Store(true)
+}
+
+// keepAll has nobody give way any more.
+func (f *front) keepAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crowded, f.full = math.MaxInt, math.MaxInt
+}
+
+// relieve has connections that can be missed give way until ctx ends: where all places are taken nobody new is let in, for whom
+// one could give way.
+func (f *front) relieve(ctx context.Context) {
+	t := time.NewTicker(relieveEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		f.mu.Lock()
+		for len(f.conns) > f.full && f.giveWay() {
+		}
+		f.mu.Unlock()
+	}
 }
 
 // closeQuiet closes the connections on which no part of a request has come, read or not.
@@ -133,7 +171,7 @@
 	case http.StateNew:
 		f.conns[c] = &clientConn{since: time.Now()}
 		f.waiting++
-		if len(f.conns) > f.crowded {
+		if len(f.conns) > f.full {
 			f.giveWay()
 		}
 	case http.StateActive:
@@ -182,14 +220,17 @@
 
 // giveWay closes the connection that can best be missed: one that has long been without a whole request, then the
 // one that has been idle longest, unless most of the crowd has just come and says nothing. What stands unread
-// since this node is slow is no silence, and closing it could lose a request that has been taken.
-func (f *front) giveWay() {
+// since this node is slow is no silence, and closing it could lose a request that has been taken. It tells whether one did.
+func (f *front) giveWay() bool {
 	for range giveWayTries {
 		var oldest [connIdle + 1]net.Conn
 		for c, cc := range f.conns {
 			if fc, ok := c.(*framedConn); ok && fc.asking.Load() {
 				continue // a whole request has been read from it
 			}
+			if cc.state == connWaits && time.Since(f.moved(c)) < freshFor {
+				continue
+			}
 			if o := oldest[cc.state]; o == nil || f.moved(c).Before(f.moved(o)) {
 				oldest[cc.state] = c
 			}
@@ -200,7 +241,7 @@
 			out = slow
 		}
 		if out == nil {
-			return
+			return false
 		}
 		if fc, ok := out.(*framedConn); ok && fc.unread() {
 			f.conns[out].since = time.Now() // the last to be looked at again
@@ -208,8 +249,9 @@
 		}
 		f.remove(out)
 		out.Close()
-		return
+		return true
 	}
+	return false
 }
 
 // moved is when a connection came into its state, or when a byte came on it last: a request that is written slowly is not
@@ -477,6 +519,9 @@
 	}
 	// A request's time begins with its last byte.
 	r.Deadline = time.Now().Add(left - early)
+	if end := f.end.Load(); end != nil && r.Deadline.After(*end) {
+		r.Deadline = *end
+	}
 	// A deadline that passes while the request is served would look as if the client had gone.
 	rc := http.NewResponseController(w)
 	rc.SetReadDeadline(time.Time{})
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -139,7 +139,10 @@
 const (
 	// leastSockets is the smallest limit on descriptors that a node starts with, otherSockets what it keeps
 	// for all but clients and backends: listeners, discovery, standard streams, the runtime's own.
-	leastSockets, otherSockets = 64, 32
+	leastSockets, otherSockets = 64, 26
+	// backendPart of what is left is for backends, in hundredths. A request in flight holds a connection on each side; those
+	// of clients that are about to ask, or that stay, come on top.
+	backendPart = 45
 	// usualSockets stands for a limit that is not told.
 	usualSockets = 1024
 )
@@ -153,13 +156,13 @@
 // Heap is the limit that the collector is told, in bytes; 0: none.
 func (l Limits) Heap() int64 { return l.MemoryMB << 20 / 10 * 7 }
 
-// share divides the descriptors: so many connections of clients, and so many to backends. A request in flight
-// holds one of each; backends get the rest as idle ones are kept there and probes need some.
+// share divides the descriptors: so many connections of clients, and so many to backends.
 func (l Limits) share() (clients, backends int) {
 	n := l.Sockets
 	if n == 0 {
 		n = usualSockets
 	}
 	n = max(n-otherSockets, otherSockets)
-	return n / 2, n - n/2
+	backends = n * backendPart / 100
+	return n - backends, backends
 }
--- a/internal/node/management.go
+++ b/internal/node/management.go
@@ -18,7 +18,7 @@
 const (
 	// doorMost bounds the connections of operators whose call is not whole: beyond it the oldest silent one gives way, and
 	// beyond doorLast the oldest. They stand in what otherSockets keeps aside.
-	doorMost, doorLast = 10, 18
+	doorMost, doorLast = 6, 10
 	// doorFresh is how long a caller has for the first byte before it counts as silent.
 	doorFresh = 20 * time.Millisecond
 	// doorWithin is how long a call may take to come, and its answer to be read. A call is answered after doorWaits even
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -26,10 +25,12 @@
 	// lameDuck is how long a node that is to end goes on accepting at the least: the front needs up to 0.4 s to
 	// see it. SIGKILL may come killAfter after SIGTERM and the longest deadline; spare is kept before that.
 	lameDuck, killAfter, spare = 600 * time.Millisecond, 700 * time.Millisecond, 200 * time.Millisecond
+	// lastServe is how long before its end a node stops to take requests on connections that it keeps: nearly all are
+	// answered in that time, and the others are at its end.
+	lastServe = 900 * time.Millisecond
 	// clearFor is how long there must be room to accept, for the backlog to be empty.
-	clearFor = 50 * time.Millisecond
-	// stillFor is how long nothing may be in flight before connections that never sent a request are cut.
-	stillFor, lookEvery = 300 * time.Millisecond, 10 * time.Millisecond
+	clearFor  = 50 * time.Millisecond
+	lookEvery = 10 * time.Millisecond
 )
 
 // Node is one node. New opens its sockets, Run serves.
@@ -64,7 +65,7 @@
 	n.pool = newPool(backends, limits.ConnectTimeout, limits.IdleClose)
 	n.loop = engine.New(engine.Config{Balancer: bal, Log: log,
 		Transport: newExchanges(n.pool, cfg.Settings.Config.Reports == balance.InlineReports, log)})
-	n.front = newFront(n.loop, cfg.Settings, clients, n.figures, log)
+	n.front = newFront(n.loop, cfg.Settings, clients, backends, n.figures, log)
 	n.front.held.left.Store(cmp.Or(cfg.Limits.MemoryMB<<20/holdPart, usualHold))
 	n.disco = registry.New(cfg.Discovery, cfg.Settings, log,
 		func(list engine.List) {
@@ -162,6 +163,7 @@
 	n.takeList(balance.MembersRemembered, known)
 	wg.Go(func() { n.loop.Run(work.Done()) })
 	wg.Go(func() { n.pool.run(work) })
+	wg.Go(func() { n.front.relieve(work) })
 	wg.Go(func() { n.disco.Run(work) })
 	if n.peers != nil {
 		wg.Go(func() {
@@ -203,16 +205,13 @@
 	if n.place != nil && n.place.Followed() {
 		return n.yield(srv)
 	}
-	stay := max(lameDuck, longestDeadline(n.front.tuning.Load().Settings)+killAfter-spare-time.Duration(n.front.longest.Load()))
-	n.log.Info("leaving", "most", stay)
-	n.front.leaving.Store(true)
-	time.Sleep(lameDuck)
-	for end := time.Now().Add(stay - lameDuck); time.Now().Before(end) && n.front.connected(); {
-		time.Sleep(lookEvery)
-	}
-	n.front.closing.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), longestDeadline(n.front.tuning.Load().Settings))
+	longest := longestDeadline(n.front.tuning.Load().Settings)
+	end := time.Now().Add(longest + killAfter - spare)
+	n.log.Info("leaving", "most", time.Until(end))
+	n.front.leaveBy(end)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	pause(ctx, lameDuck)
 	// What stands in the backlog for want of room has been taken too, and closing the listener would reset it.
 	for free := time.Duration(0); free < clearFor && ctx.Err() == nil; free += lookEvery {
 		pause(ctx, lookEvery)
@@ -220,23 +219,27 @@
 			free = 0
 		}
 	}
-	go func() {
-		// Shutdown alone would wait for connections that have never sent a request.
-		for still := time.Duration(0); still < stillFor && ctx.Err() == nil; still += lookEvery {
-			pause(ctx, lookEvery)
-			if n.front.inFlight.Load() > 0 {
-				still = 0
-			}
+	// Nobody is sent here any more. Who is connected may have nowhere else to go, and keeps the connection.
+	n.listener.Close()
+	n.front.keepAll()
+	for n.front.connected() && time.Until(end) > lastServe {
+		pause(ctx, lookEvery)
+	}
+	return n.finish(srv, end)
+}
+
+// finish closes each connection after its answer, and near the end those on which nothing has come. One on which a request
+// is being written stays to the end.
+func (n *Node) finish(srv *http.Server, end time.Time) error {
+	n.front.closing.Store(true)
+	for n.front.connected() && time.Now().Before(end) {
+		if time.Until(end) < lastServe {
+			n.front.closeQuiet()
 		}
-		cancel()
-	}()
-	err := srv.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
-		srv.Close()
-		err = nil
+		time.Sleep(lookEvery)
 	}
 	n.log.Info("left")
-	return err
+	return srv.Close()
 }
 
 // longestDeadline is the longest time for which a request may be in flight.
--- a/internal/node/succeed.go
+++ b/internal/node/succeed.go
@@ -34,7 +34,7 @@
 	n.log.Info("share of the machine", "another process of this node runs", is)
 	clients, backends := limits.share()
 	n.listener.resize(clients)
-	n.front.resize(clients)
+	n.front.resize(clients, backends)
 	n.pool.resize(backends)
 	if heap := limits.Heap(); heap > 0 {
 		debug.SetMemoryLimit(heap)
@@ -49,15 +49,7 @@
 	longest := longestDeadline(n.front.tuning.Load().Settings)
 	end := time.Now().Add(longest + killAfter - spare)
 	n.log.Info("leaving: another process follows", "most", time.Until(end))
-	n.front.leaving.Store(true)
-	n.front.closing.Store(true)
+	n.front.leaveBy(end)
 	n.listener.Close()
-	for n.front.connected() && time.Now().Before(end) {
-		if time.Until(end) < time.Duration(n.front.longest.Load()) {
-			n.front.closeQuiet()
-		}
-		time.Sleep(lookEvery)
-	}
-	n.log.Info("left")
-	return srv.Close()
+	return n.finish(srv, end)
 }
