--- a/internal/node/client_test.go
+++ b/internal/node/client_test.go
@@ -46,7 +46,7 @@
 func TestMalformedRequests(t *testing.T) {
 	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("") }))
 	n := startOn(t, b.Addr().String())
-	n.front.bodyMost.Store(1 << 20)
+	n.front.bodyMost.Store(bodyMost)
 	set := func(name, value string) func(*http.Request) {
 		return func(r *http.Request) { r.Header.Set(name, value) }
 	}
@@ -69,10 +69,10 @@
 		"safe as a POST":  {"read", func(r *http.Request) { r.Method = "POST" }, 405},
 		"other method":    {"order", func(r *http.Request) { r.Method = "DELETE" }, 405},
 		"body too long": {"order", func(r *http.Request) {
-			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 1<<20+1))), 1<<20+1
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", bodyMost+1))), bodyMost+1
 		}, 413},
 		"chunked body too long": {"order", func(r *http.Request) {
-			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 1<<20+1))), -1
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", bodyMost+1))), -1
 		}, 413},
 	} {
 		t.Run(name, func(t *testing.T) {
