A successor goes on with what the running process has learned

Change: balance.Learned and Relearn (estimates only, no budget or grant), written when a process sees that it is followed, taken in before clients are let in.

--- /dev/null
+++ b/balance/learned.go
@@ -0,0 +1,107 @@
+package balance
+
+import "time"
+
+// Learned is what a Balancer has learned that another one of the same node can go on with. Nothing in it permits anything: what
+// is out, budgets and grants are each Balancer's own. Times are on the clock that both are given.
+type Learned struct {
+	Part, Gap, PeerPace, AllTime, AllDepth, Answers float64
+	Refresh, WarmRate, MeanValue, AllFail, AllBroke float64
+	JudgedAt                                        time.Duration
+	All, Cold                                       LearnedCrowd
+	Zones                                           map[int]LearnedCrowd
+	Classes                                         []LearnedClass // by number
+	Servers                                         []LearnedServer
+}
+
+// LearnedCrowd is what is known of other nodes' part.
+type LearnedCrowd struct {
+	Others, Reports float64
+	At              time.Duration
+}
+
+// LearnedClass is what is known of a class. Base is in seconds.
+type LearnedClass struct{ Base, Seen, Free float64 }
+
+// LearnedServer is what is known of one process of a backend.
+type LearnedServer struct {
+	Name                                   uint32
+	Launched, ToldAt, Heard, SeenAt, Since time.Duration
+	More, Told, Fails, Time, Depth, Seen   float64
+	Failed, Used                           bool
+}
+
+// Learned returns what this Balancer has learned.
+func (b *Balancer) Learned() Learned {
+	of := func(c *crowd) LearnedCrowd { return LearnedCrowd{c.others, c.reports, c.at} }
+	l := Learned{
+		Part: b.part, Gap: b.gap, PeerPace: b.peerPace, AllTime: b.allTime, AllDepth: b.allDepth, Answers: b.answers,
+		Refresh: b.refresh, WarmRate: b.warmRate, MeanValue: b.meanValue, AllFail: b.allFail, AllBroke: b.allBroke,
+		JudgedAt: b.judgedAt, All: of(&b.all), Cold: of(&b.cold), Zones: map[int]LearnedCrowd{},
+	}
+	for zone, c := range b.zones {
+		l.Zones[zone] = of(c)
+	}
+	for _, c := range b.classes {
+		l.Classes = append(l.Classes, LearnedClass{c.base, c.seen, c.free})
+	}
+	for _, s := range b.servers {
+		if s.Phase == Gone {
+			continue
+		}
+		l.Servers = append(l.Servers, LearnedServer{
+			Name: s.name(), Launched: s.Launched, ToldAt: s.toldAt, Heard: s.heard, SeenAt: s.seenAt, Since: s.since,
+			More: s.more, Told: s.told, Fails: s.fails, Time: s.time, Depth: s.depth, Seen: s.seen, Failed: s.failed, Used: s.used,
+		})
+	}
+	return l
+}
+
+// ok tells whether these can be figures of a Balancer.
+func (l *Learned) ok() bool {
+	least := min(l.Part, l.Gap, l.PeerPace, l.AllTime, l.AllDepth, l.Answers, l.Refresh, l.WarmRate, l.MeanValue, l.AllFail, l.AllBroke)
+	for _, c := range l.Classes {
+		least = min(least, c.Base, c.Seen, c.Free)
+	}
+	for _, s := range l.Servers {
+		least = min(least, s.Told, s.Fails, s.Time, s.Depth, s.Seen, 1-s.Fails)
+	}
+	return least >= 0 && l.Answers > 0
+}
+
+// Relearn takes in what another Balancer of the node has learned. It has to be told before anything but lists: what this one
+// has learned by itself counts for more.
+func (b *Balancer) Relearn(l Learned) {
+	if b.answers > 0 || !l.ok() {
+		return
+	}
+	of := func(c LearnedCrowd) crowd { return crowd{c.Others, c.Reports, c.At} }
+	b.part, b.gap, b.peerPace = min(max(l.Part, partLeast), partMost), l.Gap, l.PeerPace
+	b.allTime, b.allDepth, b.answers = l.AllTime, l.AllDepth, l.Answers
+	b.refresh, b.warmRate, b.meanValue = l.Refresh, l.WarmRate, l.MeanValue
+	b.allFail, b.allBroke, b.judgedAt = l.AllFail, l.AllBroke, l.JudgedAt
+	b.all, b.cold = of(l.All), of(l.Cold)
+	for zone, c := range l.Zones {
+		if b.zones[zone] == nil {
+			b.zones[zone] = &crowd{}
+		}
+		*b.zones[zone] = of(c)
+	}
+	for i := range min(len(l.Classes), len(b.classes)) {
+		b.classes[i] = classStats{l.Classes[i].Base, l.Classes[i].Seen, l.Classes[i].Free}
+	}
+	for _, x := range l.Servers {
+		s := b.names[x.Name&nameMask]
+		if s == nil || s.name() != x.Name || s.Launched != x.Launched {
+			continue // a stranger, or another process by now
+		}
+		s.toldAt, s.heard, s.seenAt, s.since = x.ToldAt, x.Heard, x.SeenAt, x.Since
+		s.more, s.told, s.fails, s.time, s.depth, s.seen = x.More, x.Told, x.Fails, x.Time, x.Depth, x.Seen
+		s.failed, s.used = x.Failed, x.Used
+	}
+	b.probes = max(b.probes, float64(len(b.servers))) // it is no stranger here
+	b.choose()
+	for _, s := range b.ready {
+		b.grantCold(s) // by the warm rate that is known now, and in place of the first grant
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -20,6 +20,7 @@
 	"syscall"
 	"time"
 
+	"glencart/balance"
 	"glencart/members"
 )
 
@@ -45,6 +46,7 @@
 const (
 	servingLock, nextLock = "glencart.serving", "glencart.next"
 	writeLock, stateFile  = "glencart.write", "glencart.state"
+	learnedFile           = "glencart.learned"
 )
 
 const (
@@ -254,7 +256,49 @@
 	if err != nil {
 		return err
 	}
-	name := filepath.Join(p.dir, stateFile)
+	return p.replace(stateFile, text)
+}
+
+// learnedAge is how old what a process has learned may be to be of use to the next.
+const learnedAge = 5 * time.Second
+
+// Learned is what one process has learned and the next one can go on with.
+type Learned struct {
+	Version int             `json:"version"`
+	Node    string          `json:"node"`
+	At      time.Duration   `json:"at"`      // Unix time
+	Classes []string        `json:"classes"` // by number
+	Balance balance.Learned `json:"balance"`
+}
+
+// WriteLearned leaves what this process has learned for its successor.
+func (p *Place) WriteLearned(l Learned) error {
+	l.Version, l.Node = stateVersion, p.node
+	text, err := json.Marshal(l)
+	if err != nil {
+		return err
+	}
+	return p.replace(learnedFile, text)
+}
+
+// ReadLearned returns what the process before has learned, if that was written since a time and is not too old at now.
+func (p *Place) ReadLearned(since, now time.Duration) (Learned, bool) {
+	f, err := os.Open(filepath.Join(p.dir, learnedFile))
+	if err != nil {
+		return Learned{}, false
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, stateMost))
+	var l Learned
+	if err != nil || json.Unmarshal(text, &l) != nil || l.Version != stateVersion || l.Node != p.node {
+		return Learned{}, false
+	}
+	return l, l.At >= since && l.At <= now && now-l.At <= learnedAge
+}
+
+// replace writes a file anew: killed at any point it leaves the old one or the new one, whole.
+func (p *Place) replace(name string, text []byte) error {
+	name = filepath.Join(p.dir, name)
 	if err := os.WriteFile(name+".new", text, 0o600); err != nil {
 		return err
 	}
