Answers that end with their connection count; long ones go on with their first bytes

Ruled out: bodies cut by the node, none. Change: answer() in internal/node/backend.go takes them as whole, and hands on what says it is long at once, what says nothing after 100 ms.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -10,9 +10,7 @@
 	"net/http"
 	"net/url"
 	"os"
-	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +26,8 @@
 	bodyMost, headMost = 64 << 10, 16 << 10
 	// answerMost bounds an answer as it comes: small chunks take several times their body.
 	answerMost = headMost + 4*bodyMost
+	// holdFor is how long an answer of no stated length is held back so that its length can be told and its end be seen.
+	holdFor = 100 * time.Millisecond
 	// informMost is how many 1xx answers may come ahead of the one that counts.
 	informMost = 8
 	// probeWithin is how long a probe may take: an answer that comes later tells of the past.
@@ -36,6 +36,8 @@
 	reportHeader, neverRanHeader = "Endpoint-Load-Metrics", "X-Never-Ran"
 )
 
+var errTooLongAnswer = errors.New("answer too long")
+
 // exchanges sends attempts and probes to backends. Each runs in a goroutine of its own on one connection.
 //
 // The connections are not net/http's own. Its Transport sends a request again when a reused connection breaks,
@@ -308,8 +310,9 @@
 	return append(b, m.body...)
 }
 
-// answer reads one answer: whole, or, where long ones are wanted, its first bodyMost bytes. Of a whole one Body is
-// http.NoBody.
+// answer reads one answer: whole, or, where long ones are wanted, its first bytes: of one that says that it is longer than
+// bodyMost, and of one that says nothing and is longer, or has not ended holdFor after its head. Of a whole one Body is
+// http.NoBody. One that ends with its connection is whole by that (RFC 9112, section 6.3).
 func (c *conn) answer(method string, long bool) (*http.Response, []byte, error) {
 	c.limit.N = answerMost
 	req := &http.Request{Method: method}
@@ -321,12 +324,18 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		size := resp.ContentLength
-		if size > bodyMost || size < 0 {
-			size = bodyMost
+		if resp.ContentLength > bodyMost && !long {
+			return nil, nil, errTooLongAnswer
+		}
+		var began time.Time
+		if resp.ContentLength < 0 {
+			began = time.Now()
 		}
-		body := make([]byte, 0, min(size+1, 4<<10))
-		for err = error(nil); err == nil && len(body) <= bodyMost; {
+		body := make([]byte, 0, 4<<10)
+		if n := resp.ContentLength; n >= 0 && n < bodyMost {
+			body = make([]byte, 0, n+1)
+		}
+		for err == nil && len(body) <= bodyMost {
 			if len(body) == cap(body) {
 				grown := make([]byte, len(body), min(4*cap(body), bodyMost+1))
 				copy(grown, body)
@@ -335,15 +344,15 @@
 			var n int
 			n, err = resp.Body.Read(body[len(body):cap(body)])
 			body = body[:len(body)+n]
+			if long && (resp.ContentLength > bodyMost || !began.IsZero() && time.Since(began) > holdFor) {
+				break
+			}
 		}
 		switch {
 		case err != nil && !errors.Is(err, io.EOF):
 			return nil, nil, err
-		case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !c.saysClose(resp):
-			// It ended with its connection, which nothing announced: nothing tells whether it is whole.
-			return nil, nil, io.ErrUnexpectedEOF
 		case err == nil && !long:
-			return nil, nil, errors.New("answer too long")
+			return nil, nil, errTooLongAnswer
 		case err == nil:
 			c.limit.N = math.MaxInt64
 			return resp, body, nil
@@ -354,13 +363,6 @@
 	return nil, nil, errors.New("too many 1xx answers")
 }
 
-// saysClose tells whether a backend has announced that its answer ends with the connection (RFC 9112, section 6.3).
-func (c *conn) saysClose(resp *http.Response) bool {
-	return !resp.ProtoAtLeast(1, 1) || slices.ContainsFunc(resp.Header.Values("Connection"), func(line string) bool {
-		return strings.Contains(strings.ToLower(line), "close")
-	})
-}
-
 // Probe asks an endpoint for its load report.
 func (x *exchanges) Probe(to engine.Endpoint, done func(engine.Result)) {
 	x.attempt(to, &message{method: http.MethodGet, url: &url.URL{Path: "/stats"}, host: to.Addr, header: http.Header{}, probe: true},
