--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,205 @@
+package handover
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"glencart/balance"
+	"glencart/internal/standin"
+	"glencart/members"
+)
+
+func open(t *testing.T, dir, node string) *Place {
+	t.Helper()
+	p, err := Open(dir, node, standin.Quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
+// Whoever comes second follows, is seen by the first, and takes its place when that one ends, however it does.
+func TestWhoIsBeside(t *testing.T) {
+	dir := t.TempDir()
+	first := open(t, dir, "n1")
+	if first.Follows() || first.Followed() {
+		t.Fatal("alone, and not so")
+	}
+	second := open(t, dir, "n1")
+	if !second.Follows() || !first.Followed() {
+		t.Fatalf("second follows: %t, first is followed: %t", second.Follows(), first.Followed())
+	}
+	second.Close() // it dies before its yes
+	if first.Followed() {
+		t.Fatal("a dead successor still counts")
+	}
+	second = open(t, dir, "n1")
+	first.Close()
+	if second.look() || second.Follows() {
+		t.Fatal("the successor does not serve alone")
+	}
+	if third := open(t, dir, "n1"); !third.Follows() || !second.Followed() {
+		t.Fatal("the next upgrade is not seen")
+	}
+}
+
+func call(id string, out bool, at int) members.Call {
+	return members.Call{ID: id, Out: out, At: time.Duration(at)}
+}
+
+// Calls of both processes come together, of two on one backend the later holds, and each is read once.
+func TestCallsAreShared(t *testing.T) {
+	dir := t.TempDir()
+	a, b := open(t, dir, "n1"), open(t, dir, "n1")
+	var wg sync.WaitGroup
+	for i := range 20 {
+		for _, p := range []*Place{a, b} {
+			wg.Go(func() {
+				if err := p.Write([]members.Call{call(fmt.Sprint(i%5), i%2 == 0, i+1)}); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	got := b.Read()
+	if len(got) != 5 {
+		t.Fatalf("%d backends: %v", len(got), got)
+	}
+	for i, c := range got {
+		if want := call(fmt.Sprint(i), (15+i)%2 == 0, 16+i); c != want {
+			t.Errorf("%v, want %v", c, want)
+		}
+	}
+	if again := b.Read(); again != nil {
+		t.Errorf("read again: %v", again)
+	}
+}
+
+// A file that is cut, foreign, of another version or of no sense is turned down; the next call writes it anew. What a process that
+// was killed between write and rename leaves behind harms nobody.
+func TestDamagedState(t *testing.T) {
+	for name, text := range map[string]string{
+		"empty":   "",
+		"cut":     `{"version":1,"node":"n1","calls":[{"id":"a"`,
+		"version": `{"version":2,"node":"n1","calls":[]}`,
+		"foreign": `{"version":1,"node":"n2","calls":[{"id":"a","out":false,"at":5}]}`,
+		"no id":   `{"version":1,"node":"n1","calls":[{"out":true,"at":5}]}`,
+		"no time": `{"version":1,"node":"n1","calls":[{"id":"a","out":true}]}`,
+		"back":    `{"version":1,"node":"n1","calls":[{"id":"a","out":true,"at":5,"back":6}]}`,
+		"long id": `{"version":1,"node":"n1","calls":[{"id":"` + strings.Repeat("a", idMost+1) + `","out":true,"at":5}]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			p := open(t, dir, "n1")
+			os.WriteFile(filepath.Join(dir, stateFile), []byte(text), 0o600)
+			os.WriteFile(filepath.Join(dir, stateFile+".new"), []byte("half a fi"), 0o600)
+			if got := p.Read(); got != nil {
+				t.Errorf("took %v", got)
+			}
+			if err := p.Write([]members.Call{call("x", true, 7)}); err != nil {
+				t.Fatal(err)
+			}
+			if got := p.Read(); len(got) != 1 || got[0].ID != "x" {
+				t.Errorf("after a call: %v", got)
+			}
+		})
+	}
+}
+
+// What is out is never dropped for want of room.
+func TestStateIsBounded(t *testing.T) {
+	p := open(t, t.TempDir(), "n1")
+	var calls []members.Call
+	for i := range callsMost + 10 {
+		calls = append(calls, call(fmt.Sprint(i), i < 10, i+1))
+	}
+	if err := p.Write(calls); err != nil {
+		t.Fatal(err)
+	}
+	got, out := p.Read(), 0
+	for _, c := range got {
+		if c.Out {
+			out++
+		}
+	}
+	if len(got) != callsMost || out != 10 {
+		t.Errorf("%d calls, %d out", len(got), out)
+	}
+}
+
+// What was learned is of use to the node's own next process, and while it is fresh.
+func TestLearned(t *testing.T) {
+	p := open(t, t.TempDir(), "n1")
+	l := Learned{At: 10 * time.Second, Classes: []string{"read"}, Balance: balance.Learned{Answers: 3}}
+	if err := p.WriteLearned(l); err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range []struct {
+		since, now time.Duration
+		want       bool
+	}{{9 * time.Second, 11 * time.Second, true}, {10*time.Second + 1, 11 * time.Second, false},
+		{0, 10*time.Second + learnedAge + 1, false}, {0, 9 * time.Second, false}} {
+		if got, ok := p.ReadLearned(tc.since, tc.now); ok != tc.want || ok && got.Balance.Answers != 3 {
+			t.Errorf("since %v at %v: %t", tc.since, tc.now, ok)
+		}
+	}
+}
+
+func TestListenerSaysWhatIsWrong(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	dup := func(f *os.File, err error) string {
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { f.Close() })
+		return fmt.Sprint(f.Fd())
+	}
+	file, err := os.Open(os.DevNull)
+	for text, want := range map[string]string{
+		"":                           "not the number",
+		"five":                       "not the number",
+		"1":                          "not the number",
+		"99999":                      "bad file descriptor",
+		dup(file, err):               "non-socket",
+		dup(c.(*net.TCPConn).File()): "does not listen",
+	} {
+		if _, err := Listener(text); err == nil || !strings.Contains(err.Error(), want) ||
+			!strings.Contains(err.Error(), "BALANCER_ACCEPT_FD") {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(`{"version":1,"node":"n1","calls":[{"id":"a","out":true,"at":5,"back":3}]}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		calls, err := Parse([]byte(text), "n1")
+		if err != nil {
+			return
+		}
+		var h members.Hand
+		h.Hear(calls)
+		for _, c := range calls {
+			if c.ID == "" || c.At <= 0 {
+				t.Errorf("took %v", c)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/operations_test.go
@@ -0,0 +1,451 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// call makes one call at a node's door.
+func (s *started) call(t *testing.T, method, path string) (int, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+s.door.Addr().String()+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tr := &http.Transport{}
+	defer tr.CloseIdleConnections()
+	resp, err := (&http.Client{Transport: tr, Timeout: patience}).Do(r)
+	if err != nil {
+		t.Errorf("%s %s: %v", method, path, err)
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
+
+// figure reads one of the figures; -1: it is not there.
+func (s *started) figure(t *testing.T, name string) int {
+	t.Helper()
+	_, text := s.call(t, "GET", "/control/counters")
+	for line := range strings.Lines(text) {
+		if value, ok := strings.CutPrefix(strings.TrimSpace(line), "app."+name+"="); ok {
+			n, err := strconv.Atoi(value)
+			if err != nil {
+				t.Error(err)
+			}
+			return n
+		}
+	}
+	return -1
+}
+
+// ledger is a backend that counts what it ran, by its name.
+func ledger(t *testing.T, ran *sync.Map, name string) string {
+	n := new(atomic.Int64)
+	ran.Store(name, n)
+	return newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string {
+		if strings.HasPrefix(r.URL.Path, "/api/") {
+			n.Add(1)
+		}
+		if r.URL.Path == "/api/bad" {
+			return "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"
+		}
+		return ok200(name)
+	})).Addr().String()
+}
+
+func count(ran *sync.Map, name string) int64 {
+	n, _ := ran.Load(name)
+	return n.(*atomic.Int64).Load()
+}
+
+// startWithDoor starts a node with a door and two backends, a and b.
+func startWithDoor(t *testing.T, ran *sync.Map) *started {
+	text := listText(1, true, listed{ID: "a", Addr: ledger(t, ran, "a"), Phase: "ready"},
+		listed{ID: "b", Addr: ledger(t, ran, "b"), Phase: "ready"})
+	cfg := testConfig(t, newRegistry(t, text).Addr, text)
+	cfg.Management = "127.0.0.1:0"
+	n := start(t, cfg)
+	eventually(t, "a yes", func() bool { status, _ := n.call(t, "GET", "/control/ready"); return status == 200 })
+	return n
+}
+
+// A door under callers that say nothing, or half a call, while the loop is held: every real call is answered within 1 s, in the
+// order of yes, no and, where the loop can't be reached, 5xx. What was called late counts all the same.
+func TestDoorAnswersInTime(t *testing.T) {
+	var ran sync.Map
+	n := startWithDoor(t, &ran)
+	for i := range 3 * doorLast {
+		c, err := net.Dial("tcp", n.door.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			io.WriteString(c, "POST /control/backends/a/off")
+		}
+	}
+	for _, tc := range []struct {
+		method, path string
+		want         int
+	}{
+		{"GET", "/control/ready", 200}, {"GET", "/control/counters", 200}, {"POST", "/control/backends/a/offline", 200},
+		{"POST", "/control/backends/a/offline", 200}, {"POST", "/control/backends/a/online", 200},
+		{"POST", "/control/backends/nobody/offline", 404}, {"POST", "/control/backends/nobody/online", 404},
+		{"GET", "/control/backends/a/offline", 405}, {"POST", "/control/counters", 405}, {"GET", "/control/", 404},
+		{"POST", "/control/backends/" + strings.Repeat("x", idMost+1) + "/offline", 400},
+	} {
+		began := time.Now()
+		if status, _ := n.call(t, tc.method, tc.path); status != tc.want || time.Since(began) > time.Second {
+			t.Errorf("%s %.40s: %d after %v, want %d", tc.method, tc.path, status, time.Since(began), tc.want)
+		}
+	}
+	held, hold := make(chan bool), make(chan bool)
+	n.loop.Post(func() { close(held); <-hold })
+	<-held
+	began := time.Now()
+	if status, _ := n.call(t, "POST", "/control/backends/b/offline"); status != 504 || time.Since(began) > time.Second {
+		t.Errorf("with the loop held: %d after %v", status, time.Since(began))
+	}
+	if status, _ := n.call(t, "GET", "/control/counters"); status != 200 {
+		t.Errorf("figures with the loop held: %d", status)
+	}
+	close(hold)
+	eventually(t, "the late call", func() bool { return n.figure(t, "backends_excluded") == 1 })
+}
+
+// Once all is quiet the figures are what clients and backends have seen, to the last one.
+func TestFiguresAreTrue(t *testing.T) {
+	var ran sync.Map
+	n := startWithDoor(t, &ran)
+	var served, failed atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 60 {
+		wg.Go(func() {
+			path := "/api/x"
+			if i%5 == 0 {
+				path = "/api/bad"
+			}
+			switch resp, _ := do(t, ask(t, n.url+path, "order")); resp.StatusCode {
+			case 200:
+				served.Add(1)
+			case 502, 504:
+				failed.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	refused := 60 - served.Load() - failed.Load()
+	eventually(t, "true figures", func() bool {
+		return n.figure(t, "requests.order.served") == int(served.Load()) && n.figure(t, "requests.order.failed") == int(failed.Load()) &&
+			n.figure(t, "requests.order.refused") == int(refused) && n.figure(t, "in_flight") == 0 &&
+			n.figure(t, "attempts") == int(count(&ran, "a")+count(&ran, "b")) && n.figure(t, "requests.read.served") == 0 &&
+			n.figure(t, "backends_known") == 2
+	})
+	if failed.Load() == 0 || served.Load() == 0 {
+		t.Errorf("%d served, %d failed", served.Load(), failed.Load())
+	}
+}
+
+// A backend that was taken out gets nothing from the yes on, and is in use again after the call back; with all out requests are refused.
+func TestOutByHand(t *testing.T) {
+	var ran sync.Map
+	n := startWithDoor(t, &ran)
+	n.call(t, "POST", "/control/backends/a/offline")
+	before := count(&ran, "a")
+	for range 30 {
+		do(t, ask(t, n.url+"/api/x", "read"))
+	}
+	if now := count(&ran, "a"); now != before {
+		t.Errorf("%d sends to a backend that is out", now-before)
+	}
+	n.call(t, "POST", "/control/backends/b/offline")
+	if resp, _ := do(t, ask(t, n.url+"/api/x", "read")); resp.StatusCode != 503 {
+		t.Errorf("with all out: %d", resp.StatusCode)
+	}
+	if got := n.figure(t, "backends_excluded"); got != 2 {
+		t.Errorf("%d excluded", got)
+	}
+	n.call(t, "POST", "/control/backends/b/online")
+	n.call(t, "POST", "/control/backends/a/online")
+	eventually(t, "use of the one that is back", func() bool {
+		do(t, ask(t, n.url+"/api/x", "read"))
+		return count(&ran, "a") > before
+	})
+}
+
+// Under load, files with other classes and broken ones come in turn. Each request is answered by one of them, a vanished class like an
+// unknown one, and a broken file changes nothing.
+func TestReloadUnderLoad(t *testing.T) {
+	var ran sync.Map
+	n := startWithDoor(t, &ran)
+	file := func(change ...string) Config {
+		cfg := testConfig(t, n.cfg.Discovery, listText(1, true), change...)
+		return cfg
+	}
+	broken := func(change ...string) {
+		t.Helper()
+		failed := n.figure(t, "reloads_failed")
+		if err := n.Reload(file(change...)); err == nil || n.figure(t, "reloads_failed") != failed+1 {
+			t.Errorf("%q: taken, %v", change, err)
+		}
+	}
+	stop := make(chan bool)
+	var wg sync.WaitGroup
+	for _, class := range []string{"read", "gold"} {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				resp, body := do(t, ask(t, n.url+"/api/x", class))
+				if known := resp.StatusCode == 200 && (body == "a" || body == "b") || resp.StatusCode == 503; !known && (class == "read" || resp.StatusCode != 400) {
+					t.Errorf("%s: %d %q", class, resp.StatusCode, body)
+				}
+			}
+		})
+	}
+	gold := []string{`"classes":[`, `"classes":[{"name":"gold","aim":1000000000,"deadline":9000000000,"effect":"side_effect","points":1},`}
+	for range 5 {
+		if err := n.Reload(file(gold...)); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "the new class", func() bool {
+			resp, _ := do(t, ask(t, n.url+"/api/x", "gold"))
+			return resp.StatusCode == 200
+		})
+		broken(`"deadline":10000000000,"effect":"pure"`, `"deadline":0,"effect":"pure"`)
+		broken(`"maxAttempts":3,`, "")
+		broken(`"maxAttempts":3`, `"maxAttempts":0`)
+		broken(`"name":"token"`, `"name":"read"`)
+		broken(`"deadline":10000000000,"effect":"token"`, `"effect":"token"`)
+		if resp, _ := do(t, ask(t, n.url+"/api/x", "gold")); resp.StatusCode == 400 {
+			t.Error("a broken file took a class away")
+		}
+		if err := n.Reload(file()); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "the end of the class", func() bool {
+			resp, _ := do(t, ask(t, n.url+"/api/x", "gold"))
+			return resp.StatusCode == 400
+		})
+	}
+	close(stop)
+	wg.Wait()
+	if served := n.figure(t, "requests.gold.served"); served < 5 {
+		t.Errorf("the vanished class counts %d", served)
+	}
+	if ok := n.figure(t, "reloads_ok"); ok != 10 {
+		t.Errorf("%d files taken", ok)
+	}
+}
+
+// Processes of one node take over from one another on one inherited socket under load, three times: each request is answered once
+// and runs once, nobody is turned away at the door, and what was taken out by hand stays out.
+func TestTakeOver(t *testing.T) {
+	var ran sync.Map
+	text := listText(1, true, listed{ID: "a", Addr: ledger(t, &ran, "a"), Phase: "ready"},
+		listed{ID: "b", Addr: ledger(t, &ran, "b"), Phase: "ready"})
+	reg := newRegistry(t, text)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close() // the platform's own hold on it
+	dir := t.TempDir()
+	process := func() *started {
+		f, err := l.(*net.TCPListener).File()
+		if err != nil {
+			t.Fatal(err)
+		}
+		fd, err := dupFD(f)
+		f.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg := testConfig(t, reg.Addr, text, "10000000000", "2000000000")
+		cfg.Management, cfg.AcceptFD, cfg.Shared = "127.0.0.1:0", fmt.Sprint(fd), dir
+		n := start(t, cfg)
+		eventually(t, "a yes", func() bool { status, _ := n.call(t, "GET", "/control/ready"); return status == 200 })
+		return n
+	}
+	now := process()
+	now.call(t, "POST", "/control/backends/a/offline")
+	out := count(&ran, "a")
+	stop := make(chan bool)
+	var asked, refused atomic.Int64
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			tr := &http.Transport{}
+			defer tr.CloseIdleConnections()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				asked.Add(1)
+				resp, err := tr.RoundTrip(ask(t, "http://"+l.Addr().String()+"/api/x", "order"))
+				if err != nil || resp.StatusCode != 200 && resp.StatusCode != 503 {
+					t.Errorf("answered %v, %v", resp, err)
+					return
+				}
+				if resp.StatusCode == 503 {
+					refused.Add(1)
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+		})
+	}
+	for range 3 {
+		next := process()
+		if !next.place.Follows() {
+			t.Error("the successor does not know of the other")
+		}
+		if got := next.figure(t, "backends_excluded"); got != 1 {
+			t.Errorf("%d are out at the successor", got)
+		}
+		now.stop()
+		if err := receive(t, "the end of the old process", now.err); err != nil {
+			t.Error(err)
+		}
+		eventually(t, "the whole machine", func() bool { return !next.place.Follows() })
+		now = next
+	}
+	// One that dies before its yes leaves this one serving, and a call at either binds both.
+	second := process()
+	close(stop)
+	wg.Wait()
+	second.call(t, "POST", "/control/backends/a/online")
+	eventually(t, "the word of the other process", func() bool { return now.figure(t, "backends_excluded") == 0 })
+	second.call(t, "POST", "/control/backends/a/offline")
+	eventually(t, "the word of the other process", func() bool { return now.figure(t, "backends_excluded") == 1 })
+	if got := count(&ran, "b") + count(&ran, "a"); got != asked.Load()-refused.Load() || refused.Load() > asked.Load()/20 {
+		t.Errorf("%d requests asked, %d refused, %d ran", asked.Load(), refused.Load(), got)
+	}
+	if count(&ran, "a") != out {
+		t.Errorf("%d sends to the one that is out", count(&ran, "a")-out)
+	}
+}
+
+// Long bodies and answers go both ways in pieces cut anywhere, more of them than may be held, and arrive as they were sent.
+func TestBulk(t *testing.T) {
+	answer := strings.Repeat("0123456789abcdef", 1<<16) // 1 MiB
+	b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			if r.Header.Get("Content-Length") == "" && r.URL.Path != "/api/x" && r.Method == "GET" {
+				io.WriteString(c, ok200("{}"))
+				continue
+			}
+			n, _ := io.Copy(io.Discard, r.Body)
+			switch r.URL.Path {
+			case "/api/long":
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Got: %d\r\n\r\n", len(answer), n)
+				for rest := answer; rest != ""; {
+					k := min(len(rest), 100_003)
+					io.WriteString(c, rest[:k])
+					rest = rest[k:]
+				}
+			case "/api/chunks":
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+				for rest := answer; rest != ""; {
+					k := min(len(rest), 50_021)
+					fmt.Fprintf(c, "%x;name=value\r\n%s\r\n", k, rest[:k])
+					rest = rest[k:]
+				}
+				io.WriteString(c, "0\r\nX-Trailer: x\r\n\r\n")
+			case "/api/breaks":
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer[:300_000])
+				return
+			default:
+				io.WriteString(c, ok200(fmt.Sprint(n)))
+			}
+		}
+	})
+	n := startOn(t, b.Addr().String())
+	n.front.held.left.Store(1 << 20)
+	body := func(size int, length int64) func(*http.Request) {
+		return func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", size))), length
+		}
+	}
+	for _, size := range []int{1, bodyMost - 1, bodyMost, bodyMost + 1, 500_000, 1<<20 + bodyMost, 3 << 20} {
+		for _, length := range []int64{int64(size), -1} {
+			if resp, got := do(t, ask(t, n.url+"/api/count", "order", body(size, length))); resp.StatusCode != 200 || got != fmt.Sprint(size) {
+				t.Errorf("%d bytes, length %d: %d %q", size, length, resp.StatusCode, got)
+			}
+		}
+	}
+	for _, path := range []string{"/api/long", "/api/chunks"} {
+		if resp, got := do(t, ask(t, n.url+path, "order")); resp.StatusCode != 200 || got != answer {
+			t.Errorf("%s: %d, %d bytes", path, resp.StatusCode, len(got))
+		}
+	}
+	resp, err := http.DefaultTransport.RoundTrip(ask(t, n.url+"/api/breaks", "order"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(resp.Body); err == nil {
+		t.Errorf("a broken answer looks whole with %d bytes", len(got))
+	}
+	resp.Body.Close()
+	if left := n.front.held.left.Load(); left != 1<<20 {
+		t.Errorf("%d bytes of the budget are lost", 1<<20-left)
+	}
+	eventually(t, "an empty table", func() bool { return n.open(t) == 0 })
+}
+
+// An upload that goes on as it comes and breaks before its last byte has never run: it is refused, and never sent again.
+func TestBrokenUploadNeverRan(t *testing.T) {
+	var heads atomic.Int64
+	b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+		if r, err := http.ReadRequest(br); err == nil && r.Method == "POST" {
+			heads.Add(1)
+			io.CopyN(io.Discard, r.Body, 200_000)
+		}
+		reset(c)
+	})
+	n := startOn(t, b.Addr().String())
+	n.front.held.left.Store(0)
+	resp, _ := do(t, ask(t, n.url+"/api/x", "order", func(r *http.Request) {
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 8<<20))), 8<<20
+	}))
+	if resp.StatusCode != 503 || heads.Load() != 1 {
+		t.Errorf("answered %d after %d attempts", resp.StatusCode, heads.Load())
+	}
+}
+
+// dupFD returns a descriptor of its own for a file's.
+func dupFD(f *os.File) (int, error) {
+	raw, err := f.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var fd int
+	var failed error
+	err = raw.Control(func(old uintptr) { fd, failed = syscall.Dup(int(old)) })
+	if err == nil {
+		err = failed
+	}
+	return fd, err
+}
--- /dev/null
+++ b/internal/settings/adopt_test.go
@@ -0,0 +1,76 @@
+package settings
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"glencart/balance"
+)
+
+// A file that replaces one in use needs each key that it has, at every depth; more is no fault.
+func TestMissing(t *testing.T) {
+	old := `{"name":"n","limits":{"cores":1,"mem":2},"peers":["x"],"classes":[{"name":"a","deadline":1,"extra":2},{"name":"b","deadline":1}]}`
+	for next, want := range map[string]string{
+		old: "",
+		`{"name":"n","new":1,"limits":{"cores":1,"mem":2},"peers":[],"classes":[{"name":"z","deadline":1}]}`:       "",
+		`{"limits":{"cores":1,"mem":2},"peers":["x"],"classes":[]}`:                                                ".name",
+		`{"name":null,"limits":{"cores":1,"mem":2},"peers":["x"],"classes":[]}`:                                    ".name",
+		`{"name":"n","limits":{"cores":1},"peers":["x"],"classes":[]}`:                                             ".limits.mem",
+		`{"name":"n","limits":3,"peers":["x"],"classes":[]}`:                                                       ".limits.",
+		`{"name":"n","limits":{"cores":1,"mem":2},"peers":["x"],"classes":{}}`:                                     ".classes.",
+		`{"name":"n","limits":{"cores":1,"mem":2},"peers":["x"],"classes":[{"name":"z","deadline":1},{"name":1}]}`: ".classes[1].deadline",
+	} {
+		var a, b any
+		if json.Unmarshal([]byte(old), &a) != nil || json.Unmarshal([]byte(next), &b) != nil {
+			t.Fatal("no JSON")
+		}
+		if got := Missing(a, b); got != want {
+			t.Errorf("%s: %q, want %q", next, got, want)
+		}
+	}
+}
+
+func with(attempts int, classes ...string) Settings {
+	s := Settings{}
+	for _, name := range classes {
+		s.Classes = append(s.Classes, name)
+		s.Config.Classes = append(s.Config.Classes, balance.Class{Deadline: time.Second})
+	}
+	s.Config.Limits.MaxAttempts = attempts
+	return s
+}
+
+// Numbers stay by name; a vanished class keeps its own until it is free, so that files without end take no more room.
+func TestAdoptKeepsNumbers(t *testing.T) {
+	never, always := func(int) bool { return false }, func(int) bool { return true }
+	s := with(3, "a", "b").Adopt(with(2, "c", "a"), never)
+	if s.Class("a") != 0 || s.Class("b") != -1 || s.Class("c") != 2 || s.Config.Limits.MaxAttempts != 2 {
+		t.Fatalf("%v %+v", s.Classes, s.Config)
+	}
+	if s = s.Adopt(with(2, "b"), never); s.Class("b") != 1 || s.Class("a") != -1 {
+		t.Fatalf("one that came back: %v", s.Classes)
+	}
+	for i := range 100 {
+		s = s.Adopt(with(2, strings.Repeat("x", i+1)), always)
+	}
+	if len(s.Classes) > 4 {
+		t.Errorf("%d numbers after 100 files", len(s.Classes))
+	}
+}
+
+func TestCheckInService(t *testing.T) {
+	if err := with(1, "a", "b").CheckInService(); err != nil {
+		t.Fatal(err)
+	}
+	late := with(1, "a", "b")
+	late.Config.Classes[1].Deadline = 0
+	for want, s := range map[string]Settings{
+		"maxAttempts": with(0, "a"), "twice": with(1, "a", "a"), "empty": with(1, ""), "classes[1].deadline": late,
+	} {
+		if err := s.CheckInService(); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %s", err, want)
+		}
+	}
+}
--- /dev/null
+++ b/members/hand_test.go
@@ -0,0 +1,149 @@
+package members
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"glencart/balance"
+)
+
+var phases = []string{"ready", "draining", "gone"}
+
+func word(lines []Line) string {
+	var b strings.Builder
+	for _, l := range lines {
+		fmt.Fprintf(&b, "%s %s started %d returned %t\n", l.ID, phases[l.Phase], l.Launched/time.Second, l.Returned)
+	}
+	return b.String()
+}
+
+// TestScripts runs the scripts of testdata/: what discovery and operators say in turn, and what the engine is told. Times are in
+// seconds. "other" is a second process that hears the first one's calls.
+//
+//	list whole|changes [at=..]    lines of: id phase started
+//	out|back id=.. at=..
+//	other                         what the other process is told of the calls so far
+//	counts
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var h, other Hand
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			at := 0
+			d.MaybeScanArgs(t, "at", &at)
+			now := time.Duration(at) * time.Second
+			switch d.Cmd {
+			case "list":
+				var lines []Line
+				for text := range strings.Lines(d.Input) {
+					var l Line
+					var phase string
+					var started int
+					fmt.Sscan(text, &l.ID, &phase, &started)
+					l.Phase, l.Launched = balance.Phase(slices.Index(phases, phase)), time.Duration(started)*time.Second
+					lines = append(lines, l)
+				}
+				whole := d.CmdArgs[0].Key == "whole"
+				other.Take(lines, whole, now)
+				return word(h.Take(lines, whole, now))
+			case "out", "back":
+				var id string
+				d.ScanArgs(t, "id", &id)
+				lines, _, known := h.Say(id, d.Cmd == "out", now)
+				return fmt.Sprintf("%sknown %t\n", word(lines), known)
+			case "other":
+				return word(other.Hear(h.Calls()))
+			case "counts":
+				listed, out := h.Counts()
+				return fmt.Sprintf("%d listed, %d out\n", listed, out)
+			}
+			d.Fatalf(t, "no command %q", d.Cmd)
+			return ""
+		})
+	})
+}
+
+// In whatever order discovery and operators speak: a backend that is out is never told as ready, one that was put back is ready
+// again as soon as discovery says so, and started no earlier than it was put back. A process that hears the calls in any order
+// says the same.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h Hand
+		out, back, listed := map[string]bool{}, map[string]time.Duration{}, map[string]Line{}
+		told := map[string]Line{}
+		var calls []Call
+		for now := time.Duration(1); now < 40; now++ {
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			var lines []Line
+			if rapid.Bool().Draw(t, "operators") {
+				way := rapid.Bool().Draw(t, "out")
+				said, call, known := h.Say(id, way, now)
+				lines = said
+				if known != (listed[id].ID != "") {
+					t.Fatalf("%s known: %t", id, known)
+				}
+				if known {
+					if out[id] && !way {
+						back[id] = now
+					}
+					out[id] = way
+					if call.At > 0 {
+						calls = append(calls, call)
+					}
+				}
+			} else {
+				l := Line{ID: id}
+				l.Phase = balance.Phase(rapid.IntRange(0, 2).Draw(t, "phase"))
+				l.Launched = time.Duration(rapid.IntRange(0, 40).Draw(t, "started"))
+				lines = h.Take([]Line{l}, false, now)
+				if l.Phase != balance.Gone || listed[id].ID != "" {
+					listed[id] = l
+				}
+			}
+			for _, l := range lines {
+				told[l.ID] = l
+			}
+			for id, l := range listed {
+				got := told[id]
+				switch {
+				case out[id] && got.Phase == balance.Ready:
+					t.Fatalf("%s is out and told as ready", id)
+				case !out[id] && got.Phase != l.Phase:
+					t.Fatalf("%s is in, discovery says %v, told %v", id, l.Phase, got.Phase)
+				case got.Phase == balance.Ready && got.Launched < max(back[id], l.Launched):
+					t.Fatalf("%s started at %d, put back at %d, told %d", id, l.Launched, back[id], got.Launched)
+				}
+			}
+		}
+		var other Hand
+		other.Hear(rapid.Permutation(calls).Draw(t, "order"))
+		if a, b := fmt.Sprint(h.Calls()), fmt.Sprint(other.Calls()); a != b {
+			t.Fatalf("the other process holds %s, this one %s", b, a)
+		}
+	})
+}
+
+// Backends that left the list are forgotten in the end, those that are out never.
+func TestGoneAreBounded(t *testing.T) {
+	var h Hand
+	line := func(i int, p balance.Phase) []Line {
+		return []Line{{ID: fmt.Sprint(i), Member: balance.Member{Phase: p}}}
+	}
+	h.Take(line(0, balance.Ready), false, 1)
+	h.Say("0", true, 1)
+	for i := range 3 * goneMost {
+		h.Take(line(i, balance.Ready), false, time.Duration(i+2))
+		h.Take(line(i, balance.Gone), false, time.Duration(i+2))
+	}
+	if len(h.all) > goneMost+1 {
+		t.Errorf("%d are kept", len(h.all))
+	}
+	if l := h.Take(line(0, balance.Ready), false, 9999); l[0].Phase != balance.Draining {
+		t.Errorf("one that is out came back as %v", l[0].Phase)
+	}
+}
