--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,9 +22,9 @@
 	// holdMost is the part of the aim for which an arrival may be held for its probes. pairsMost times a node
 	// asks a server twice in a row, to learn the time between its reports.
 	holdMost, pairsMost = 0.05, 16
-	// coldMargin is the part of the cold-start budget that is spent: the rest is for uneven work. An old peak
-	// of the warm rate fades by rateDecay, once a window.
-	coldMargin, rateDecay = 0.3, 0.97
+	// coldMargin is the part of the cold-start budget that is spent: the rest is for uneven work. As much as
+	// comes in coldBurst seconds may be spent at once. An old peak of the warm rate fades by rateDecay a window.
+	coldMargin, coldBurst, rateDecay = 0.4, 0.1, 0.97
 	// A node keeps to partServers of each zone, or to as many as it has requests in partSpan seconds.
 	partServers, partSpan = 8, 0.5
 	// The mean of what a zone's servers hold is learned over meanSpan seconds, what is usual at one of them
@@ -119,27 +119,28 @@
 // server is one backend in the list.
 type server struct {
 	Member
-	zone   *crowd  // what other nodes have in its zone
-	more   float64 // what other nodes usually have there, beyond the mean of its zone
-	told   float64 // what they had by the last report or probe
-	toldAt time.Duration
-	fails  float64       // rate of failures
-	failed bool          // traffic is withheld, as logged
-	owesAt time.Duration // its last sign, or the send since when something is out
-	out    float64       // attempts of this node that are out
-	open   float64       // of them, streams whose answer has begun: they owe no sign, however long they last
-	stuck  float64       // attempts not accepted since the last report
-	seen   float64       // the last queue reported
-	seenAt time.Duration // when it was first seen
-	time   float64       // running mean of the time of an answer, seconds
-	depth  float64       // running mean of the entry that those answers met
-	heard  time.Duration // last answer
-	credit float64       // work that may be sent while cold, in this window
-	served float64       // work answered since the last roll of the warm rate
-	since  time.Duration
-	used   bool    // something was sent since it started
-	spent  float64 // requests sent, each over the declared weight
-	rank   uint64  // place in this node's own order of the servers
+	zone    *crowd  // what other nodes have in its zone
+	more    float64 // what other nodes usually have there, beyond the mean of its zone
+	told    float64 // what they had by the last report or probe
+	toldAt  time.Duration
+	fails   float64       // rate of failures
+	failed  bool          // traffic is withheld, as logged
+	owesAt  time.Duration // its last sign, or the send since when something is out
+	out     float64       // attempts of this node that are out
+	open    float64       // of them, streams whose answer has begun: they owe no sign, however long they last
+	stuck   float64       // attempts not accepted since the last report
+	seen    float64       // the last queue reported
+	seenAt  time.Duration // when it was first seen
+	time    float64       // running mean of the time of an answer, seconds
+	depth   float64       // running mean of the entry that those answers met
+	heard   time.Duration // last answer
+	credit  float64       // work that may be sent while cold, as of granted
+	granted time.Duration
+	served  float64 // work answered since the last roll of the warm rate
+	since   time.Duration
+	used    bool    // something was sent since it started
+	spent   float64 // requests sent, each over the declared weight
+	rank    uint64  // place in this node's own order of the servers
 }
 
 // request is one client request that this node has taken.
@@ -822,17 +823,6 @@
 	b.tell(s, max(0, queue-s.out), b.refresh)
 }
 
-// ---- Cold servers ----
-
-// warmth returns the part of its capacity that a server surely has by now.
-func (b *Balancer) warmth(s *server) float64 {
-	age, rules := b.now-s.Launched, &b.cfg.Rules
-	if s.Launched == 0 || age >= rules.WarmWithin {
-		return 1
-	}
-	return rules.ColdShare + (1-rules.ColdShare)*max(0, age.Seconds())/rules.WarmWithin.Seconds()
-}
-
 // work returns what a request costs a server, in seconds: what its hint says, else the time of its
 // class where it does not queue. Queueing makes the mean times of light and heavy classes alike.
 func (b *Balancer) work(r *request) float64 {
@@ -877,7 +867,6 @@
 		b.warmRate = max(b.warmRate*rateDecay, warm.value())
 	}
 	for _, s := range b.ready {
-		b.grantCold(s)
 		s.fails -= failFade * s.fails
 		if !b.cfg.Limits.Probing {
 			s.stuck -= failFade * s.stuck // no report will clear it
@@ -891,25 +880,6 @@
 	b.choose()
 }
 
-// grantCold guards against pushing over a server that has just started: for each window it grants this node's
-// part of what warm servers do, or of one request at a time. In a large fleet that is less than one request,
-// and one from each node would push the server over: then it is one by chance.
-func (b *Balancer) grantCold(s *server) {
-	if b.warmth(s) == 1 {
-		return
-	}
-	rules, unit := &b.cfg.Rules, max(b.meanBase(), 1e-6)
-	rate := max(b.warmRate, 1/float64(b.cfg.Instances))
-	units := coldMargin * rules.FallMultiple * b.warmth(s) * rate * rules.OverloadFor.Seconds() / unit
-	s.credit = min(s.credit, 0) + unit*math.Floor(units+b.rng.Float64())
-}
-
-// coldAllows tells whether a server is warm, or has grant left for most of the request: two heavy ones on the
-// rests of two grants would be as much as two windows may hold.
-func (b *Balancer) coldAllows(r *request, s *server) bool {
-	return b.warmth(s) == 1 || s.credit > b.work(r)/2
-}
-
 // mean is a plain mean; 0 when nothing was added.
 type mean struct{ sum, n float64 }
 
--- /dev/null
+++ b/balance/cold.go
@@ -0,0 +1,36 @@
+// This file holds what a server may be sent that has just started.
+
+package balance
+
+// warmth returns the part of its capacity that a server surely has by now.
+func (b *Balancer) warmth(s *server) float64 {
+	age, rules := b.now-s.Launched, &b.cfg.Rules
+	if s.Launched == 0 || age >= rules.WarmWithin {
+		return 1
+	}
+	return rules.ColdShare + (1-rules.ColdShare)*max(0, age.Seconds())/rules.WarmWithin.Seconds()
+}
+
+// grantCold guards against pushing over a server that has just started: as time goes by it grants this
+// node's part of what warm servers do, or of one request at a time. Grants by the window come in lumps, two
+// of them within one window. In a large fleet the part is less than one request a window, and one from each
+// node would push the server over: so each begins at a point of its own between two requests.
+func (b *Balancer) grantCold(s *server, first bool) {
+	if b.warmth(s) == 1 {
+		return
+	}
+	unit := max(b.meanBase(), 1e-6)
+	rate := coldMargin * b.cfg.Rules.FallMultiple * b.warmth(s) * max(b.warmRate, 1/float64(b.cfg.Instances))
+	if first {
+		s.credit, s.granted = unit*(b.rng.Float64()-0.5), b.now
+	}
+	s.credit += rate * (b.now - s.granted).Seconds()
+	s.credit, s.granted = min(s.credit, max(unit, coldBurst*rate)), b.now
+}
+
+// coldAllows tells whether a server is warm, or has grant left for most of the request: two heavy ones on the
+// rests of two grants would be as much as two windows may hold.
+func (b *Balancer) coldAllows(r *request, s *server) bool {
+	b.grantCold(s, false)
+	return b.warmth(s) == 1 || s.credit > b.work(r)/2
+}
--- a/balance/learned.go
+++ b/balance/learned.go
@@ -101,7 +101,4 @@
 	}
 	b.probes = max(b.probes, float64(len(b.servers))) // it is no stranger here
 	b.choose()
-	for _, s := range b.ready {
-		b.grantCold(s) // by the warm rate that is known now, and in place of the first grant
-	}
 }
--- a/balance/members.go
+++ b/balance/members.go
@@ -70,7 +70,7 @@
 		b.zones[m.Zone] = s.zone
 	}
 	if started {
-		b.grantCold(s)
+		b.grantCold(s, true)
 	}
 }
 
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -509,6 +509,7 @@
 	}
 	m := &message{count: t.counts[r.Class], method: method, url: hr.URL, host: hr.Host, header: h, left0: left - early,
 		streams: make(chan *stream, 1)}
+	reads := time.Now()
 	switch err := f.body(w, hr, m); {
 	case errors.Is(err, errTooLong):
 		m.release()
@@ -518,7 +519,10 @@
 		return nil, http.StatusRequestTimeout, err
 	}
 	// A request's time begins with its last byte.
-	r.Deadline = time.Now().Add(left - early)
+	if hr.ContentLength != 0 {
+		received = received.Add(time.Since(reads))
+	}
+	r.Deadline = received.Add(left - early)
 	if end := f.end.Load(); end != nil && r.Deadline.After(*end) {
 		r.Deadline = *end
 	}
