--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,8 +22,8 @@
 	// holdMost is the part of the aim for which an arrival may be held for its probes. pairsMost times a node
 	// asks a server twice in a row, to learn the time between its reports.
 	holdMost, pairsMost = 0.05, 16
-	// coldMargin is the part of the cold-start budget that is spent: the rest is for uneven work. As much as
-	// comes in coldBurst seconds may be spent at once. An old peak of the warm rate fades by rateDecay a window.
+	// coldMargin is the part of the cold-start budget that is spent: the rest is for uneven work. What comes
+	// in coldBurst seconds may be spent at once. An old peak of the warm rate fades by rateDecay a window.
 	coldMargin, coldBurst, rateDecay = 0.4, 0.1, 0.97
 	// A node keeps to partServers of each zone, or to as many as it has requests in partSpan seconds.
 	partServers, partSpan = 8, 0.5
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -55,10 +55,10 @@
 	if at := settings.Missing(n.cfg.keys, cfg.keys); n.cfg.keys != nil && cfg.keys != nil && at != "" {
 		return n.NotReloaded(fmt.Errorf("configuration: %s: missing, the file in use has it", strings.TrimPrefix(at, ".")))
 	}
-	if err := errors.Join(cfg.check(), cfg.Settings.CheckInService()); err != nil {
+	old := n.front.tuning.Load()
+	if err := errors.Join(cfg.check(), cfg.Settings.CheckInService(old.Settings)); err != nil {
 		return n.NotReloaded(fmt.Errorf("configuration: settings: %w", err))
 	}
-	old := n.front.tuning.Load()
 	var fixed []string
 	for _, k := range []struct {
 		name     string
--- a/internal/settings/adopt.go
+++ b/internal/settings/adopt.go
@@ -55,21 +55,23 @@
 	return need
 }
 
-// CheckInService reports what may be missing at a start, and has to be there in a file that is to replace one in use.
-func (s Settings) CheckInService() error {
+// CheckInService reports what a file that is to replace one in use must not say. What the file in use leaves to the program, a
+// deadline or the attempts, may be left to it again.
+func (s Settings) CheckInService(old Settings) error {
+	untold := slices.ContainsFunc(old.Config.Classes, func(c balance.Class) bool { return c.Deadline == 0 && !c.Gone })
 	for i, c := range s.Config.Classes {
 		switch {
 		case s.Classes[i] == "":
 			return fmt.Errorf("classes[%d].name: empty", i)
 		case slices.Index(s.Classes, s.Classes[i]) < i:
 			return fmt.Errorf("classes[%d].name: %q is there twice", i, s.Classes[i])
-		case c.Deadline <= 0:
+		case c.Deadline < 0 || c.Deadline == 0 && !untold:
 			return fmt.Errorf("classes[%d].deadline: %d, it has to be over 0", i, c.Deadline)
 		case c.Aim < 0 || c.Window < 0:
 			return fmt.Errorf("classes[%d]: a negative time", i)
 		}
 	}
-	if s.Config.Limits.MaxAttempts <= 0 {
+	if n := s.Config.Limits.MaxAttempts; n < 0 || n == 0 && old.Config.Limits.MaxAttempts > 0 {
 		return fmt.Errorf("limits.maxAttempts: %d, it has to be over 0", s.Config.Limits.MaxAttempts)
 	}
 	return nil
