--- a/internal/node/operations_test.go
+++ b/internal/node/operations_test.go
@@ -87,6 +87,7 @@
 func TestDoorAnswersInTime(t *testing.T) {
 	var ran sync.Map
 	n := startWithDoor(t, &ran)
+	var gone atomic.Int64 // callers that gave way
 	for i := range 3 * doorLast {
 		c, err := net.Dial("tcp", n.door.Addr().String())
 		if err != nil {
@@ -96,6 +97,10 @@
 		if i%2 == 0 {
 			io.WriteString(c, "POST /control/backends/a/off")
 		}
+		go func() {
+			c.Read(make([]byte, 1))
+			gone.Add(1)
+		}()
 	}
 	for _, tc := range []struct {
 		method, path string
@@ -112,6 +117,9 @@
 			t.Errorf("%s %.40s: %d after %v, want %d", tc.method, tc.path, status, time.Since(began), tc.want)
 		}
 	}
+	if n := gone.Load(); n < 2*doorLast {
+		t.Errorf("%d of %d silent callers gave way", n, 3*doorLast)
+	}
 	held, hold := make(chan bool), make(chan bool)
 	n.loop.Post(func() { close(held); <-hold })
 	<-held
