--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -173,6 +173,12 @@
 	return calls
 }
 
+// Calls returns the calls in the state file, read or not: what the other process has said yes to stands there.
+func (p *Place) Calls() []members.Call {
+	calls, _ := p.load() // Read tells what is wrong with it
+	return calls
+}
+
 func (p *Place) load() ([]members.Call, error) {
 	f, err := os.Open(filepath.Join(p.dir, stateFile))
 	if errors.Is(err, os.ErrNotExist) {
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -65,6 +65,7 @@
 	more   [][]byte // and what follows, where it is longer and held
 	up     *upload  // and what is still to come, where it is not
 	probe  bool
+	tuning *tuning       // that it was read under
 	count  *classFigures // nil: nobody counts
 
 	left0  time.Duration // the request's time, from its last byte on
@@ -210,7 +211,7 @@
 	if m.up != nil {
 		// From here on this attempt is the last one.
 		c.own.Started()
-		if err := m.up.pass(cn, m.up.length < 0); err != nil {
+		if err := m.up.pass(cn, m.up.length-m.size()); err != nil {
 			x.pool.discard(cn)
 			r := engine.Result{Status: balance.DialFailed, Body: &reply{neverRan: true}}
 			if errors.Is(err, errClient) {
--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -229,8 +229,10 @@
 	u.rc.SetReadDeadline(time.Time{})
 }
 
-// pass writes what is left of an upload to a backend, as it comes. errClient stands before what the client did.
-func (u *upload) pass(cn *conn, chunked bool) error {
+// pass writes what is left of an upload to a backend, as it comes. left counts its bytes where the length was told. errClient
+// stands before what the client did. An error means that the last byte has not been written.
+func (u *upload) pass(cn *conn, left int64) error {
+	chunked := u.length < 0
 	var to io.WriteCloser = plainWriter{cn}
 	if chunked {
 		to = httputil.NewChunkedWriter(cn)
@@ -243,6 +245,9 @@
 			if _, err := to.Write(buf[:n]); err != nil {
 				return err
 			}
+			if left -= int64(n); !chunked && left == 0 {
+				return nil // whatever comes of the client's side now
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF) && chunked:
@@ -320,9 +325,16 @@
 }
 
 // pass writes a stream to its client as it comes. Where it breaks, the client's connection ends without the last chunk.
-func (f *front) pass(w http.ResponseWriter, s *stream) {
+func (f *front) pass(w http.ResponseWriter, s *stream, count *classFigures) {
 	whole := false
-	defer func() { s.end(whole) }()
+	defer func() {
+		s.end(whole)
+		if whole {
+			count.served.Add(1)
+		} else {
+			count.failed.Add(1)
+		}
+	}()
 	if s.contentType != "" {
 		w.Header().Set("Content-Type", s.contentType)
 	} else {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -379,7 +379,14 @@
 // serve has the loop decide on a request and passes on the one final answer.
 func (f *front) serve(w http.ResponseWriter, ctx context.Context, r *engine.Request) {
 	m := r.Message.(*message)
-	f.loop.Post(func() { f.loop.Arrive(r) })
+	f.loop.Post(func() {
+		if !m.tuning.holds(f.tuning.Load(), r.Class) {
+			// Nothing has run: read again, it is of the class that its name means now.
+			r.Reply <- engine.Answer{Kind: engine.Refused}
+			return
+		}
+		f.loop.Arrive(r)
+	})
 	select {
 	case a := <-r.Reply:
 		if f.closing.Load() {
@@ -394,8 +401,7 @@
 		if f.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		m.count.served.Add(1)
-		f.pass(w, s)
+		f.pass(w, s, m.count)
 	case <-ctx.Done():
 		f.loop.Post(func() { f.loop.Gone(r) })
 		// Returning would have the library word an empty 200.
@@ -507,7 +513,7 @@
 		io.WriteString(sum, subject)
 		r.Key, r.HasKey = sum.Sum64()>>11, true
 	}
-	m := &message{count: t.counts[r.Class], method: method, url: hr.URL, host: hr.Host, header: h, left0: left - early,
+	m := &message{tuning: t, count: t.counts[r.Class], method: method, url: hr.URL, host: hr.Host, header: h, left0: left - early,
 		streams: make(chan *stream, 1)}
 	reads := time.Now()
 	switch err := f.body(w, hr, m); {
--- a/internal/node/management.go
+++ b/internal/node/management.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"glencart/balance"
@@ -35,6 +36,7 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]time.Time // those whose call is not whole
+	calls atomic.Int32           // whole ones that are being answered
 	open  int
 }
 
@@ -57,6 +59,11 @@
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			d.whole(connOfDoor(r.Context()))
 			w.Header().Set("Connection", "close")
+			defer d.calls.Add(-1)
+			if d.calls.Add(1) > doorLast {
+				reply1(w, http.StatusServiceUnavailable, "too many calls at once\n")
+				return
+			}
 			mux.ServeHTTP(w, r)
 		}),
 		ReadTimeout: doorWithin, WriteTimeout: doorWithin, MaxHeaderBytes: 4 << 10,
@@ -138,8 +145,13 @@
 		return
 	}
 	n := d.node
+	var before []members.Call // a call back at this process may follow one out at the other
+	if n.place != nil {
+		before = n.place.Calls()
+	}
 	done := make(chan bool, 1)
 	if !n.loop.PostFirst(func() {
+		n.heed(n.hand.Hear(before))
 		call, known := n.byHand(id, out)
 		if n.place == nil || call.At == 0 {
 			done <- known
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -97,6 +97,13 @@
 	return nil
 }
 
+// holds tells whether a request that was read under t may be taken in under now: its number still means its class, and may be
+// repeated no more freely than its client was told. A body can take longer to come than a file to change.
+func (t *tuning) holds(now *tuning, class int) bool {
+	return t == now || class < len(now.Classes) && t.Classes[class] == now.Classes[class] &&
+		t.Config.Classes[class].Effect >= now.Config.Classes[class].Effect
+}
+
 // inUse names the classes that requests may be of.
 func (t *tuning) inUse() []string {
 	var names []string
