--- a/balance/learned.go
+++ b/balance/learned.go
@@ -66,20 +66,23 @@
 	for _, s := range l.Servers {
 		least = min(least, s.Told, s.Fails, s.Time, s.Depth, s.Seen, 1-s.Fails)
 	}
-	return least >= 0 && l.Answers > 0
+	return least >= 0 && l.Answers > 0 && max(l.WarmRate, l.PeerPace, l.AllTime, l.AllDepth) < learnedMost
 }
 
+// learnedMost is more than any figure of a Balancer: a warm rate beyond reason would lift the cold budget.
+const learnedMost = 1e4
+
 // Relearn takes in what another Balancer of the node has learned. It has to be told before anything but lists: what this one
 // has learned by itself counts for more.
 func (b *Balancer) Relearn(l Learned) {
 	if b.answers > 0 || !l.ok() {
 		return
 	}
-	of := func(c LearnedCrowd) crowd { return crowd{c.Others, c.Reports, c.At} }
+	of := func(c LearnedCrowd) crowd { return crowd{max(c.Others, 0), max(c.Reports, 0), min(c.At, b.now)} }
 	b.part, b.gap, b.peerPace = min(max(l.Part, partLeast), partMost), l.Gap, l.PeerPace
 	b.allTime, b.allDepth, b.answers = l.AllTime, l.AllDepth, l.Answers
 	b.refresh, b.warmRate, b.meanValue = l.Refresh, l.WarmRate, l.MeanValue
-	b.allFail, b.allBroke, b.judgedAt = l.AllFail, l.AllBroke, l.JudgedAt
+	b.allFail, b.allBroke, b.judgedAt = l.AllFail, l.AllBroke, min(l.JudgedAt, b.now)
 	b.all, b.cold = of(l.All), of(l.Cold)
 	for zone, c := range l.Zones {
 		if b.zones[zone] == nil {
@@ -95,7 +98,8 @@
 		if s == nil || s.name() != x.Name || s.Launched != x.Launched {
 			continue // a stranger, or another process by now
 		}
-		s.toldAt, s.heard, s.seenAt, s.since = x.ToldAt, x.Heard, x.SeenAt, x.Since
+		s.toldAt, s.heard = min(x.ToldAt, b.now), min(x.Heard, b.now) // nothing is known from the future
+		s.seenAt, s.since = min(x.SeenAt, b.now), min(x.Since, b.now)
 		s.more, s.told, s.fails, s.time, s.depth, s.seen = x.More, x.Told, x.Fails, x.Time, x.Depth, x.Seen
 		s.failed, s.used = x.Failed, x.Used
 	}
