SIGTERM: all that is open is answered before the node's end, whatever time clients gave

Ruled out: the front's backlog (no connection reset there) and a closed listener.

The end is reckoned from 3 s at most. The engine is told by when all has to be answered (Engine.AnswerBy), 150 ms before the close: the module gets the new budget of each open request (BudgetChanged) and refuses or fails by its own rules; requests that come later are cut on arrival; streams that still owe an answer are ended then. An upload that ends with its client no longer has an empty 200 flushed. A listener that is closed already is no error of the end.

Tests: followed and not, a backend that never answers, an upload under way; seen to fail without the bound, without the cut, and without the end of streams.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -271,6 +271,8 @@
 		if r := b.requests[ev.Request]; r != nil {
 			b.end(r)
 		}
+	case BudgetChanged:
+		b.endIn(b.requests[ev.Request], ev.Budget)
 	case Timer:
 		b.onTimer(ev.Mark)
 	case Probed:
@@ -350,12 +352,10 @@
 	}
 	r := &request{
 		id: ev.Request, class: &b.cfg.Classes[ev.Class], stats: &b.classes[ev.Class], tenant: ev.Tenant,
-		hint: ev.Hint, arrived: b.now, deadline: b.now + ev.Budget,
+		hint: ev.Hint, arrived: b.now,
 	}
 	b.requests[r.id] = r
-	// Every request is answered by its deadline, whatever becomes of its attempts.
-	b.setTimer(ev.Budget, timer{end: r})
-	r.mark = b.lastMark
+	b.endIn(r, ev.Budget)
 	b.probe()
 	b.meanValue = cmp.Or(b.meanValue, b.value(r))
 	b.meanValue += valueWeight * (b.value(r) - b.meanValue)
@@ -367,6 +367,15 @@
 	b.place(r)
 }
 
+// endIn has a request answered within this time, whatever becomes of its attempts.
+func (b *Balancer) endIn(r *request, in time.Duration) {
+	if r != nil && !r.ended {
+		delete(b.timers, r.mark)
+		b.setTimer(in, timer{end: r})
+		r.deadline, r.mark = b.now+in, b.lastMark
+	}
+}
+
 // release places what was held. Where a node sees little traffic its entries are older than a queue, and only
 // the probes of the tick tell anything: then the request waits for them, which takes one round trip.
 func (b *Balancer) release() {
@@ -862,11 +871,6 @@
 			warm.add(s.served / span)
 		}
 		s.served = 0
-	}
-	if warm.n > 0 {
-		b.warmRate = max(b.warmRate*rateDecay, warm.value())
-	}
-	for _, s := range b.ready {
 		s.fails -= failFade * s.fails
 		if !b.cfg.Limits.Probing {
 			s.stuck -= failFade * s.stuck // no report will clear it
@@ -876,6 +880,9 @@
 			s.time += forget * (b.peerPace*(s.depth+1) - s.time)
 		}
 	}
+	if warm.n > 0 {
+		b.warmRate = max(b.warmRate*rateDecay, warm.value())
+	}
 	b.rolledAt = b.now
 	b.choose()
 }
--- a/balance/comeback.go
+++ b/balance/comeback.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -16,9 +17,7 @@
 		in = b.meanAim
 	}
 	in = max(in, b.peerPace)
-	if most := b.cfg.Limits.MaxRetryAfter.Seconds(); most > 0 {
-		in = min(in, most)
-	}
+	in = min(in, cmp.Or(b.cfg.Limits.MaxRetryAfter.Seconds(), in))
 	return time.Duration(in * float64(time.Second))
 }
 
--- a/balance/types.go
+++ b/balance/types.go
@@ -243,6 +243,7 @@
 	InstancesCounted                   // Instances
 	SettingsChanged                    // Settings: what follows on Config, without its Index, Instances and Zone
 	StreamAnswered                     // Request, Attempt, Backend: its answer has begun, and may last
+	BudgetChanged                      // Request, Budget: what is left of its time from here on
 )
 
 // Event is one thing a node saw. Slices in it are not kept by the Balancer.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -59,6 +59,7 @@
 	byNumber map[balance.BackendID]*backend
 	numbers  balance.BackendID // given so far: one is never given again
 	arrived  uint64
+	answerBy time.Time // zero: the process is not about to end
 	timers   timers
 	seq      uint64
 
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -1,6 +1,11 @@
 package engine
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
 	"glencart/balance"
 )
 
@@ -13,6 +18,9 @@
 	}
 	e.arrived++
 	r.seq = e.arrived
+	if !e.answerBy.IsZero() && r.Deadline.After(e.answerBy) {
+		r.Deadline = e.answerBy
+	}
 	e.requests[r.ID] = r
 	e.Handle(balance.Event{
 		Kind: balance.RequestArrived, Request: r.ID, Class: r.Class, Tenant: r.Tenant, Key: r.Key, HasKey: r.HasKey,
@@ -20,6 +28,29 @@
 	})
 }
 
+// AnswerBy has every request that is open, and every one that comes, answered by then: the process ends soon after. A
+// stream is let be until that time has come; told again then, the engine ends those that still owe their final answer.
+// On the loop.
+func (e *Engine) AnswerBy(end time.Time) {
+	if e.answerBy.IsZero() || end.Before(e.answerBy) {
+		e.answerBy = end
+	}
+	now := e.Now()
+	open := slices.SortedFunc(maps.Values(e.requests), func(x, y *Request) int { return cmp.Compare(x.seq, y.seq) })
+	for _, r := range open {
+		switch {
+		case r.answered:
+		case r.stream != nil:
+			if !now.Before(e.answerBy) {
+				e.giveUp(r.stream, balance.Expired)
+			}
+		case r.Deadline.After(e.answerBy):
+			r.Deadline = e.answerBy
+			e.Handle(balance.Event{Kind: balance.BudgetChanged, Request: r.ID, Budget: max(e.answerBy.Sub(now), 0)})
+		}
+	}
+}
+
 // Place has the loop take in a request, at once in this goroutine if the loop is free. It reports false when the
 // engine has ended. Any goroutine may call it that holds no lock which a Transport's method wants.
 func (e *Engine) Place(r *Request) bool {
--- a/internal/engine/scenario_test.go
+++ b/internal/engine/scenario_test.go
@@ -133,6 +133,7 @@
 //	say id=.. refuse|fail              the module gives an answer, whatever it has given before
 //	gone id=..                         the client leaves
 //	wait for=..                        time passes, timers ring
+//	answer-by in=..                    the process ends then
 //	left                               what the tables hold
 //	fleet nodes=.. quota=.. [alone]    all anew, at one of so many nodes, with so many requests a second over all of them
 //	probed id=.. active=..             a probe of a box comes back
@@ -216,6 +217,12 @@
 				w.e.do(&balance.Action{Kind: kind, Request: arg("id")})
 			case "gone":
 				w.e.Gone(w.reqs[arg("id")])
+			case "answer-by":
+				in, err := time.ParseDuration(arg("in"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				w.e.AnswerBy(w.clock.Add(in))
 			case "wait":
 				dur, err := time.ParseDuration(arg("for"))
 				if err != nil {
--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -182,6 +182,7 @@
 
 	taken atomic.Bool // by an attempt that may read from it
 	begun atomic.Bool // some of it has been read
+	gone  atomic.Bool // its client has gone, or has been silent for too long
 
 	mu      sync.Mutex // held while it is read
 	stopped atomic.Bool
@@ -222,7 +223,7 @@
 		u.mu.Lock()
 	}
 	defer u.mu.Unlock()
-	if !u.ended && u.within > 0 {
+	if !u.ended && u.within > 0 && !u.gone.Load() { // flushing would word an empty 200 for who has gone
 		u.rc.Flush()
 		io.CopyN(io.Discard, u.from, u.within)
 	}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -60,13 +60,11 @@
 	log      *slog.Logger
 	most     atomic.Int64 // requests at once
 	inFlight atomic.Int64
-	crowded  int                       // so many connections that answers close theirs; by mu
-	soft     int                       // so many that idle ones give way; by mu
-	full     int                       // so many that silent ones give way too; by mu
-	leaving  atomic.Bool               // the node is about to end: it is not ready
-	end      atomic.Pointer[time.Time] // and by when all has to be answered
-	closing  atomic.Bool               // and answers close their connections
-	longest  atomic.Int64              // the longest time that a client gave a request, as a time.Duration
+	crowded  int         // so many connections that answers close theirs; by mu
+	soft     int         // so many that idle ones give way; by mu
+	full     int         // so many that silent ones give way too; by mu
+	leaving  atomic.Bool // the node is about to end: it is not ready
+	closing  atomic.Bool // and answers close their connections
 
 	mu      sync.Mutex
 	conns   map[net.Conn]*clientConn
@@ -105,12 +103,6 @@
 	f.crowded, f.full = clients*3/4, clients*6/10
 }
 
-// leaveBy has the node say that it is about to end, and answer by then whatever it takes.
-func (f *front) leaveBy(end time.Time) {
-	f.end.Store(&end)
-	f.leaving.Store(true)
-}
-
 // keepAll has nobody give way any more.
 func (f *front) keepAll() {
 	f.mu.Lock()
@@ -404,6 +396,9 @@
 		f.pass(w, s, m.count)
 	case <-ctx.Done():
 		f.loop.Post(func() { f.loop.Gone(r) })
+		if m.up != nil {
+			m.up.gone.Store(true)
+		}
 		// Returning would have the library word an empty 200.
 		panic(http.ErrAbortHandler)
 	case <-f.loop.Done(): // the node is ending
@@ -502,9 +497,6 @@
 		}
 		left = min(left, time.Duration(min(s, 1e6)*float64(time.Second)))
 	}
-	if l := int64(left); l > f.longest.Load() {
-		f.longest.Store(l) // two at once may leave the lesser: the next one mends it
-	}
 	if us, err := strconv.ParseFloat(h.Get("X-Size-Hint"), 64); err == nil && us > 0 && us < 1e12 {
 		r.Hint = time.Duration(us * float64(time.Microsecond))
 	}
@@ -529,9 +521,6 @@
 		received = received.Add(time.Since(reads))
 	}
 	r.Deadline = received.Add(left - early)
-	if end := f.end.Load(); end != nil && r.Deadline.After(*end) {
-		r.Deadline = *end
-	}
 	// A deadline that passes while the request is served would look as if the client had gone.
 	rc := http.NewResponseController(w)
 	rc.SetReadDeadline(time.Time{})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -23,8 +24,13 @@
 
 const (
 	// lameDuck is how long a node that is to end goes on accepting at the least: the front needs up to 0.4 s to
-	// see it. SIGKILL may come killAfter after SIGTERM and the longest deadline; spare is kept before that.
+	// see it. SIGKILL may come killAfter after SIGTERM and the longest deadline, or deadlineMost where that is less; spare
+	// is kept before that.
 	lameDuck, killAfter, spare = 600 * time.Millisecond, 700 * time.Millisecond, 200 * time.Millisecond
+	deadlineMost               = 3 * time.Second
+	// lastAnswers is how long before its end a node has every request answered: what is answered in the same instant has yet
+	// to be worded and written, request by request.
+	lastAnswers = 150 * time.Millisecond
 	// lastServe is how long before its end a node stops to take requests on connections that it keeps: nearly all are
 	// answered in that time, and the others are at its end.
 	lastServe = 900 * time.Millisecond
@@ -205,10 +211,7 @@
 	if n.place != nil && n.place.Followed() {
 		return n.yield(srv)
 	}
-	longest := longestDeadline(n.front.tuning.Load().Settings)
-	end := time.Now().Add(longest + killAfter - spare)
-	n.log.Info("leaving", "most", time.Until(end))
-	n.front.leaveBy(end)
+	end := n.leaveSoon("leaving")
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	pause(ctx, lameDuck)
@@ -228,6 +231,18 @@
 	return n.finish(srv, end)
 }
 
+// leaveSoon has all that is open, and all that comes, answered before the node's end, and returns that.
+func (n *Node) leaveSoon(why string) time.Time {
+	most := min(longestDeadline(n.front.tuning.Load().Settings), deadlineMost)
+	end := time.Now().Add(most + killAfter - spare)
+	n.log.Info(why, "most", time.Until(end))
+	n.front.leaving.Store(true)
+	by := end.Add(-lastAnswers)
+	n.loop.PostFirst(func() { n.loop.AnswerBy(by) })
+	time.AfterFunc(time.Until(by), func() { n.loop.PostFirst(func() { n.loop.AnswerBy(by) }) }) // streams
+	return end
+}
+
 // finish closes each connection after its answer, and near the end those on which nothing has come. One on which a request
 // is being written stays to the end.
 func (n *Node) finish(srv *http.Server, end time.Time) error {
@@ -239,7 +254,10 @@
 		time.Sleep(lookEvery)
 	}
 	n.log.Info("left")
-	return srv.Close()
+	if err := srv.Close(); err != nil && !errors.Is(err, net.ErrClosed) { // the listener may be closed already
+		return err
+	}
+	return nil
 }
 
 // longestDeadline is the longest time for which a request may be in flight.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -411,3 +411,80 @@
 		t.Errorf("ended after %v", d)
 	}
 }
+
+// Whatever time their clients gave them, requests that are open when the node is told to end, and those that come then, have
+// their one whole answer before SIGKILL may come: on a backend that never answers, during an upload, and beside a successor.
+func TestLeavingCutsLongDeadlines(t *testing.T) {
+	for _, follows := range []bool{false, true} {
+		t.Run(fmt.Sprintf("followed=%t", follows), func(t *testing.T) {
+			t.Parallel()
+			held := make(chan struct{}, 16)
+			b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string {
+				if r.URL.Path == "/stats" {
+					return ok200("{}")
+				}
+				held <- struct{}{}
+				select {} // it never answers
+			}))
+			text := listText(1, true, listed{ID: "s", Addr: b.Addr().String(), Phase: "ready"})
+			cfg := testConfig(t, newRegistry(t, text).Addr, text)
+			cfg.Shared = t.TempDir()
+			n := start(t, cfg)
+			eventually(t, "clients let in", n.running.Load)
+			n.front.held.left.Store(0) // uploads go on as they come
+			type answer struct {
+				what   string
+				status int
+				err    error
+			}
+			answers := make(chan answer, 8)
+			send := func(what, class string, change ...func(*http.Request)) {
+				go func() {
+					tr := &http.Transport{DisableKeepAlives: true}
+					resp, err := tr.RoundTrip(ask(t, n.url+"/api/"+what, class, change...))
+					a := answer{what: what, err: err}
+					if err == nil {
+						a.status = resp.StatusCode
+						_, a.err = io.ReadAll(resp.Body)
+						resp.Body.Close()
+					}
+					answers <- a
+				}()
+			}
+			body, writer := io.Pipe()
+			defer writer.Close()
+			send("open", "order")
+			receive(t, "a request at the backend", held)
+			send("upload", "order", func(r *http.Request) { r.Body, r.ContentLength = body, 8<<20 })
+			writer.Write(make([]byte, 200_000))
+			go func() { // a slow client, not a silent one
+				for _, err := writer.Write(make([]byte, 64<<10)); err == nil; _, err = writer.Write(make([]byte, 64<<10)) {
+					time.Sleep(200 * time.Millisecond)
+				}
+			}()
+			if follows {
+				start(t, cfg)
+				eventually(t, "a successor", n.place.Followed)
+			}
+			began := time.Now()
+			n.stop()
+			eventually(t, "leaving", n.front.leaving.Load)
+			asked := 2
+			if !follows { // else it lets nobody in any more
+				send("late", "order")
+				asked++
+			}
+			for range asked {
+				if a := receive(t, "an answer", answers); a.err != nil || a.status < 500 {
+					t.Errorf("%s: answered %d, %v", a.what, a.status, a.err)
+				}
+			}
+			if err := receive(t, "the node's end", n.err); err != nil {
+				t.Error(err)
+			}
+			if d := time.Since(began); d > 3700*time.Millisecond { // SIGKILL may come
+				t.Errorf("ended after %v", d)
+			}
+		})
+	}
+}
--- a/internal/node/succeed.go
+++ b/internal/node/succeed.go
@@ -100,10 +100,7 @@
 // other's. Each answer closes its connection; the others stay for as long as what comes on them can be answered in time,
 // and are then closed unless something has come.
 func (n *Node) yield(srv *http.Server) error {
-	longest := longestDeadline(n.front.tuning.Load().Settings)
-	end := time.Now().Add(longest + killAfter - spare)
-	n.log.Info("leaving: another process follows", "most", time.Until(end))
-	n.front.leaveBy(end)
+	end := n.leaveSoon("leaving: another process follows")
 	n.listener.Close()
 	return n.finish(srv, end)
 }
