Cold grants know how many nodes keep to a server, and light requests wait for a mean one

Two causes: - coldAllows (balance/cold.go) lets a request go on a grant of half its own work. The first grant is drawn up to half a mean request: enough for one or two light ones at nearly every node at once. - The warm rate (rollRates) is what a warm backend does for this node, of those that one node in six keeps to (choose); the first two of a zone are kept to by all, so the sum was six times that. Ruled out: sends before a list named them (none logged as cold or at the old number), a repeat's share (n=0 throughout), a list that came to some nodes only (all within 0.1 s).

A request needs half of its work or of a mean request's, whichever is more. The warm rate is kept as this node's part among all nodes and given out among those that keep to the backend (reach). Where nodes keep to all servers nothing changes but the first.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -84,12 +84,13 @@
 	lastMark                   uint64
 	probedAt                   time.Duration // the last tick that sent probes
 	classes                    []classStats
-	warmRate                   float64 // work a second that this node gets done by one warm server
+	warmRate                   float64 // this node's part, of all, in the work a second of one warm server
 	rolledAt                   time.Duration
-	probeDue                   float64 // probes that arrivals have paid for
-	part                       float64 // part of the slack that queues may take up
-	partSize                   int     // servers of a zone that this node keeps to
-	gap                        float64 // mean time between answers, seconds
+	probeDue                   float64     // probes that arrivals have paid for
+	part                       float64     // part of the slack that queues may take up
+	partSize                   int         // servers of a zone that this node keeps to
+	listed                     map[int]int // and how many a zone has, but for those that fail
+	gap                        float64     // mean time between answers, seconds
 	judgedAt                   time.Duration
 	shares                     []share
 	crowded                    bool    // answers come late, as logged
@@ -835,13 +836,7 @@
 // work returns what a request costs a server, in seconds: what its hint says, else the time of its
 // class where it does not queue. Queueing makes the mean times of light and heavy classes alike.
 func (b *Balancer) work(r *request) float64 {
-	switch {
-	case r.hint > 0:
-		return r.hint.Seconds()
-	case r.stats.base > 0:
-		return r.stats.base
-	}
-	return b.meanBase()
+	return cmp.Or(r.hint.Seconds(), r.stats.base, b.meanBase())
 }
 
 // meanBase is the mean of the times without a queue of the classes met so far.
@@ -868,7 +863,7 @@
 	var warm mean
 	for _, s := range b.ready {
 		if b.warmth(s) == 1 && s.since <= b.rolledAt && s.fails < failsHigh { // one that fails could do more
-			warm.add(s.served / span)
+			warm.add(s.served / span * b.reach(s))
 		}
 		s.served = 0
 		s.fails -= failFade * s.fails
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -20,7 +20,7 @@
 		return
 	}
 	unit := max(b.meanBase(), 1e-6)
-	rate := coldMargin * b.cfg.Rules.FallMultiple * b.warmth(s) * max(b.warmRate, 1/float64(b.cfg.Instances))
+	rate := coldMargin * b.cfg.Rules.FallMultiple * b.warmth(s) * max(b.warmRate/b.reach(s), 1/float64(b.cfg.Instances))
 	if first {
 		s.credit, s.granted = unit*(b.rng.Float64()-0.5), b.now
 	}
@@ -29,8 +29,9 @@
 }
 
 // coldAllows tells whether a server is warm, or has grant left for most of the request: two heavy ones on the
-// rests of two grants would be as much as two windows may hold.
+// rests of two grants would be as much as two windows may hold. A light one waits for as much as a mean one: else
+// nearly all nodes of a large fleet could send one at once.
 func (b *Balancer) coldAllows(r *request, s *server) bool {
 	b.grantCold(s, false)
-	return b.warmth(s) == 1 || s.credit > b.work(r)/2
+	return b.warmth(s) == 1 || s.credit > max(b.work(r), b.meanBase())/2
 }
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -75,3 +76,52 @@
 		t.Errorf("%d of 79 nodes took the report at its word", taken)
 	}
 }
+
+// All nodes of a fleet keep to the first servers that a lost zone gets back, where each of the others has a part of the nodes; and
+// a light request needs little of a grant. Together the nodes still stay within what such a server can do.
+func TestTheFirstServersOfAZoneThatIsBack(t *testing.T) {
+	const nodes, servers, light, heavy = 300, 40, 50 * ms, 500 * ms
+	sent, window, warm := 0, 1500*ms, 0.0
+	for node := range nodes {
+		cfg := site()
+		cfg.Instances, cfg.Index, cfg.Tenants[0].QuotaPerSecond = nodes, node, 10*nodes
+		members := make([]Member, servers)
+		for i := range members {
+			members[i] = member(BackendID(i+1), 0, 0)
+		}
+		b, _ := New(cfg, uint64(node))
+		r := &rig{t: t, b: b, now: time.Hour}
+		r.do(Event{Kind: MembersRemembered, Members: members})
+		began, work := r.now, 0.0
+		for i := range 40 {
+			class, took := safe, light
+			if i%20 == 0 {
+				class, took = unsafe, heavy
+			}
+			r.serve(1, class, func(BackendID) time.Duration { return took })
+			work += took.Seconds()
+			r.wait(200 * ms)
+		}
+		warm += work / (r.now - began).Seconds() / servers
+		for _, s := range r.b.ready {
+			r.holds(s.Backend, 20) // the others have its traffic too
+		}
+		back := member(100, 1, 0)
+		back.Launched = r.now - time.Second
+		r.do(Event{Kind: MembersChanged, Members: []Member{back}})
+		for i := range 8 {
+			id := fmt.Sprint("back", i)
+			for _, a := range of(Send, r.arrive(id, safe)) {
+				if a.Backend == 100 {
+					sent++
+				}
+				r.do(Event{Kind: Outcome, Request: id, Backend: a.Backend, Spent: light, NoMore: true})
+			}
+			r.wait(window / 8)
+		}
+	}
+	can := coldMargin * warm * site().Rules.FallMultiple * 0.28 * window.Seconds() / light.Seconds() // by its warmth a second after the start
+	if sent == 0 || float64(sent) > can {
+		t.Errorf("%d requests within %v, %.0f at most", sent, window, can)
+	}
+}
--- a/balance/members.go
+++ b/balance/members.go
@@ -95,16 +95,21 @@
 		}
 	}
 	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
-	count := map[int]int{}
+	b.listed = map[int]int{}
 	b.ready = slices.DeleteFunc(b.ready, func(s *server) bool {
 		if !s.failed {
-			count[s.Zone]++
+			b.listed[s.Zone]++
 		}
-		return count[s.Zone] > b.partSize
+		return b.listed[s.Zone] > b.partSize
 	})
 	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.Backend, y.Backend) })
 }
 
+// reach is the part of all nodes that keep to a server of this one's zone: all of them, where the zone has few.
+func (b *Balancer) reach(s *server) float64 {
+	return min(1, float64(b.partSize)/float64(max(b.listed[s.Zone], 1)))
+}
+
 // Avoided counts the servers in the list, ready ones, that this node sends nothing or next to nothing by choice.
 func (b *Balancer) Avoided() int {
 	n := -len(b.ready)
