--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -291,3 +291,20 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// The platform may refuse sendfile and splice: no connection lets the library use them, since none shows it a plain socket. What
+// the node copies it reads and writes.
+func TestNoCopyInTheKernel(t *testing.T) {
+	client := net.Conn(&framedConn{Conn: &boundedConn{}})
+	for what, c := range map[string]any{"client": client, "under it": &boundedConn{}, "backend": &conn{}, "upload": plainWriter{}} {
+		if _, ok := c.(io.ReaderFrom); ok {
+			t.Errorf("%s: has ReadFrom, which splices", what)
+		}
+		if _, ok := c.(io.WriterTo); ok {
+			t.Errorf("%s: has WriteTo, which splices", what)
+		}
+		if _, ok := c.(syscall.Conn); ok {
+			t.Errorf("%s: shows its descriptor", what)
+		}
+	}
+}
