Membership from several sources: one list by a stated table, told as changes only

Need: installations learn boxes from DNS, a registry and files at once, and each half of the tree answered for itself who is there. merge/ is pure: votes of sources by state (fresh, stale, never heard), six rules as data over all 128 combinations, facts by rank and start times by the latest, identity over sources that know ids and ones that know addresses, lifetimes on the wheel, a guard against mass removal, checks with a panic threshold, drains that count on while another source is late.

--- /dev/null
+++ b/merge/merge_test.go
@@ -0,0 +1,408 @@
+package merge
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"glencart/balance"
+	"glencart/members"
+)
+
+// Every combination of votes has one rule, every rule has some combination, and the verdicts keep what the table promises.
+func TestTable(t *testing.T) {
+	used := map[int]int{}
+	for s := Votes(0); s < AllVotes-1; s++ {
+		i := Decide(s)
+		used[i]++
+		has := func(list ...Vote) bool { return s&Of(list...) != 0 }
+		v := Rules[i].Verdict
+		switch {
+		case has(Drains, Drained):
+			if v != Retires {
+				t.Errorf("%v: a drain is passed over: %v", s, v)
+			}
+		case v == Leaves && !has(Lacks, Denies):
+			t.Errorf("%v: it leaves, and nobody who is heard lacks it", s)
+		case has(Denies) && v != Leaves:
+			t.Errorf("%v: denied, and %v", s, v)
+		case has(Has) && !has(Denies) && v != Serves:
+			t.Errorf("%v: listed, and %v", s, v)
+		case v == Serves && !has(Has, Had):
+			t.Errorf("%v: serves, and nobody lists it", s)
+		case v == Keep && has(Has, Had, Lacks, Denies):
+			t.Errorf("%v: kept as it was against what is known", s)
+		}
+	}
+	if len(used) != len(Rules) {
+		t.Errorf("rules used: %v", used)
+	}
+}
+
+// named is an entry of a source that knows ids, addressed of one that knows addresses.
+func named(id, addr string, p balance.Phase, start time.Duration) Entry {
+	return Entry{Name: id, Knows: AllFacts, Line: members.Line{ID: id, Addr: addr, Member: balance.Member{Weight: 1, Phase: p, Launched: start}}}
+}
+
+func addressed(addr string, until time.Duration) Entry {
+	return Entry{Name: "dns/" + addr, Knows: Existence | Address, Until: until, Line: members.Line{Addr: addr}}
+}
+
+// pool plays changes as the pool sees them.
+type pool struct {
+	t    interface{ Fatalf(string, ...any) }
+	m    *Merge
+	now  time.Duration
+	have map[string]Change
+}
+
+func newPool(t interface{ Fatalf(string, ...any) }, cfg Config) *pool {
+	return &pool{t: t, m: NewMerge(cfg, 0), have: map[string]Change{}}
+}
+
+func (p *pool) do(ev Event) []Change {
+	changes := p.m.Handle(p.now, ev, nil)
+	for _, c := range changes {
+		if old, had := p.have[c.ID]; had && old.Line == c.Line && old.Tier == c.Tier {
+			p.t.Fatalf("told twice: %+v", c)
+		}
+		if c.Line.Phase == balance.Gone {
+			delete(p.have, c.ID)
+		} else {
+			p.have[c.ID] = c
+		}
+	}
+	return changes
+}
+
+func (p *pool) list(source int, until time.Duration, entries ...Entry) []Change {
+	return p.do(Event{Kind: Listed, Source: source, Complete: true, Until: until, Entries: entries})
+}
+
+// ready is the boxes that may be sent to, with their addresses.
+func (p *pool) ready() string {
+	var list []string
+	for id, c := range p.have {
+		if c.Line.Phase == balance.Ready {
+			list = append(list, id+"@"+c.Addr)
+		}
+	}
+	slices.Sort(list)
+	return strings.Join(list, " ")
+}
+
+func (p *pool) want(what, ready string) {
+	if got := p.ready(); got != ready {
+		p.t.Fatalf("%s: ready %q, want %q", what, got, ready)
+	}
+}
+
+var twoSources = Config{Sources: []SourceConfig{{Name: "registry"}, {Name: "dns", Keep: time.Hour}}}
+
+// A box that two sources know under different names is one box, and goes by its first name. An address that passes to another box
+// takes nothing with it.
+func TestOneBoxUnderTwoNames(t *testing.T) {
+	p := newPool(t, twoSources)
+	p.list(1, time.Minute, addressed("10.0.0.1:80", 0))
+	p.want("dns alone", "dns/10.0.0.1:80@10.0.0.1:80")
+	if c := p.list(0, 0, named("s-1", "10.0.0.1:80", balance.Ready, 0)); len(c) != 0 {
+		t.Errorf("told %+v of a box that is known", c)
+	}
+	p.want("both", "dns/10.0.0.1:80@10.0.0.1:80")
+	p.list(0, 0, named("s-2", "10.0.0.1:80", balance.Ready, 5))
+	p.want("another box at its address", "s-2@10.0.0.1:80")
+	// It moves; DNS still speaks of the old address, where nobody is that the registry knows.
+	p.list(0, 0, named("s-2", "10.0.0.9:80", balance.Ready, 5))
+	p.list(1, time.Minute, addressed("10.0.0.9:80", 0))
+	p.want("moved", "s-2@10.0.0.9:80")
+	p.list(0, 0, named("s-2", "10.0.0.9:80", balance.Draining, 5))
+	p.want("the registry says that it drains, DNS lists it", "")
+	p.list(0, 0, named("s-2", "10.0.0.9:80", balance.Draining, 5), named("s-3", "10.0.0.9:80", balance.Ready, 9))
+	p.want("a successor at the address of one that drains", "s-3@10.0.0.9:80")
+	if len(p.m.boxes) != 2 {
+		t.Errorf("%d boxes kept", len(p.m.boxes))
+	}
+}
+
+// A source that goes away empties no pool, however long: what was known last holds until some source is heard that knows better.
+func TestAFailingSourceEmptiesNoPool(t *testing.T) {
+	p := newPool(t, twoSources)
+	p.list(1, 30*time.Second, addressed("10.0.0.1:80", 0), addressed("10.0.0.2:80", 0))
+	for _, d := range []time.Duration{31 * time.Second, 20 * time.Minute, 2 * time.Hour, 1000 * time.Hour} {
+		p.now = d
+		p.do(Event{Kind: Ticked})
+		if p.m.Serving() != 2 {
+			t.Fatalf("after %v: %q", d, p.ready())
+		}
+	}
+	p.list(0, 0, named("s-1", "10.0.0.1:80", balance.Ready, 0))
+	p.want("the registry is heard and knows one of them", "dns/10.0.0.1:80@10.0.0.1:80")
+	p.do(Event{Kind: Failed, Source: 0})
+	p.now += time.Hour
+	p.do(Event{Kind: Ticked})
+	p.want("and is lost", "dns/10.0.0.1:80@10.0.0.1:80")
+}
+
+// More than a part of a pool that goes at once is held while it answers; an operator lets it go, or time does.
+func TestGuard(t *testing.T) {
+	cfg := twoSources
+	cfg.GuardPart, cfg.GuardWindow, cfg.GuardHold = 0.5, 10*time.Second, time.Minute
+	all := []Entry{named("a", "1.1.1.1:1", 0, 0), named("b", "1.1.1.2:1", 0, 0), named("c", "1.1.1.3:1", 0, 0), named("d", "1.1.1.4:1", 0, 0)}
+	fresh := func() *pool {
+		p := newPool(t, cfg)
+		p.list(0, 0, all...)
+		return p
+	}
+	p := fresh()
+	p.list(0, 0, all[:2]...)
+	if p.m.Serving() != 2 || p.m.Held() != 0 {
+		t.Errorf("half of it: %q", p.ready())
+	}
+	p.now = 5 * time.Second
+	p.list(0, 0, all[:1]...) // three quarters within the window
+	if p.m.Serving() != 2 || p.m.Held() != 1 {
+		t.Errorf("piece by piece: %q", p.ready())
+	}
+	p = fresh()
+	p.do(Event{Kind: Checked, Box: "c"})
+	p.list(0, 0)
+	p.want("none named: those that answer are held", "a@1.1.1.1:1 b@1.1.1.2:1 d@1.1.1.4:1")
+	p.list(0, 0, all[0])
+	if p.m.Held() != 2 {
+		t.Errorf("%d held, one is listed again", p.m.Held())
+	}
+	p.do(Event{Kind: Checked, Box: "b"})
+	p.want("one of the held fails", "a@1.1.1.1:1 d@1.1.1.4:1")
+	p.now += 59 * time.Second
+	p.do(Event{Kind: Ticked})
+	p.want("held", "a@1.1.1.1:1 d@1.1.1.4:1")
+	p.now += 2 * time.Second
+	p.do(Event{Kind: Ticked})
+	p.want("time lets it go", "a@1.1.1.1:1")
+	p = fresh()
+	p.list(0, 0)
+	p.do(Event{Kind: Allowed})
+	p.want("an operator lets them go", "")
+	p = fresh()
+	p.do(Event{Kind: Listed, Complete: true, Decided: true})
+	p.want("nothing serves here, decidedly", "")
+}
+
+// Checks withhold a box that fails them, and count for nothing once most fail.
+func TestChecksAndPanic(t *testing.T) {
+	p := newPool(t, Config{Sources: []SourceConfig{{Name: "r"}}, PanicPart: 0.5})
+	p.list(0, 0, named("a", "1.1.1.1:1", 0, 0), named("b", "1.1.1.2:1", 0, 0), named("c", "1.1.1.3:1", 0, 0))
+	p.do(Event{Kind: Checked, Box: "a"})
+	p.want("one fails", "b@1.1.1.2:1 c@1.1.1.3:1")
+	p.do(Event{Kind: Checked, Box: "b"})
+	p.want("two of three fail", "a@1.1.1.1:1 b@1.1.1.2:1 c@1.1.1.3:1")
+	p.do(Event{Kind: Failed})
+	p.do(Event{Kind: Checked, Box: "b", Up: true})
+	p.want("one is up again, the source fails", "b@1.1.1.2:1 c@1.1.1.3:1")
+	p.do(Event{Kind: Checked, Box: "a", Up: true})
+	p.want("all are up", "a@1.1.1.1:1 b@1.1.1.2:1 c@1.1.1.3:1")
+}
+
+// Must, trust, ranks, tiers and a revision that goes back.
+func TestTrust(t *testing.T) {
+	p := newPool(t, Config{Sources: []SourceConfig{{Name: "must", Must: true, Trust: Existence | Address}, {Name: "words", Trust: Phase | Start | Weight}, {Name: "other", Trust: AllFacts}}})
+	p.list(0, 0, named("a", "1.1.1.1:1", balance.Draining, 7), named("b", "1.1.1.2:1", 0, 0))
+	p.want("it is not believed in phases", "a@1.1.1.1:1 b@1.1.1.2:1")
+	heavy := named("b", "9.9.9.9:9", balance.Draining, 5)
+	heavy.Member.Weight = 3
+	p.list(1, 0, named("x", "1.1.1.9:1", 0, 0), heavy)
+	p.want("believed in phases, and in nothing else", "a@1.1.1.1:1")
+	if b := p.have["b"]; b.Addr != "1.1.1.2:1" || b.Launched != 5 || b.Member.Weight != 3 {
+		t.Errorf("%+v", b)
+	}
+	p.list(2, 0, named("c", "1.1.1.3:1", 0, 0), named("a", "1.1.1.8:1", 0, 11))
+	p.want("one that has to be listed is not", "a@1.1.1.1:1")
+	if p.have["a"].Launched != 11 {
+		t.Errorf("the latest start counts: %+v", p.have["a"])
+	}
+	rev := func(n int64, complete bool, e ...Entry) {
+		p.do(Event{Kind: Listed, Source: 2, Complete: complete, Revision: n, Entries: e})
+	}
+	p = newPool(t, Config{Sources: []SourceConfig{{Name: "f"}, {}, {Name: "r"}}})
+	rev(9, true, named("a", "1.1.1.1:1", 0, 0), named("b", "1.1.1.2:1", 0, 0))
+	rev(7, false, named("a", "1.1.1.1:1", balance.Gone, 0))
+	p.want("changes of an old revision", "a@1.1.1.1:1 b@1.1.1.2:1")
+	rev(7, true, named("a", "1.1.1.1:1", 0, 0))
+	p.want("a whole list of an old revision takes nothing out", "a@1.1.1.1:1 b@1.1.1.2:1")
+	rev(8, true, named("a", "1.1.1.1:1", 0, 0))
+	p.want("it goes on from there", "a@1.1.1.1:1")
+}
+
+// Whatever the sources say in whatever order: deciding on all boxes anew changes nothing; what drains is not sent to; a box leaves only
+// where some source is heard that lacks it; two boxes never share an address that only one of them has by a source with ids; and
+// nothing is kept of boxes that are gone.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPool(t, Config{Sources: []SourceConfig{{Name: "registry"}, {Name: "dns", Keep: 20 * time.Second}, {Name: "file", Must: rapid.Bool().Draw(t, "must")}}, PanicPart: 0.6, DrainFor: 10 * time.Second})
+		addr := func() string { return fmt.Sprintf("10.0.0.%d:80", rapid.IntRange(1, 4).Draw(t, "address")) }
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			before := p.ready()
+			switch k := rapid.IntRange(0, 7).Draw(t, "event"); k {
+			case 0, 1, 2, 3:
+				ev := Event{Kind: Listed, Source: rapid.IntRange(0, 2).Draw(t, "source"), Complete: rapid.IntRange(0, 2).Draw(t, "whole") > 0}
+				if ev.Source == 1 {
+					ev.Until = p.now + time.Duration(rapid.IntRange(0, 20).Draw(t, "life"))*time.Second
+				}
+				for range rapid.IntRange(0, 4).Draw(t, "boxes") {
+					if ev.Source == 1 {
+						ev.Entries = append(ev.Entries, addressed(addr(), ev.Until))
+					} else {
+						ev.Entries = append(ev.Entries, named(fmt.Sprint("s-", rapid.IntRange(1, 4).Draw(t, "id")), addr(),
+							balance.Phase(rapid.IntRange(0, 2).Draw(t, "phase")), time.Duration(rapid.IntRange(0, 2).Draw(t, "start"))))
+					}
+				}
+				p.do(ev)
+			case 4:
+				p.do(Event{Kind: Failed, Source: rapid.IntRange(0, 2).Draw(t, "source")})
+			case 5:
+				if v := p.m.Views(); len(v) > 0 {
+					p.do(Event{Kind: Checked, Box: v[rapid.IntRange(0, len(v)-1).Draw(t, "box")].ID, Up: rapid.Bool().Draw(t, "up")})
+				}
+			default:
+				p.now += time.Duration(rapid.IntRange(0, 30).Draw(t, "passes")) * time.Second
+				p.do(Event{Kind: Ticked})
+			}
+			heard := false
+			for i := range p.m.src {
+				s := &p.m.src[i]
+				heard = heard || s.whole && !s.failed && (s.until == 0 || s.until > p.now)
+			}
+			if before != "" && len(p.have) == 0 && !heard {
+				t.Fatalf("emptied with nobody heard: %s", before)
+			}
+			serving := 0
+			for _, v := range p.m.Views() {
+				c, known := p.have[v.ID]
+				if known != (v.Line.Phase != balance.Gone) || known && c.Line != v.Line {
+					t.Fatalf("%s: told %+v, and is %+v", v.ID, c, v)
+				}
+				var set Votes
+				for _, s := range v.Says {
+					set |= Of(s.Vote)
+				}
+				if v.Line.Phase == balance.Ready {
+					serving++
+					if set&Of(Drains, Drained) != 0 {
+						t.Fatalf("%s drains and is sent to: %v", v.ID, set)
+					}
+				}
+			}
+			if serving != p.m.Serving() {
+				t.Fatalf("%d serve, counted %d", serving, p.m.Serving())
+			}
+			for addr, l := range p.m.loose {
+				for _, e := range l {
+					if at := p.m.at[addr]; len(at) > 0 && !slices.Contains(at, e.box) {
+						t.Fatalf("%s: %s speaks of %s", addr, e.Name, e.box.id)
+					}
+				}
+			}
+			p.m.mark++
+			p.m.touched = p.m.touched[:0]
+			p.m.touchAll()
+			if c := p.m.decide(nil, false); len(c) != 0 {
+				t.Fatalf("decided anew: %+v", c)
+			}
+		}
+		for i := range p.m.src {
+			p.do(Event{Kind: Listed, Source: i, Complete: true})
+		}
+		if len(p.have)+len(p.m.boxes)+len(p.m.ids)+len(p.m.at)+len(p.m.loose)+len(p.m.bare)+len(p.m.down)+len(p.m.held) != 0 {
+			t.Fatalf("left behind: %+v %+v", p.have, p.m)
+		}
+	})
+}
+
+// big is a pool of so many boxes that a registry and DNS list.
+func big(boxes int) (*Merge, []Entry) {
+	entries := make([]Entry, boxes)
+	loose := make([]Entry, boxes)
+	for i := range entries {
+		addr := fmt.Sprintf("10.%d.%d.%d:80", i>>16, i>>8&255, i&255)
+		entries[i], loose[i] = named(fmt.Sprint("s-", i), addr, 0, 0), addressed(addr, time.Minute)
+	}
+	m := NewMerge(twoSources, 0)
+	m.Handle(0, Event{Kind: Listed, Complete: true, Entries: entries}, nil)
+	m.Handle(0, Event{Kind: Listed, Source: 1, Complete: true, Until: time.Minute, Entries: loose}, nil)
+	return m, entries
+}
+
+// BenchmarkRefresh takes in a whole list of 5,000 boxes of which 1% change, beside the plain way: all boxes decided anew.
+func BenchmarkRefresh(b *testing.B) {
+	for _, plain := range []bool{false, true} {
+		b.Run(map[bool]string{false: "touched", true: "walk"}[plain], func(b *testing.B) {
+			m, entries := big(5000)
+			r := rand.New(rand.NewPCG(1, 1))
+			var out []Change
+			b.ReportAllocs()
+			for n := 1; b.Loop(); n++ {
+				for range len(entries) / 100 {
+					entries[r.IntN(len(entries))].Member.Weight = float64(n)
+				}
+				out = m.Handle(0, Event{Kind: Listed, Complete: true, Entries: entries}, out[:0])
+				if plain {
+					m.mark++
+					m.touched = m.touched[:0]
+					m.touchAll()
+					out = m.decide(out[:0], false)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkExpiry has one of 5,000 lifetimes end at a time, beside a walk over all of them.
+func BenchmarkExpiry(b *testing.B) {
+	for _, plain := range []bool{false, true} {
+		b.Run(map[bool]string{false: "wheel", true: "walk"}[plain], func(b *testing.B) {
+			m, _ := big(5000)
+			now := time.Duration(0)
+			var out []Change
+			for i := 0; b.Loop(); i++ {
+				now += time.Millisecond
+				k := i % 5000
+				addr := fmt.Sprintf("10.0.%d.%d:80", k>>8&255, k&255)
+				out = m.Handle(now, Event{Kind: Listed, Source: 1, Until: now + time.Minute, Entries: []Entry{addressed(addr, now+time.Minute)}}, out[:0])
+				if plain {
+					due := 0
+					for _, e := range m.src[1].entries {
+						if e.Until <= now {
+							due++
+						}
+					}
+					_ = due
+				}
+			}
+		})
+	}
+}
+
+// Memory of 5,000 boxes that two sources list: printed, and bounded loosely.
+func TestMemory(t *testing.T) {
+	heap := func() uint64 {
+		var s runtime.MemStats
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&s)
+		return s.HeapAlloc
+	}
+	before := heap()
+	m, _ := big(5000)
+	per := (heap() - before) / 5000
+	t.Logf("%d bytes a box with two sources", per)
+	if per > 4096 {
+		t.Errorf("%d bytes a box", per)
+	}
+	runtime.KeepAlive(m)
+}
