DNS SRV, files and the registry as sources of boxes; the last list kept on disk

Need: the users' next wish. lookup/ is pure: what to ask, when, and what an answer means (RFC 2782, 2181, 2308, 5452, 8767): tiers, CNAMEs, addresses beside the answer only in bailiwick, TCP when cut, EDNS0 and without, several servers with the one that answered last asked on, lifetimes between a floor and a ceiling, refreshed at 60 to 95 %. dnssrv has the sockets, a port and a random id for each question; file reads a list that is replaced whole; kept holds the last one, checksummed.

--- /dev/null
+++ b/internal/members/discovery/discovery.go
@@ -0,0 +1,47 @@
+// Package discovery is the HTTP registry as one of several sources: package registry follows it.
+package discovery
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"glencart/internal/engine"
+	sources "glencart/internal/members"
+	"glencart/internal/members/registry"
+	"glencart/internal/settings"
+	"glencart/merge"
+)
+
+// failedAfter is how long a registry may give no answer before its word is old.
+const failedAfter = 10 * time.Second
+
+// Source is one registry.
+type Source struct {
+	addr  string
+	names settings.Settings
+	log   *slog.Logger
+}
+
+// New returns a Source. names has the numbers of zones and kinds.
+func New(addr string, names settings.Settings, log *slog.Logger) *Source {
+	return &Source{addr: addr, names: names, log: log}
+}
+
+// Run follows the registry until ctx ends.
+func (s *Source) Run(ctx context.Context, tell func(sources.Told)) {
+	heard := time.Now()
+	src := registry.New(s.addr, s.names, s.log, func(l engine.List) {
+		heard = time.Now()
+		t := sources.Told{Complete: l.Complete, Revision: l.Revision, Entries: make([]merge.Entry, 0, len(l.Members))}
+		for _, m := range l.Members {
+			t.Entries = append(t.Entries, merge.Entry{Name: m.ID, Knows: merge.AllFacts &^ merge.Tier, Line: m})
+		}
+		tell(t)
+	}, func() {
+		if time.Since(heard) > failedAfter {
+			tell(sources.Told{Failed: true})
+		}
+	})
+	src.Run(ctx)
+}
--- /dev/null
+++ b/internal/members/dnssrv/dnssrv.go
@@ -0,0 +1,186 @@
+// Package dnssrv keeps a list of boxes up to date from DNS SRV records. What to ask, when, and what an answer means is package
+// lookup's; here are the sockets. It never holds up a request: it runs in goroutines of its own.
+package dnssrv
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"glencart/balance"
+	sources "glencart/internal/members"
+	"glencart/lookup"
+	"glencart/members"
+	"glencart/merge"
+)
+
+const (
+	// udpSize is what fits into one datagram on nearly every way (DNS flag day 2020).
+	udpSize = 1232
+	// forgedMost bounds how many datagrams that answer nothing are read for one question.
+	forgedMost = 64
+)
+
+// Config is what a Source is built from.
+type Config struct {
+	lookup.Config
+	Servers []string // host:port; none: those of ResolvConf
+	// ResolvConf is read where no servers are named; "": /etc/resolv.conf.
+	ResolvConf string
+	Log        *slog.Logger
+}
+
+// Source is one SRV name.
+type Source struct {
+	cfg   Config
+	look  *lookup.Lookup
+	start time.Time
+	done  chan lookup.Event
+}
+
+// New returns a Source. It fails where no name server is known, or the name is none.
+func New(cfg Config) (*Source, error) {
+	if len(cfg.Servers) == 0 {
+		file := cfg.ResolvConf
+		if file == "" {
+			file = "/etc/resolv.conf"
+		}
+		rc, err := dns.ClientConfigFromFile(file)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w: name the servers with resolvers", file, err)
+		}
+		for _, s := range rc.Servers {
+			cfg.Servers = append(cfg.Servers, net.JoinHostPort(s, rc.Port))
+		}
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	cfg.Config.Servers = len(cfg.Servers)
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
+	look, err := lookup.New(cfg.Config, 0)
+	if err != nil {
+		return nil, err
+	}
+	return &Source{cfg: cfg, look: look, start: time.Now(), done: make(chan lookup.Event)}, nil
+}
+
+// Run looks the name up until ctx ends, and tells each list.
+func (s *Source) Run(ctx context.Context, tell func(sources.Told)) {
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	var acts []lookup.Action
+	ev := lookup.Event{Kind: lookup.Ticked}
+	for {
+		acts = s.look.Handle(time.Since(s.start), ev, acts[:0])
+		for _, a := range acts {
+			switch {
+			case a.Ask != nil:
+				go s.ask(ctx, *a.Ask)
+			case a.Told != nil:
+				tell(s.list(a.Told))
+			case a.Log != "":
+				s.cfg.Log.Info(a.Log)
+			}
+		}
+		if next, idle := s.look.Next(); idle {
+			alarm.Reset(next - time.Since(s.start))
+		} else {
+			alarm.Stop()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case ev = <-s.done:
+		case <-alarm.C:
+			ev = lookup.Event{Kind: lookup.Ticked}
+		}
+	}
+}
+
+// list words an answer as a source's list. Lifetimes become ages, since the merge has a clock of its own.
+func (s *Source) list(a *lookup.Answer) sources.Told {
+	now := time.Since(s.start)
+	t := sources.Told{Complete: true, Life: max(a.Until-now, 1), Decided: a.Decided}
+	for i := range a.Boxes {
+		b := &a.Boxes[i]
+		name := b.Name()
+		e := merge.Entry{Name: name, Knows: merge.Existence | merge.Address | merge.Weight | merge.Tier, Tier: b.Tier,
+			Line: members.Line{Addr: b.Addr.String(), Member: balance.Member{Weight: b.Weight}}}
+		t.Entries = append(t.Entries, e)
+		t.Lives = append(t.Lives, b.Until-now)
+	}
+	return t
+}
+
+// ask asks one server one question, once, from a port of its own.
+func (s *Source) ask(ctx context.Context, q lookup.Question) {
+	m, err := exchange(ctx, s.cfg.Servers[q.Server], q)
+	if err != nil {
+		s.cfg.Log.Debug("name server", "server", s.cfg.Servers[q.Server], "name", q.Name, "error", err)
+	}
+	ev := lookup.Event{Kind: lookup.Replied, Token: q.Token, Msg: m}
+	if err != nil {
+		ev.Kind = lookup.Lost
+	}
+	select {
+	case s.done <- ev:
+	case <-ctx.Done():
+	}
+}
+
+var errForged = errors.New("too many datagrams that answer nothing")
+
+// exchange sends a question and waits for its answer. What does not match is passed over: it may be forged, and the true answer
+// may follow.
+func exchange(ctx context.Context, server string, q lookup.Question) (*dns.Msg, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.Within)
+	defer cancel()
+	network := "udp"
+	if q.TCP {
+		network = "tcp"
+	}
+	nc, err := (&net.Dialer{}).DialContext(ctx, network, server)
+	if err != nil {
+		return nil, err
+	}
+	defer nc.Close()
+	defer context.AfterFunc(ctx, func() { nc.SetDeadline(time.Unix(1, 0)) })()
+	c := &dns.Conn{Conn: nc, UDPSize: udpSize}
+	sent := new(dns.Msg)
+	sent.SetQuestion(q.Name, q.Type)
+	sent.Id = dns.Id() // from crypto/rand
+	if !q.NoEDNS {
+		sent.SetEdns0(udpSize, false)
+	}
+	if err := c.WriteMsg(sent); err != nil {
+		return nil, err
+	}
+	for range forgedMost {
+		got, err := c.ReadMsg()
+		if err != nil {
+			if got != nil || isFormat(err) { // a datagram that can't be read
+				continue
+			}
+			return nil, err
+		}
+		if lookup.Matches(sent, got) {
+			return got, nil
+		}
+	}
+	return nil, errForged
+}
+
+// isFormat tells whether a message could not be read, while the connection is well.
+func isFormat(err error) bool {
+	var d *dns.Error
+	return errors.As(err, &d)
+}
--- /dev/null
+++ b/internal/members/file/file_test.go
@@ -0,0 +1,70 @@
+package file
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	sources "glencart/internal/members"
+	"glencart/internal/standin"
+)
+
+// A file is read anew when another takes its place; a broken one changes nothing, and one that is gone has failed.
+func TestReplaced(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "boxes.toml")
+	put := func(text string) {
+		if err := os.WriteFile(name+".new", []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(name+".new", name); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put("[[box]]\naddress = \"10.0.0.1:80\"\n")
+	told := make(chan sources.Told, 16)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { New(name, standin.Quiet()).Run(ctx, func(x sources.Told) { told <- x }); close(ended) }()
+	defer func() { cancel(); <-ended }()
+	if got := standin.Receive(t, "the first list", told); len(got.Entries) != 1 || got.Entries[0].ID != "10.0.0.1:80" {
+		t.Errorf("%+v", got)
+	}
+	put("[[box]]\naddress = \"10.0.0.1\"\n")
+	put("revision = 7\n[[box]]\nid = \"a\"\naddress = \"10.0.0.2:80\"\nstate = \"draining\"\nstarted = 9\nbackup = true\n")
+	got := standin.Receive(t, "the next list", told)
+	if e := got.Entries[0]; got.Revision != 7 || e.ID != "a" || e.Line.Phase == 0 || e.Tier != 1 || e.Launched != 9e9 {
+		t.Errorf("%+v", got)
+	}
+	os.Remove(name)
+	if got := standin.Receive(t, "its failure", told); !got.Failed {
+		t.Errorf("%+v", got)
+	}
+	put("[[box]]\naddress = \"10.0.0.1:80\"\n")
+	if got := standin.Receive(t, "its return", told); len(got.Entries) != 1 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// Faults name the file, the line and the remedy.
+func TestFaults(t *testing.T) {
+	for text, want := range map[string]string{
+		"[[box]]\naddress = \"x\"\n":                             `f:1: box.0: address: "x" is not an address with a port`,
+		"[[box]]\naddress = \"x:1\"\nstate = \"down\"\n":         "none of ready, draining",
+		"[[box]]\naddress = \"x:1\"\nweight = -1\n":              "weight",
+		"[[box]]\naddress = \"x:1\"\n[[box]]\naddress = \"x:1\"": "stands twice",
+		"[[box]]\nadress = \"x:1\"\n":                            "adress",
+		"box = 1":                                                "f:1",
+	} {
+		if _, err := Read("f", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %s", text, err, want)
+		}
+	}
+}
+
+// FuzzRead takes any text.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte("revision = 7\n[[box]]\nid = \"a\"\naddress = \"10.0.0.2:80\"\n"))
+	f.Fuzz(func(t *testing.T, text []byte) { Read("f", text) })
+}
--- /dev/null
+++ b/internal/members/kept/kept_test.go
@@ -0,0 +1,42 @@
+package kept
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A list comes back as it was written; a damaged one, one of another version and another pool's are passed over with a word.
+func TestKept(t *testing.T) {
+	dir := t.TempDir()
+	if l, err := Read(dir, "menu/1"); l != nil || err != nil {
+		t.Errorf("none: %v, %v", l, err)
+	}
+	l := List{Pool: "menu/1", At: time.Unix(5, 0), Boxes: []Box{{ID: "a", Named: true, Address: "10.0.0.1:80", Weight: 2, Draining: true}, {ID: "b", Address: "10.0.0.2:80"}}}
+	if err := Write(dir, l); err != nil {
+		t.Fatal(err)
+	}
+	got, err := Read(dir, "menu/1")
+	if err != nil || len(got.Boxes) != 2 || !got.At.Equal(l.At) {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	if e := got.Entries(7); e[0].ID != "a" || e[0].Line.Phase == 0 || e[0].Until != 7 || e[1].ID != "" || e[1].Member.Weight != 1 {
+		t.Errorf("%+v", e)
+	}
+	name := Path(dir, "menu/1")
+	whole, _ := os.ReadFile(name)
+	for what, text := range map[string]string{
+		"damaged": strings.Replace(string(whole), "10.0.0.1", "10.0.0.9", 1), "cut": string(whole[:len(whole)/2]),
+		"version": strings.Replace(string(whole), `"version":1`, `"version":2`, 1),
+	} {
+		os.WriteFile(name, []byte(text), 0o600)
+		if l, err := Read(dir, "menu/1"); l != nil || err == nil {
+			t.Errorf("%s: %v, %v", what, l, err)
+		}
+	}
+	os.WriteFile(Path(dir, "other"), whole, 0o600)
+	if l, err := Read(dir, "other"); l != nil || err == nil {
+		t.Errorf("another pool's: %v, %v", l, err)
+	}
+}
--- /dev/null
+++ b/internal/members/script_test.go
@@ -0,0 +1,235 @@
+package sources_test
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/miekg/dns"
+
+	"glencart/balance"
+	sources "glencart/internal/members"
+	standin "glencart/internal/standin/dns"
+	"glencart/lookup"
+	"glencart/members"
+	"glencart/merge"
+)
+
+// world is a registry, DNS and a file that feed one Merge, in virtual time. DNS answers are the stand-in's.
+type world struct {
+	t       *testing.T
+	now     time.Duration
+	m       *merge.Merge
+	look    *lookup.Lookup
+	servers [2]*standin.Server
+	faults  [2]string
+	coming  []reply
+	pool    map[string]merge.Change
+	said    strings.Builder
+}
+
+type reply struct {
+	at time.Duration
+	ev lookup.Event
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, pool: map[string]merge.Change{}}
+	for i := range w.servers {
+		w.servers[i] = standin.New(t, "khuree.mn.")
+	}
+	var err error
+	if w.look, err = lookup.New(lookup.Config{Name: "_menu._tcp.khuree.mn", Servers: 2, Seed: 1}, 0); err != nil {
+		t.Fatal(err)
+	}
+	w.m = merge.NewMerge(merge.Config{GuardPart: 0.5, GuardWindow: 10 * time.Second, GuardHold: time.Minute, PanicPart: 0.5, DrainFor: 2 * time.Minute, Sources: []merge.SourceConfig{
+		{Name: "registry", Keep: time.Hour}, {Name: "dns", Keep: time.Hour}, {Name: "file", Keep: time.Hour}}}, 0)
+	return w
+}
+
+func (w *world) tell(ev merge.Event) {
+	for _, c := range w.m.Handle(w.now, ev, nil) {
+		if c.Line.Phase == balance.Gone {
+			delete(w.pool, c.ID)
+		} else {
+			w.pool[c.ID] = c
+		}
+	}
+	for _, l := range w.m.Log() {
+		fmt.Fprintln(&w.said, "log:", l)
+	}
+}
+
+// answer is what a server sends, over UDP or TCP; nil: nothing.
+func (w *world) answer(q lookup.Question) *dns.Msg {
+	m := new(dns.Msg)
+	m.SetQuestion(q.Name, q.Type)
+	got := w.servers[q.Server].Answer(m)
+	switch f := w.faults[q.Server]; {
+	case f == "drop":
+		return nil
+	case f == "servfail":
+		got.SetRcode(m, dns.RcodeServerFailure)
+	case f == "truncate" && !q.TCP:
+		got.Truncated, got.Answer, got.Extra = true, nil, nil
+	}
+	return got
+}
+
+func (w *world) ask(ev lookup.Event) {
+	for _, a := range w.look.Handle(w.now, ev, nil) {
+		switch {
+		case a.Ask != nil:
+			r := reply{w.now + 2*time.Millisecond, lookup.Event{Kind: lookup.Replied, Token: a.Ask.Token, Msg: w.answer(*a.Ask)}}
+			if r.ev.Msg == nil {
+				r.at, r.ev.Kind = w.now+a.Ask.Within, lookup.Lost
+			}
+			w.coming = append(w.coming, r)
+		case a.Log != "":
+			fmt.Fprintln(&w.said, "log:", a.Log)
+		case a.Told != nil:
+			t := sources.Told{Complete: true, Life: a.Told.Until - w.now, Decided: a.Told.Decided}
+			for _, b := range a.Told.Boxes {
+				t.Entries = append(t.Entries, merge.Entry{Name: b.Name(), Knows: merge.Existence | merge.Address | merge.Weight | merge.Tier, Tier: b.Tier,
+					Line: members.Line{Addr: b.Addr.String(), Member: balance.Member{Weight: b.Weight}}})
+				t.Lives = append(t.Lives, b.Until-w.now)
+			}
+			w.tell(t.Event(1, w.now))
+		}
+	}
+}
+
+// pass has time go by.
+func (w *world) pass(d time.Duration) {
+	for end := w.now + d; ; {
+		at := end
+		if next, idle := w.look.Next(); idle {
+			at = min(at, next)
+		}
+		if next, some := w.m.Next(); some {
+			at = min(at, next)
+		}
+		for _, r := range w.coming {
+			at = min(at, r.at)
+		}
+		w.now = max(w.now, at)
+		if i := slices.IndexFunc(w.coming, func(r reply) bool { return r.at <= w.now }); i >= 0 {
+			r := w.coming[i]
+			w.coming = slices.Delete(w.coming, i, i+1)
+			w.ask(r.ev)
+		} else if next, idle := w.look.Next(); idle && next <= w.now {
+			w.ask(lookup.Event{Kind: lookup.Ticked})
+		} else if next, some := w.m.Next(); some && next <= w.now {
+			w.tell(merge.Event{Kind: merge.Ticked})
+		} else if w.now >= end {
+			return
+		}
+	}
+}
+
+// TestScript runs the scripts of testdata/. Commands, each followed by the pool as it then is:
+//
+//	dns [server=n]              lines of a zone file: all records of both servers, or of one
+//	fault server=n drop|servfail|truncate|none
+//	registry [changes] [rev=n]  lines of: id address phase [start in seconds]
+//	file                        the same
+//	failed registry|file        it can't be heard
+//	check box=.. [up]           an active check's verdict
+//	allow                       an operator lets go what the guard holds
+//	wait for=..
+//	why                         what each source says, and the rule
+func TestScript(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		w := newWorld(t)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			w.said.Reset()
+			arg := func(name, other string) string {
+				if d.HasArg(name) {
+					d.ScanArgs(t, name, &other)
+				}
+				return other
+			}
+			list := func(source int) {
+				rev, _ := strconv.ParseInt(arg("rev", "0"), 10, 64)
+				ev := merge.Event{Kind: merge.Listed, Source: source, Complete: !d.HasArg("changes"), Revision: rev}
+				for line := range strings.Lines(d.Input) {
+					f := strings.Fields(line)
+					e := merge.Entry{Name: f[0], Knows: merge.AllFacts &^ merge.Tier, Line: members.Line{ID: f[0], Addr: f[1],
+						Member: balance.Member{Weight: 1, Phase: balance.Phase(slices.Index([]string{"ready", "draining", "gone"}, f[2]))}}}
+					if len(f) > 3 {
+						n, _ := strconv.Atoi(f[3])
+						e.Launched = time.Duration(n) * time.Second
+					}
+					ev.Entries = append(ev.Entries, e)
+				}
+				w.tell(ev)
+			}
+			switch d.Cmd {
+			case "dns":
+				var lines []string
+				for line := range strings.Lines(d.Input) {
+					lines = append(lines, strings.TrimSpace(line))
+				}
+				n, err := strconv.Atoi(arg("server", "-1"))
+				for i, s := range w.servers {
+					if err == nil && (n < 0 || n == i) {
+						s.Set(t, lines...)
+					}
+				}
+			case "fault":
+				n, _ := strconv.Atoi(arg("server", "0"))
+				w.faults[n] = d.CmdArgs[1].Key
+			case "registry":
+				list(0)
+			case "file":
+				list(2)
+			case "failed":
+				w.tell(merge.Event{Kind: merge.Failed, Source: map[string]int{"registry": 0, "file": 2}[d.CmdArgs[0].Key]})
+			case "check":
+				w.tell(merge.Event{Kind: merge.Checked, Box: arg("box", ""), Up: d.HasArg("up")})
+			case "allow":
+				w.tell(merge.Event{Kind: merge.Allowed})
+			case "wait":
+				dur, err := time.ParseDuration(arg("for", ""))
+				if err != nil {
+					t.Fatal(err)
+				}
+				w.pass(dur)
+			case "why":
+				for _, v := range w.m.Views() {
+					fmt.Fprintf(&w.said, "%s %s:", v.ID, merge.Rules[v.Rule].Name)
+					for _, s := range v.Says {
+						fmt.Fprintf(&w.said, " %v", s.Vote)
+					}
+					fmt.Fprintln(&w.said)
+				}
+				return w.said.String()
+			default:
+				d.Fatalf(t, "no command %q", d.Cmd)
+			}
+			var ids []string
+			for id, c := range w.pool {
+				text := id
+				if !strings.HasSuffix(id, c.Addr) && !strings.Contains(id, "/") {
+					text += "@" + c.Addr
+				}
+				if c.Tier > 0 {
+					text += " backup"
+				}
+				if c.Line.Phase == balance.Draining {
+					text += " drains"
+				}
+				if c.Note != "" {
+					text += " (" + c.Note + ")"
+				}
+				ids = append(ids, text)
+			}
+			slices.Sort(ids)
+			return w.said.String() + "pool: " + strings.Join(ids, ", ") + "\n"
+		})
+	})
+}
--- /dev/null
+++ b/lookup/lookup_test.go
@@ -0,0 +1,275 @@
+package lookup
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/miekg/dns"
+)
+
+// play answers a lookup's questions from a function until nothing is out, and returns what was told and logged.
+func play(t testing.TB, l *Lookup, now *time.Duration, answer func(q Question, m *dns.Msg) *dns.Msg) (told *Answer, logs []string, asked []Question) {
+	t.Helper()
+	acts := l.Handle(*now, Event{Kind: Ticked}, nil)
+	for steps := 0; len(acts) > 0; steps++ {
+		if steps > 100_000 {
+			t.Fatal("it asks without end")
+		}
+		a := acts[0]
+		acts = acts[1:]
+		switch {
+		case a.Told != nil:
+			told = a.Told
+		case a.Log != "":
+			logs = append(logs, a.Log)
+		case a.Ask != nil:
+			asked = append(asked, *a.Ask)
+			m := new(dns.Msg)
+			m.SetQuestion(a.Ask.Name, a.Ask.Type)
+			ev := Event{Kind: Replied, Token: a.Ask.Token, Msg: answer(*a.Ask, m)}
+			if ev.Msg == nil {
+				*now += a.Ask.Within
+				ev.Kind = Lost
+			} else {
+				*now += time.Millisecond
+			}
+			acts = l.Handle(*now, ev, acts)
+		}
+	}
+	return told, logs, asked
+}
+
+// zone answers from lines of a zone file.
+func zone(t testing.TB, lines ...string) func(Question, *dns.Msg) *dns.Msg {
+	t.Helper()
+	var rrs []dns.RR
+	for _, l := range lines {
+		rr, err := dns.NewRR(l)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rrs = append(rrs, rr)
+	}
+	return func(q Question, m *dns.Msg) *dns.Msg {
+		m.SetReply(m)
+		for _, rr := range rrs {
+			h := rr.Header()
+			if strings.EqualFold(h.Name, q.Name) && (h.Rrtype == q.Type || h.Rrtype == dns.TypeCNAME) {
+				m.Answer = append(m.Answer, rr)
+			}
+		}
+		return m
+	}
+}
+
+func lookup(t testing.TB, servers int) *Lookup {
+	t.Helper()
+	l, err := New(Config{Name: "_Menu._tcp.Khuree.mn", Servers: servers, Seed: 1}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func names(a *Answer) string {
+	if a == nil {
+		return "nothing"
+	}
+	var list []string
+	for _, b := range a.Boxes {
+		list = append(list, fmt.Sprintf("%s tier %d weight %v life %v", b.Name(), b.Tier, b.Weight, b.Until.Round(time.Second)))
+	}
+	return strings.Join(list, "; ")
+}
+
+// What answers mean: tiers, weights, lifetimes, names in any case, addresses in the additional section only of names that the sender
+// speaks for, chains of CNAMEs, and "." for a service that is not to be had.
+func TestAnswers(t *testing.T) {
+	const srv = "_menu._tcp.khuree.mn. "
+	for _, tc := range []struct {
+		what  string
+		lines []string
+		want  string
+	}{
+		{"tiers and weights", []string{srv + "30 IN SRV 20 0 81 B.khuree.mn.", srv + "60 IN SRV 5 7 80 a.KHUREE.mn.", "a.khuree.mn. 20 IN A 10.0.0.1", "b.khuree.mn. 3 IN AAAA fd00::1"},
+			"b.khuree.mn:81/fd00::1 tier 1 weight 0.1 life 5s; a.khuree.mn:80/10.0.0.1 tier 0 weight 7 life 20s"},
+		{"a lifetime of 0, and one of 68 years", []string{srv + "4294967295 IN SRV 1 1 80 a.khuree.mn.", "a.khuree.mn. 2147483647 IN A 10.0.0.1"},
+			"a.khuree.mn:80/10.0.0.1 tier 0 weight 1 life 5s"},
+		{"a lifetime over the ceiling", []string{srv + "2147483647 IN SRV 1 1 80 a.khuree.mn.", "a.khuree.mn. 2147483647 IN A 10.0.0.1"},
+			"a.khuree.mn:80/10.0.0.1 tier 0 weight 1 life 1h0m0s"},
+		{"a chain", []string{srv + "30 IN CNAME _m._tcp.khuree.mn.", "_m._tcp.khuree.mn. 30 IN SRV 1 1 80 a.khuree.mn.", "a.khuree.mn. 30 IN CNAME c.khuree.mn.", "c.khuree.mn. 30 IN A 10.0.0.3"},
+			"a.khuree.mn:80/10.0.0.3 tier 0 weight 1 life 30s"},
+		{"a circle", []string{srv + "30 IN CNAME _m._tcp.khuree.mn.", "_m._tcp.khuree.mn. 30 IN CNAME _menu._tcp.khuree.mn."}, "nothing"},
+		{"two names of one address, and one twice", []string{srv + "30 IN SRV 1 1 80 a.khuree.mn.", srv + "30 IN SRV 1 1 80 a.khuree.mn.", "a.khuree.mn. 30 IN A 10.0.0.1", "a.khuree.mn. 30 IN A 0.0.0.0"},
+			"a.khuree.mn:80/10.0.0.1 tier 0 weight 1 life 30s"},
+		{"none", nil, ""},
+	} {
+		now := time.Duration(0)
+		told, _, _ := play(t, lookup(t, 1), &now, zone(t, tc.lines...))
+		if got := names(told); got != tc.want {
+			t.Errorf("%s: %s\nwant %s", tc.what, got, tc.want)
+		}
+	}
+	now := time.Duration(0)
+	if told, _, _ := play(t, lookup(t, 1), &now, zone(t, srv+"30 IN SRV 0 0 0 .")); told == nil || !told.Decided || len(told.Boxes) != 0 {
+		t.Errorf("target .: %+v", told)
+	}
+	spoof := zone(t, srv+"30 IN SRV 1 1 80 a.khuree.mn.", srv+"30 IN SRV 1 1 80 bank.example.", "bank.example. 30 IN A 10.9.9.9")
+	now = 0
+	told, _, asked := play(t, lookup(t, 1), &now, func(q Question, m *dns.Msg) *dns.Msg {
+		m = spoof(q, m)
+		for _, l := range []string{"bank.example. 3600 IN A 127.66.66.66", "a.khuree.mn. 30 IN A 10.0.0.1", "x.khuree.mn. 30 IN A 127.66.66.66"} {
+			rr, _ := dns.NewRR(l)
+			m.Extra = append(m.Extra, rr)
+		}
+		return m
+	})
+	if got := names(told); strings.Contains(got, "66") || !strings.Contains(got, "10.9.9.9") || !strings.Contains(got, "10.0.0.1") || len(asked) != 3 {
+		t.Errorf("additional records: %s after %d questions", got, len(asked))
+	}
+}
+
+// Servers that fail, that do not know EDNS0, or cut their answers; the one that answered last goes on being asked.
+func TestServers(t *testing.T) {
+	good := zone(t, "_menu._tcp.khuree.mn. 30 IN SRV 1 1 80 a.khuree.mn.", "a.khuree.mn. 30 IN A 10.0.0.1")
+	l, now := lookup(t, 3), time.Duration(0)
+	told, _, asked := play(t, l, &now, func(q Question, m *dns.Msg) *dns.Msg {
+		switch {
+		case q.Server == 0:
+			return nil
+		case q.Server == 1:
+			m.SetRcode(m, dns.RcodeServerFailure)
+			return m
+		case !q.NoEDNS:
+			m.SetRcode(m, dns.RcodeFormatError)
+			return m
+		case !q.TCP:
+			m = good(q, m)
+			m.Truncated, m.Answer = true, nil
+			return m
+		}
+		return good(q, m)
+	})
+	if names(told) == "nothing" || asked[3].Server != 2 || !asked[3].NoEDNS || !asked[4].TCP {
+		t.Errorf("%s after %+v", names(told), asked)
+	}
+	now, _ = l.Next()
+	if _, _, asked := play(t, l, &now, good); asked[0].Server != 2 {
+		t.Errorf("asked server %d, and 2 had answered", asked[0].Server)
+	}
+	// All fail: nothing is told, and it is asked again later and later, up to half a minute.
+	silent := func(Question, *dns.Msg) *dns.Msg { return nil }
+	for i := range 12 {
+		now, _ = l.Next()
+		told, logs, asked := play(t, l, &now, silent)
+		next, idle := l.Next()
+		if told != nil || len(asked) != 6 || !idle || next <= now || next > now+45*time.Second || (len(logs) > 0) != (i == 0) {
+			t.Fatalf("failure %d: told %v, %d questions, logs %q, next in %v", i, told, len(asked), logs, next-now)
+		}
+	}
+	// The addresses of one target are lost: it stays as it was, for as long as that was to hold.
+	now, _ = l.Next()
+	play(t, l, &now, good)
+	until := l.last["a.khuree.mn."].until
+	now, _ = l.Next()
+	told, _, _ = play(t, l, &now, func(q Question, m *dns.Msg) *dns.Msg {
+		if q.Type != dns.TypeSRV {
+			return nil
+		}
+		return good(q, m)
+	})
+	if told == nil || len(told.Boxes) != 1 || told.Boxes[0].Until != until {
+		t.Errorf("%s, want its old end %v", names(told), until)
+	}
+}
+
+// Of a million forged answers from off the path, which can't know the number of the question, none is believed.
+func TestForgedAnswers(t *testing.T) {
+	r := rand.New(rand.NewPCG(3, 4))
+	sent := new(dns.Msg)
+	sent.SetQuestion("_menu._tcp.khuree.mn.", dns.TypeSRV)
+	accepted := 0
+	for i := range 1_000_000 {
+		got := dns.Msg{MsgHdr: dns.MsgHdr{Id: uint16(r.Uint32()), Response: i%7 != 0}, Question: sent.Question}
+		port := r.IntN(1<<16-1024) + 1024 // of the socket that waits, of which it has to be the one, too
+		switch i % 5 {
+		case 1:
+			got.Question = []dns.Question{{Name: "_menu._tcp.khuree.mm.", Qtype: dns.TypeSRV, Qclass: dns.ClassINET}}
+		case 2:
+			got.Question = nil
+		case 3:
+			got.Question = []dns.Question{{Name: "_menu._tcp.khuree.mn.", Qtype: dns.TypeA, Qclass: dns.ClassINET}}
+		}
+		if port == 40_000 && Matches(sent, &got) {
+			accepted++
+		}
+	}
+	if accepted != 0 {
+		t.Errorf("%d accepted", accepted)
+	}
+	ok := dns.Msg{MsgHdr: dns.MsgHdr{Id: sent.Id, Response: true}, Question: []dns.Question{{Name: "_MENU._tcp.Khuree.MN.", Qtype: dns.TypeSRV, Qclass: dns.ClassINET}}}
+	if !Matches(sent, &ok) {
+		t.Error("the true answer is not believed")
+	}
+}
+
+// Nodes whose lifetimes began in the same second do not ask in the same second.
+func TestRefreshIsSpread(t *testing.T) {
+	const nodes = 300
+	good := zone(t, "_menu._tcp.khuree.mn. 30 IN SRV 1 1 80 a.khuree.mn.", "a.khuree.mn. 30 IN A 10.0.0.1")
+	perSecond := map[int]int{}
+	total := 0
+	for n := range nodes {
+		l, _ := New(Config{Name: "_menu._tcp.khuree.mn", Servers: 3, Seed: uint64(n)}, 0)
+		now := time.Duration(0)
+		for now < 10*time.Minute {
+			if _, _, asked := play(t, l, &now, good); now > time.Second {
+				perSecond[int(now/time.Second)] += len(asked)
+				total += len(asked)
+			}
+			now, _ = l.Next()
+		}
+	}
+	worst := 0
+	for _, n := range perSecond {
+		worst = max(worst, n)
+	}
+	t.Logf("%d nodes, a lifetime of 30 s: %.0f questions a minute for one name, %d in the worst second", nodes, float64(total)/10, worst)
+	if worst > total/600*5 {
+		t.Errorf("%d questions in the worst second, %d in the mean", worst, total/600)
+	}
+}
+
+// FuzzReplies feeds whatever can be read as messages: the lookup ends, and asks no more than its bounds.
+func FuzzReplies(f *testing.F) {
+	m := new(dns.Msg)
+	m.SetQuestion("_menu._tcp.khuree.mn.", dns.TypeSRV)
+	m.SetReply(m)
+	for _, l := range []string{"_menu._tcp.khuree.mn. 30 IN SRV 1 1 80 a.khuree.mn.", "_menu._tcp.khuree.mn. 30 IN CNAME a.khuree.mn."} {
+		rr, _ := dns.NewRR(l)
+		m.Answer = append(m.Answer, rr)
+	}
+	seed, _ := m.Pack()
+	f.Add(seed, seed)
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		l, now, n := lookup(t, 2), time.Duration(0), 0
+		_, _, asked := play(t, l, &now, func(q Question, m *dns.Msg) *dns.Msg {
+			n++
+			text := first
+			if n%2 == 0 {
+				text = second
+			}
+			got := new(dns.Msg)
+			if got.Unpack(text) != nil {
+				return nil
+			}
+			return got
+		})
+		if _, idle := l.Next(); !idle || len(asked) > 4*(2+2*chainMost)*(1+2*targetsMost) {
+			t.Fatalf("idle %t after %d questions", idle, len(asked))
+		}
+	})
+}
