serve: pools learn boxes from several sources; glencart members shows what each says

Need: [[pool]] sources in the site's file, strict, with defaults and errors as everywhere. New boxes begin cold where slow_start says so, backups by tier, drains at once from any source. reserve/ counts the boxes that can be sent to instead of walking all at each end of an attempt.

With all sources down a kept list serves, and without one requests are refused at once with when to come back.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -45,13 +45,14 @@
 	LogFormat string `enum:"text,json" default:"text" help:"How log lines are written to standard error: text or json."`
 	Verbose   bool   `short:"v" help:"Log details too."`
 
-	Serve  serveCmd  `cmd:"" help:"Serve an installation: listeners, routes and pools of a file."`
-	Check  checkCmd  `cmd:"" help:"Check a file, and say what it has."`
-	Route  routeCmd  `cmd:"" help:"Tell where a request would go."`
-	Demo   demoCmd   `cmd:"" help:"Show what glencart does, on this machine, in about 15 seconds."`
-	Lab    labCmd    `cmd:"" help:"Play fleets in virtual time: scenarios, policies, comparisons."`
-	Load   loadCmd   `cmd:"" help:"Send load to a real front, at times that are set beforehand."`
-	Import importCmd `cmd:"" help:"Make a file from another program's configuration."`
+	Serve   serveCmd   `cmd:"" help:"Serve an installation: listeners, routes and pools of a file."`
+	Check   checkCmd   `cmd:"" help:"Check a file, and say what it has."`
+	Route   routeCmd   `cmd:"" help:"Tell where a request would go."`
+	Members membersCmd `cmd:"" help:"Show what the sources of each pool say of its boxes, and what is made of it."`
+	Demo    demoCmd    `cmd:"" help:"Show what glencart does, on this machine, in about 15 seconds."`
+	Lab     labCmd     `cmd:"" help:"Play fleets in virtual time: scenarios, policies, comparisons."`
+	Load    loadCmd    `cmd:"" help:"Send load to a real front, at times that are set beforehand."`
+	Import  importCmd  `cmd:"" help:"Make a file from another program's configuration."`
 }
 
 // Main runs a command line and returns the exit code.
--- /dev/null
+++ b/internal/cli/members.go
@@ -0,0 +1,169 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	httpfront "glencart/internal/front/http"
+	sources "glencart/internal/members"
+	"glencart/internal/members/kept"
+	"glencart/internal/site"
+	"glencart/merge"
+)
+
+type membersCmd struct {
+	File string        `arg:"" help:"The installation's file (TOML)." type:"path"`
+	Pool string        `help:"Only this pool."`
+	Wait time.Duration `default:"3s" help:"How long to listen to the sources."`
+	Live bool          `help:"Do not ask: show what the running process has written to node.keep."`
+	JSON bool          `help:"One JSON object."`
+}
+
+// memberLine is one box as it is shown.
+type memberLine struct {
+	Box     string   `json:"box"`
+	Address string   `json:"address"`
+	State   string   `json:"state"`
+	Tier    int      `json:"tier,omitempty"`
+	Rule    string   `json:"rule"`
+	Note    string   `json:"note,omitempty"`
+	Says    []string `json:"says"` // by source
+	Differs bool     `json:"differs,omitempty"`
+}
+
+// memberPool is one pool as it is shown.
+type memberPool struct {
+	Pool    string       `json:"pool"`
+	At      time.Time    `json:"at"`
+	Sources []string     `json:"sources"`
+	Boxes   []memberLine `json:"boxes"`
+}
+
+// Run shows what the sources of each pool say, and what is made of it. It ends with ExitDifferences where they disagree.
+func (c *membersCmd) Run(x *Context) error {
+	s, err := site.Load(c.File)
+	if err != nil {
+		return exit{ExitBadInput, err}
+	}
+	var pools []memberPool
+	for i := range s.Pools {
+		p := &s.Pools[i]
+		if len(p.Sources) == 0 || c.Pool != "" && c.Pool != p.Name {
+			continue
+		}
+		show := c.listen
+		if c.Live {
+			show = c.live
+		}
+		got, err := show(x, s, p)
+		if err != nil {
+			return exit{ExitBadInput, err}
+		}
+		pools = append(pools, got)
+	}
+	if len(pools) == 0 {
+		return exit{ExitBadInput, errors.New("no pool with sources: see pool.sources in docs/MEMBERS.md")}
+	}
+	differ := false
+	for _, p := range pools {
+		for _, b := range p.Boxes {
+			differ = differ || b.Differs
+		}
+	}
+	if c.JSON {
+		if err := json.NewEncoder(x.Out).Encode(pools); err != nil {
+			return err
+		}
+	} else {
+		for _, p := range pools {
+			fmt.Fprintf(x.Out, "pool %s, %d boxes\n", p.Pool, len(p.Boxes))
+			w := tabwriter.NewWriter(x.Out, 2, 0, 2, ' ', 0)
+			fmt.Fprintf(w, "  box\taddress\tstate\trule\t%s\t\n", strings.Join(p.Sources, "\t"))
+			for _, b := range p.Boxes {
+				state := b.State
+				if b.Note != "" {
+					state += " (" + b.Note + ")"
+				}
+				fmt.Fprintf(w, "  %s\t%s\t%s\t%s\t%s\t\n", b.Box, b.Address, state, b.Rule, strings.Join(b.Says, "\t"))
+			}
+			w.Flush()
+		}
+	}
+	if differ {
+		return exit{code: ExitDifferences}
+	}
+	return nil
+}
+
+// listen asks the sources itself.
+func (c *membersCmd) listen(x *Context, s *site.Site, p *site.Pool) (memberPool, error) {
+	start := time.Now()
+	clock := func() time.Duration { return time.Duration(start.UnixNano()) + time.Since(start) }
+	m, err := httpfront.NewMembership(s, p, x.Log, clock())
+	if err != nil {
+		return memberPool{}, err
+	}
+	var mu sync.Mutex
+	hear := func(ev merge.Event) {
+		mu.Lock()
+		defer mu.Unlock()
+		m.Merge.Handle(clock(), ev, nil)
+	}
+	for _, ev := range m.First() {
+		hear(ev)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Wait)
+	defer cancel()
+	var wg sync.WaitGroup
+	m.Run(ctx, func(f func()) { wg.Go(f) }, func(source int, t sources.Told) { hear(t.Event(source, clock())) })
+	<-ctx.Done()
+	wg.Wait()
+	hear(merge.Event{Kind: merge.Ticked})
+	for _, line := range m.Merge.Log() {
+		x.Log.Warn(line, "pool", p.Name)
+	}
+	got := memberPool{Pool: p.Name, At: time.Now(), Sources: m.Names}
+	for _, v := range m.Merge.Views() {
+		b := memberLine{Box: v.ID, Address: v.Addr, State: phaseNames[v.Line.Phase], Tier: v.Tier, Rule: merge.Rules[v.Rule].Name, Note: v.Note, Differs: v.Disagree()}
+		for _, said := range v.Says {
+			text := said.Vote.String()
+			if said.Left != 0 {
+				text += fmt.Sprintf(" (%v)", said.Left.Round(time.Second))
+			}
+			b.Says = append(b.Says, text)
+		}
+		got.Boxes = append(got.Boxes, b)
+	}
+	return got, nil
+}
+
+var phaseNames = []string{"ready", "draining", "gone"}
+
+// live shows what a running process has written.
+func (c *membersCmd) live(_ *Context, s *site.Site, p *site.Pool) (memberPool, error) {
+	if s.Node.Keep == "" {
+		return memberPool{}, errors.New("node.keep: not set: a running process shows its list there")
+	}
+	l, err := kept.Read(s.Node.Keep, p.Name)
+	if err != nil {
+		return memberPool{}, err
+	}
+	if l == nil {
+		return memberPool{}, fmt.Errorf("pool %q: nothing is kept in %s: has the process run?", p.Name, s.Node.Keep)
+	}
+	got := memberPool{Pool: p.Name, At: l.At, Sources: l.Sources}
+	for _, b := range l.Boxes {
+		line := memberLine{Box: b.ID, Address: b.Address, State: "ready", Tier: b.Tier, Rule: b.Rule, Note: b.Note, Says: b.Says, Differs: b.Differs}
+		if b.Draining {
+			line.State = "draining"
+		}
+		got.Boxes = append(got.Boxes, line)
+	}
+	return got, nil
+}
--- a/internal/front/http/pool.go
+++ b/internal/front/http/pool.go
@@ -15,6 +15,7 @@
 	"glencart/internal/members/registry"
 	"glencart/internal/settings"
 	"glencart/internal/site"
+	"glencart/merge"
 	"glencart/reserve"
 )
 
@@ -38,9 +39,19 @@
 	list   engine.List      // as the file has it, backups included; on the loop
 	backup map[string]bool  // on the loop
 	knocks map[string]bool  // boxes that are knocked at; on the loop
-	ctx    context.Context
-	stop   context.CancelFunc
-	wg     sync.WaitGroup
+
+	// Where boxes come from several sources, on the loop:
+	member  *Membership // nil: they don't
+	merged  map[string]merge.Change
+	since   map[string]time.Duration // when a box began, as found out here
+	changes []merge.Change
+	begun   bool         // sources are running
+	heard   map[int]bool // sources that have told a list
+	keeping bool         // the list will be written down soon
+
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
 }
 
 // sumOf is equal for two pools if one can take the other's place by a new list of boxes.
@@ -104,9 +115,16 @@
 			return l
 		}}
 	ctx, cancel := context.WithCancel(context.Background())
-	q.ctx, q.stop, q.knocks = ctx, cancel, map[string]bool{}
+	q.ctx, q.stop, q.knocks, q.backup = ctx, cancel, map[string]bool{}, map[string]bool{}
 	q.loop = engine.New(engine.Config{Balancer: bal, Transport: x, Log: log})
-	if p.Registry != "" {
+	if len(p.Sources) > 0 {
+		m, err := NewMembership(s, p, log, q.loop.Clock())
+		if err != nil {
+			cancel()
+			return nil, err
+		}
+		q.follow(m)
+	} else if p.Registry != "" {
 		src := registry.New(p.Registry, settings.Settings{Config: cfg}, log,
 			func(list engine.List) {
 				kind := balance.MembersChanged
@@ -134,7 +152,10 @@
 
 // reload takes in a new list of boxes. Those that are new in it start now, and cold where the file says so.
 func (q *pool) reload(boxes []site.Box) {
-	if q.site.Registry == "" {
+	switch {
+	case q.member != nil && len(q.site.Boxes) > 0:
+		q.loop.Post(func() { q.hear(q.member.Static(boxes)) })
+	case q.member == nil && q.site.Registry == "":
 		q.loop.Post(func() { q.take(boxes, q.loop.Clock()) })
 	}
 }
@@ -212,8 +233,18 @@
 				q.list.Members[i].Launched = q.loop.Clock()
 			}
 		}
+		if q.member != nil {
+			q.since[id] = q.loop.Clock()
+		}
 	}
-	if changed || restarted {
+	switch {
+	case q.member != nil && changed:
+		q.pushAll(q.all())
+	case q.member != nil && restarted:
+		if c, listed := q.merged[id]; listed {
+			q.push([]merge.Change{c})
+		}
+	case changed || restarted:
 		q.tell()
 	}
 }
--- a/internal/site/load.go
+++ b/internal/site/load.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -74,6 +75,11 @@
 		p := &s.Pools[i]
 		p.Spread, p.Attempts = cmp.Or(p.Spread, "estimate"), cmp.Or(p.Attempts, 3)
 		p.ColdShare, p.MaxFails = cmp.Or(p.ColdShare, 0.1), cmp.Or(p.MaxFails, 1)
+		for j := range p.Sources {
+			src := &p.Sources[j]
+			src.Name = cmp.Or(src.Name, src.DNS, src.Registry, src.File)
+			src.Stale = cmp.Or(src.Stale, Duration(72*time.Hour))
+		}
 		for j := range p.Boxes {
 			b := &p.Boxes[j]
 			b.ID, b.Weight, b.State = cmp.Or(b.ID, b.Address), cmp.Or(b.Weight, 1), cmp.Or(b.State, "ready")
@@ -187,9 +193,13 @@
 
 func (c *checker) pool(path string, p *Pool) {
 	c.oneOf(path+".spread", p.Spread, "estimate", "weights")
-	if (len(p.Boxes) == 0) == (p.Registry == "") {
-		c.fault(path, "boxes or registry: give exactly one of them")
+	switch {
+	case len(p.Boxes) == 0 && p.Registry == "" && len(p.Sources) == 0:
+		c.fault(path, "no boxes: give boxes, registry or sources")
+	case p.Registry != "" && len(p.Boxes)+len(p.Sources) > 0:
+		c.fault(path+".registry", "stands beside boxes or sources: write it as one of sources, { registry = %q }", p.Registry)
 	}
+	c.sources(path, p)
 	if p.Registry != "" && !hostPort(p.Registry) {
 		c.fault(path+".registry", "%q is not an address with a port", p.Registry)
 	}
@@ -225,6 +235,57 @@
 	}
 }
 
+// SourceNames of a pool: static boxes are the first of them.
+const (
+	StaticSource = "boxes"
+	KeptSource   = "kept"
+)
+
+// Facts are the names of what a source can be believed in.
+var Facts = []string{"exists", "address", "phase", "weight", "zone", "start", "tier"}
+
+func (c *checker) sources(path string, p *Pool) {
+	names := map[string]bool{StaticSource: true, KeptSource: true}
+	for j := range p.Sources {
+		s, at := &p.Sources[j], fmt.Sprintf("%s.sources.%d", path, j)
+		given := 0
+		for _, text := range []string{s.DNS, s.Registry, s.File} {
+			if text != "" {
+				given++
+			}
+		}
+		switch {
+		case given != 1:
+			c.fault(at, "dns, registry or file: give exactly one of them")
+		case names[s.Name]:
+			c.fault(at+".name", "%q stands twice, or is glencart's own: give it another name", s.Name)
+		case s.Registry != "" && !hostPort(s.Registry):
+			c.fault(at+".registry", "%q is not an address with a port", s.Registry)
+		case s.DNS != "" && (!strings.HasPrefix(s.DNS, "_") || strings.Count(s.DNS, ".") < 2):
+			c.fault(at+".dns", "%q is no SRV name: write it as _menu._tcp.khuree.mn", s.DNS)
+		case s.DNS == "" && (len(s.Resolvers) > 0 || s.ResolvConf != "" || s.Floor != 0 || s.Ceiling != 0 || s.Timeout != 0):
+			c.fault(at, "resolvers, resolv_conf, floor, ceiling and timeout are for dns: take them out")
+		case s.Ceiling != 0 && s.Ceiling < s.Floor:
+			c.fault(at+".ceiling", "below floor: make it longer")
+		}
+		names[s.Name] = true
+		for k, r := range s.Resolvers {
+			if host, _, err := net.SplitHostPort(r); err != nil || net.ParseIP(host) == nil {
+				c.fault(fmt.Sprintf("%s.resolvers.%d", at, k), "%q is no IP address with a port: write it as 10.0.0.2:53 or [fd00::2]:53", r)
+			}
+		}
+		for k, f := range s.Trust {
+			c.oneOf(fmt.Sprintf("%s.trust.%d", at, k), f, Facts...)
+		}
+	}
+	if g := p.Guard; g != nil && !(*g > 0 && *g <= 1) {
+		c.fault(path+".guard", "not above 0 and up to 1: 1 lets all go at once")
+	}
+	if len(p.Sources) == 0 && (p.Guard != nil || p.GuardHold != 0) {
+		c.fault(path+".guard", "counts with sources: take it out")
+	}
+}
+
 func (c *checker) server(path string, s *Server) {
 	c.oneOf(path+".slashes", s.Slashes, "merge", "keep")
 	for j, l := range s.Listeners {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -35,6 +35,7 @@
 	Trusted   []string `toml:"trusted,omitempty"`    // networks whose X-Forwarded-For is believed
 	Leave     Duration `toml:"leave,omitempty"`      // how long open requests may last after SIGTERM; 0: 10s
 	Tenant    string   `toml:"tenant,omitempty"`     // the request header that names the tenant
+	Keep      string   `toml:"keep,omitempty"`       // a folder for the last list of each pool with sources; none: nothing is kept
 }
 
 // Limits bound what clients may take.
@@ -67,9 +68,14 @@
 	Name     string `toml:"name,omitempty"`
 	Boxes    []Box  `toml:"boxes,omitempty"`
 	Registry string `toml:"registry,omitempty"` // host:port of an HTTP registry, instead of boxes
-	Spread   string `toml:"spread,omitempty"`   // "estimate" (default) or "weights"
-	Probe    string `toml:"probe,omitempty"`    // a path that answers a load report; none: no probes
-	Reports  bool   `toml:"reports,omitempty"`  // answers carry Endpoint-Load-Metrics
+
+	Sources   []Source `toml:"sources,omitempty"`    // where else boxes are learned, beside boxes; by rank
+	Guard     *float64 `toml:"guard,omitempty"`      // the part of the boxes that sources may take out at once; none: 0.5; 1: all
+	GuardHold Duration `toml:"guard_hold,omitempty"` // how long the others are held; 0: 60s
+
+	Spread  string `toml:"spread,omitempty"`  // "estimate" (default) or "weights"
+	Probe   string `toml:"probe,omitempty"`   // a path that answers a load report; none: no probes
+	Reports bool   `toml:"reports,omitempty"` // answers carry Endpoint-Load-Metrics
 
 	Attempts    int      `toml:"attempts,omitempty"`     // of one request, unless its class says otherwise; 0: 3
 	Connect     Duration `toml:"connect,omitempty"`      // 0: 1s
@@ -85,6 +91,23 @@
 	TLSInsecure bool     `toml:"tls_insecure,omitempty"` // certificates are not verified
 }
 
+// Source is a source of boxes. Exactly one of DNS, Registry and File is given.
+type Source struct {
+	Name     string   `toml:"name,omitempty"`     // none: what it is
+	DNS      string   `toml:"dns,omitempty"`      // an SRV name, such as _menu._tcp.khuree.mn
+	Registry string   `toml:"registry,omitempty"` // host:port of an HTTP registry
+	File     string   `toml:"file,omitempty"`     // a list on disk: docs/MEMBERS.md
+	Must     bool     `toml:"must,omitempty"`     // a box that it does not list is gone, whatever others say
+	Trust    []string `toml:"trust,omitempty"`    // facts that it is believed in; none: all that it tells
+	Stale    Duration `toml:"stale,omitempty"`    // how long its word counts once it is old; 0: 72h
+
+	Resolvers  []string `toml:"resolvers,omitempty"`   // host:port; none: those of resolv_conf
+	ResolvConf string   `toml:"resolv_conf,omitempty"` // none: /etc/resolv.conf
+	Floor      Duration `toml:"floor,omitempty"`       // the shortest lifetime of an answer; 0: 5s
+	Ceiling    Duration `toml:"ceiling,omitempty"`     // the longest; 0: 1h
+	Timeout    Duration `toml:"timeout,omitempty"`     // for one question to one server; 0: 1s
+}
+
 // Box is one server.
 type Box struct {
 	ID      string  `toml:"id,omitempty"`      // none: the address
--- a/reserve/reserve.go
+++ b/reserve/reserve.go
@@ -28,6 +28,7 @@
 type Reserve struct {
 	cfg   Config
 	boxes map[string]*state
+	up    int // usual boxes that can be sent to
 	on    bool
 }
 
@@ -36,6 +37,7 @@
 	fails   []time.Duration // the latest MaxFails at most, oldest first
 	down    bool
 	refused bool // a connection, since its last answer
+	counted bool // in up
 }
 
 // End is how an attempt at a box ended. One that says nothing of the box (given up, never sent) has none.
@@ -80,13 +82,56 @@
 		s.Box = b
 		r.boxes[b.ID] = s
 	}
+	r.up = 0
+	for _, s := range r.boxes {
+		s.counted = false
+		r.count(s)
+	}
 	return r.decide()
 }
 
+// Set takes in one box, new or changed. It tells whether On has changed.
+func (r *Reserve) Set(b Box) bool {
+	s := r.boxes[b.ID]
+	if s == nil {
+		s = &state{}
+		r.boxes[b.ID] = s
+	}
+	s.Box = b
+	r.count(s)
+	return r.decide()
+}
+
+// Remove takes a box out. It tells whether On has changed.
+func (r *Reserve) Remove(id string) bool {
+	if s := r.boxes[id]; s != nil {
+		s.Ready = false
+		r.count(s)
+		delete(r.boxes, id)
+	}
+	return r.decide()
+}
+
+// Listed tells whether a box is in the list.
+func (r *Reserve) Listed(id string) bool { return r.boxes[id] != nil }
+
+// count counts a box as one that can be sent to, or no more.
+func (r *Reserve) count(s *state) {
+	if can := !s.Backup && s.Ready && !s.down; can != s.counted {
+		s.counted = can
+		if can {
+			r.up++
+		} else {
+			r.up--
+		}
+	}
+}
+
 // Restarted takes in that a box is a new process: what the old one did counts no more. It tells whether On has changed.
 func (r *Reserve) Restarted(id string) bool {
 	if s := r.boxes[id]; s != nil {
 		s.fails, s.down, s.refused = nil, false, false
+		r.count(s)
 	}
 	return r.decide()
 }
@@ -99,6 +144,7 @@
 		return false, false
 	}
 	s.fails, s.down, s.refused = nil, false, false
+	r.count(s)
 	return r.decide(), true
 }
 
@@ -119,6 +165,7 @@
 	if end == Answered {
 		if s.down && now-s.fails[len(s.fails)-1] >= r.cfg.FailWithin {
 			s.down, s.fails = false, s.fails[:0]
+			r.count(s)
 		}
 		return r.decide(), restarted
 	}
@@ -129,17 +176,13 @@
 	s.fails = append(s.fails, now)
 	if len(s.fails) == r.cfg.MaxFails && now-s.fails[0] <= r.cfg.FailWithin {
 		s.down = true
+		r.count(s)
 	}
 	return r.decide(), false
 }
 
 func (r *Reserve) decide() bool {
-	on := true
-	for _, s := range r.boxes {
-		if !s.Backup && s.Ready && !s.down {
-			on = false
-		}
-	}
+	on := r.up == 0
 	changed := on != r.on
 	r.on = on
 	return changed
