--- a/merge/merge_test.go
+++ b/merge/merge_test.go
@@ -149,6 +149,30 @@
 	p.want("and is lost", "dns/10.0.0.1:80@10.0.0.1:80")
 }
 
+// A list whose lifetime turns out shorter than the one before is old when the shorter one is over.
+func TestALifetimeThatShrinks(t *testing.T) {
+	p := newPool(t, twoSources)
+	p.list(0, 0, named("s-1", "10.0.0.1:80", balance.Ready, 0))
+	p.list(1, time.Hour)
+	p.list(1, time.Minute)
+	p.now = 2 * time.Minute
+	p.do(Event{Kind: Failed, Source: 0})
+	p.want("both are old: it holds", "s-1@10.0.0.1:80")
+	if v := p.m.Views()[0]; v.Says[1].Vote != Lacked || Rules[v.Rule].Name != "stale" {
+		t.Errorf("%+v", v)
+	}
+	p.list(1, p.now+time.Hour)
+	p.list(1, p.now+time.Second)
+	p.now += time.Minute
+	p.do(Event{Kind: Ticked})
+	if next, some := p.m.Next(); some && next < p.now {
+		t.Errorf("still due at %v", next)
+	}
+	if v := p.m.Views()[0]; Rules[v.Rule].Name != "stale" && Rules[v.Rule].Name != "unknown" {
+		t.Errorf("decided by %q, and nobody is heard: %+v", Rules[v.Rule].Name, v)
+	}
+}
+
 // More than a part of a pool that goes at once is held while it answers; an operator lets it go, or time does.
 func TestGuard(t *testing.T) {
 	cfg := twoSources
@@ -226,6 +250,11 @@
 	if p.have["a"].Launched != 11 {
 		t.Errorf("the latest start counts: %+v", p.have["a"])
 	}
+	p.list(2, 0, named("a", "1.1.1.8:1", 0, 3))
+	p.list(1, 0, named("a", "1.1.1.1:1", 0, 8))
+	if p.have["a"].Launched != 8 {
+		t.Errorf("an earlier start of a later source counts: %+v", p.have["a"])
+	}
 	rev := func(n int64, complete bool, e ...Entry) {
 		p.do(Event{Kind: Listed, Source: 2, Complete: complete, Revision: n, Entries: e})
 	}
