serve: what the operator takes out of the site's own file is never held by the guard

Found on reading the change once more: a reload that takes out more than half of the static boxes of a pool with sources would have been held for guard_hold. The file is the operator's own word.

--- a/internal/front/http/sources.go
+++ b/internal/front/http/sources.go
@@ -109,7 +109,7 @@
 
 // Static words the boxes of the file as a list of the first source.
 func (m *Membership) Static(boxes []site.Box) merge.Event {
-	ev := merge.Event{Kind: merge.Listed, Complete: true}
+	ev := merge.Event{Kind: merge.Listed, Complete: true, Decided: true} // the operator's own hand: the guard has no say
 	for _, b := range boxes {
 		if b.State == "down" {
 			continue
--- a/merge/merge.go
+++ b/merge/merge.go
@@ -80,7 +80,7 @@
 	Complete bool          // the entries are the whole list, else changes; a change whose Phase is Gone takes an entry out
 	Revision int64         // of the source's own; 0: it has none
 	Until    time.Duration // the list's lifetime; 0: it holds until the source fails
-	Decided  bool          // an empty list is meant: nothing serves here (RFC 2782, target ".")
+	Decided  bool          // what it takes out is meant, as with target "." (RFC 2782): nothing is held
 	Box      string
 	Up       bool
 }
