--- a/merge/merge.go
+++ b/merge/merge.go
@@ -281,6 +281,11 @@
 
 // entry takes in one line of a source.
 func (m *Merge) entry(s *source, number int, x *Entry, until time.Duration) {
+	if x.ID == x.Addr && x.ID != "" { // the address in place of an id: it may have one elsewhere
+		c := *x
+		c.ID = ""
+		x = &c
+	}
 	e := s.entries[x.Name]
 	if x.Phase == balance.Gone {
 		if e != nil {
