serve: a source first heard long after the start names cold boxes, not ones at work

Found on reading the change once more: each source's first list was taken for boxes that have been at work, however late it came. After an outage at the start, boxes that began in the meantime would have been sent a warm box's share. Within 10 s of the start they count as warm, later as cold. The test fails without the bound.

--- a/internal/front/http/pool.go
+++ b/internal/front/http/pool.go
@@ -45,9 +45,10 @@
 	merged  map[string]merge.Change
 	since   map[string]time.Duration // when a box began, as found out here
 	changes []merge.Change
-	begun   bool         // sources are running
-	heard   map[int]bool // sources that have told a list
-	keeping bool         // the list will be written down soon
+	from    time.Duration // when the pool began
+	begun   bool          // sources are running
+	heard   map[int]bool  // sources that have told a list
+	keeping bool          // the list will be written down soon
 
 	ctx  context.Context
 	stop context.CancelFunc
--- a/internal/front/http/sources.go
+++ b/internal/front/http/sources.go
@@ -28,6 +28,8 @@
 const (
 	// guardPart is the part of a pool that may go at once, guardWindow how long at once is.
 	guardPart, guardWindow, guardHold = 0.5, 10 * time.Second, time.Minute
+	// firstWithin is how long after the start a source's first list names boxes that have been at work.
+	firstWithin = 10 * time.Second
 	// drainFor is how long a drain counts that its source has forgotten, while others still list the box.
 	drainFor = 5 * time.Minute
 	// keepLong is how long what was kept on disk counts: while nobody is heard, there is nothing better.
@@ -161,6 +163,7 @@
 // follow has a pool learn its boxes from several sources.
 func (q *pool) follow(m *Membership) {
 	q.member, q.merged, q.since, q.heard = m, map[string]merge.Change{}, map[string]time.Duration{}, map[int]bool{}
+	q.from = q.loop.Clock()
 	for _, ev := range m.First() {
 		q.hear(ev)
 	}
@@ -185,9 +188,11 @@
 	if len(changes) == 0 {
 		return
 	}
-	fresh := !q.begun // a pool that begins finds its boxes at work, and so does each source with its first list
+	// A pool that begins finds its boxes at work, and so does each source whose first list comes soon: later, after an outage say,
+	// a box that nobody has named may have started in the meantime.
+	fresh := !q.begun
 	if ev.Kind == merge.Listed && !q.heard[ev.Source] {
-		q.heard[ev.Source], fresh = true, true
+		q.heard[ev.Source], fresh = true, fresh || now-q.from < firstWithin
 	}
 	turned := false
 	for _, c := range changes {
--- a/internal/front/http/sources_test.go
+++ b/internal/front/http/sources_test.go
@@ -18,6 +18,8 @@
 	"glencart/internal/standin/box"
 	"glencart/internal/standin/dns"
 	"glencart/internal/standin/httpbox"
+	"glencart/members"
+	"glencart/merge"
 )
 
 // srv words SRV records for addresses on 127.0.0.1.
@@ -198,3 +200,26 @@
 		t.Errorf("with none: %d after %v, come back %q", status, time.Since(began), h.Get("Retry-After"))
 	}
 }
+
+// A source that is first heard long after the start names boxes that may have begun in between: they are taken for cold. One that is
+// heard at once names boxes at work.
+func TestALateFirstListIsOfColdBoxes(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		n := serve(t, dnsPool, map[string]string{"dns": "127.0.0.1:9", "more": ""}) // nobody answers there
+		q := n.gen.Load().pools["menu"]
+		since := make(chan bool, 1)
+		q.loop.Post(func() {
+			if late {
+				q.from -= 2 * firstWithin
+			}
+			q.hear(merge.Event{Kind: merge.Listed, Complete: true, Until: q.loop.Clock() + time.Minute, Entries: []merge.Entry{{Name: "a",
+				Knows: merge.Existence | merge.Address, Line: members.Line{Addr: "127.0.0.1:1"}}}})
+			_, cold := q.since["a"]
+			since <- cold
+		})
+		if cold := standin.Receive(t, "a look", since); cold != late {
+			t.Errorf("late %t: cold %t", late, cold)
+		}
+		n.stop()
+	}
+}
