A request read from a client's connection is never closed as silent; caps of 1,024 and more

Cause. framedConn.Read (internal/node/framing.go) took bytes off the socket and marked them (saw, asking) after that; closeQuiet and giveWay (client.go) looked at asking and at what stands unread. Between the two a whole request is neither: the connection was closed with the request on it, lost with no answer, or read on after the close, run by a backend, and sent once more by its client on a new connection. closeQuiet looks at every connection each 10 ms in a node's last 0.9 s, so on a rolling restart every node passes there.

Bytes are taken and marked under one lock, and a connection is looked at and marked as ended under it; one that has ended is read no more. Peers' messages that wait: 1,024 and two of each peer (256 before); datagrams to be sent: one for each peer (64); backends remembered after they left: 1,024 and twice those listed (512); the state two processes share: 8 MB (1 MB). A panic in a request is logged: net/http ended the connection and told nobody.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -53,7 +53,7 @@
 	// lookEvery is how often a process looks for the other one and for what was written.
 	lookEvery = 50 * time.Millisecond
 	// stateVersion is the form of the state file. stateMost bounds its bytes, callsMost its calls, idMost an id.
-	stateVersion, stateMost, callsMost, idMost = 1, 1 << 20, 4096, 256
+	stateVersion, stateMost, callsMost, idMost = 1, 8 << 20, 4096, 256
 )
 
 // State is what both processes of a node have to know.
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"path"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -133,14 +134,21 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c, cc := range f.conns {
-		if fc, ok := c.(*framedConn); cc.state == connOpen || cc.began || ok && (fc.unread() || fc.asking.Load()) {
-			continue
+		if cc.state != connOpen && !cc.began && closeUnasked(c) {
+			f.remove(c)
 		}
-		f.remove(c)
-		c.Close()
 	}
 }
 
+// closeUnasked closes a connection if no request stands on it that has been taken.
+func closeUnasked(c net.Conn) bool {
+	if fc, ok := c.(*framedConn); ok {
+		return fc.closeUnasked()
+	}
+	c.Close()
+	return true
+}
+
 // server returns the HTTP server of the client side.
 func (f *front) server() *http.Server {
 	return &http.Server{
@@ -235,12 +243,11 @@
 		if out == nil {
 			return false
 		}
-		if fc, ok := out.(*framedConn); ok && fc.unread() {
+		if !closeUnasked(out) {
 			f.conns[out].since = time.Now() // the last to be looked at again
 			continue
 		}
 		f.remove(out)
-		out.Close()
 		return true
 	}
 	return false
@@ -287,6 +294,16 @@
 // ServeHTTP answers one request of a client.
 func (f *front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	received := time.Now()
+	defer func() {
+		// net/http ends the connection, and would say so where nobody reads it: the client is left without an answer.
+		if p := recover(); p != nil {
+			if p != http.ErrAbortHandler {
+				f.log.Error("a request ended in a panic: its client has no answer", "id", hr.Header.Get("X-Trace-Id"), "panic", p,
+					"stack", string(debug.Stack()))
+			}
+			panic(p)
+		}
+	}()
 	// The last request's would hold on.
 	http.NewResponseController(w).SetWriteDeadline(received.Add(headWithin + answerWithin))
 	if f.closing.Load() || f.isCrowded() {
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -3,10 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"io"
 	"net"
+	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"glencart/internal/sock"
@@ -96,15 +101,89 @@
 type framedConn struct {
 	net.Conn
 	framing
+
+	// taking is held from when bytes leave the socket until they are marked, and while the connection is looked at and closed:
+	// between the two a whole request is neither unread nor asking.
+	taking sync.Mutex
+	raw    syscall.RawConn // nil: not a socket
+	take   func(fd uintptr) bool
+	into   []byte // of the Read under way; net/http has one at a time
+	took   int
+	failed error
+	ended  bool // by taking: closed as unasked. Nothing more is read: its client asks again elsewhere
 }
 
-func (c *framedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
+// watched returns a connection of a client under watch.
+func watched(c net.Conn, under net.Conn) *framedConn {
+	f := &framedConn{Conn: c, framing: framing{length: -1}}
+	if sc, ok := under.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			f.raw, f.take = raw, f.takeBytes
+		}
+	}
+	return f
+}
+
+// takeBytes takes what stands on the socket, and marks it. It tells whether there was anything, an end or an error.
+func (c *framedConn) takeBytes(fd uintptr) bool {
+	c.taking.Lock()
+	defer c.taking.Unlock()
+	if c.ended {
+		c.took, c.failed = 0, net.ErrClosed
+		return true
+	}
+	for {
+		c.took, c.failed = syscall.Read(int(fd), c.into)
+		switch c.failed {
+		case syscall.EINTR:
+			continue
+		case syscall.EAGAIN:
+			return false
+		case nil:
+			c.mark(c.into[:max(c.took, 0)])
+		}
+		return true
+	}
+}
+
+// mark takes in what has been read.
+func (c *framedConn) mark(p []byte) {
+	if len(p) > 0 {
 		c.readAt.Store(time.Now().UnixNano())
 	}
-	c.saw(p[:n])
-	return n, err
+	c.saw(p)
+}
+
+func (c *framedConn) Read(p []byte) (int, error) {
+	if c.raw == nil || len(p) == 0 {
+		n, err := c.Conn.Read(p)
+		c.mark(p[:n])
+		return n, err
+	}
+	c.into, c.took, c.failed = p, 0, nil
+	err := c.raw.Read(c.take)
+	n, failed := max(c.took, 0), c.failed
+	c.into, c.took, c.failed = nil, 0, nil
+	if err == nil && failed == nil {
+		if n == 0 {
+			return 0, io.EOF
+		}
+		return n, nil
+	}
+	// As package net words it: net/http goes by that.
+	word := &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr()}
+	var raw *net.OpError
+	switch {
+	case errors.As(err, &raw):
+		word.Err = raw.Err // a deadline, or closed
+	case err != nil:
+		word.Err = err
+	case failed == net.ErrClosed:
+		word.Err = failed
+	default:
+		word.Err = os.NewSyscallError("read", failed)
+	}
+	return 0, word
 }
 
 // unread tells whether something has come on the connection that has not been read.
@@ -117,6 +196,21 @@
 	return n > 0
 }
 
+// closeUnasked closes the connection unless a whole request has been read from it, or something stands unread. It tells
+// whether it did. What comes in the very instant of the close has crossed it, unread.
+func (c *framedConn) closeUnasked() bool {
+	if !c.taking.TryLock() {
+		return false // something is being read
+	}
+	c.ended = !c.asking.Load() && !c.unread()
+	ended := c.ended
+	c.taking.Unlock() // Close waits for a Read under way, and that one for taking
+	if ended {
+		c.Close()
+	}
+	return ended
+}
+
 // CloseWrite lets net/http end its side first, so that a client that still sends can read its answer.
 func (c *framedConn) CloseWrite() error {
 	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,13 +138,16 @@
 // Addr is the address that the node listens on for clients.
 func (n *Node) Addr() net.Addr { return n.listener.Addr() }
 
-// hearMost bounds the messages of peers that wait for the loop, each some 200 bytes: a loop that is behind or a peer that
-// floods must not fill the memory, and a datagram may be lost anyway.
-const hearMost = 256
+// hearLeast and hearEach bound the messages of peers that wait for the loop, each some 200 bytes: a loop that is behind or a
+// peer that floods must not fill the memory, and a datagram may be lost anyway. All peers may speak at once, hearEach times.
+const hearLeast, hearEach = 1024, 2
+
+// hearMost is how many messages of peers may wait for the loop.
+func (n *Node) hearMost() int32 { return int32(max(hearLeast, hearEach*len(n.cfg.Peers))) }
 
 // hear passes a peer's message on to the loop.
 func (n *Node) hear(peer int, payload []byte) {
-	if n.hears.Add(1) > hearMost || !n.loop.Post(func() {
+	if n.hears.Add(1) > n.hearMost() || !n.loop.Post(func() {
 		n.hears.Add(-1)
 		n.loop.Handle(balance.Event{Kind: balance.PeerMessage, Peer: peer, Payload: payload})
 	}) {
@@ -327,7 +330,7 @@
 		l.open--
 		l.free.Signal()
 	})}
-	return &framedConn{Conn: bounded, framing: framing{length: -1}}, nil
+	return watched(bounded, c), nil
 }
 
 func (l *boundedListener) Close() error {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -15,6 +15,9 @@
 // soReusePort is SO_REUSEPORT of socket(7), which syscall does not name everywhere.
 const soReusePort = 0xf
 
+// tellLeast is how many datagrams may wait to be sent at the least: one for each peer always has room.
+const tellLeast = 64
+
 // datagramMost is the longest datagram between nodes.
 const datagramMost = 256
 
@@ -38,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &peers{out: make(chan datagram, 64), odd: lograte.Limited{Log: log}}
+	p := &peers{out: make(chan datagram, max(tellLeast, len(cfg.Peers))), odd: lograte.Limited{Log: log}}
 	for _, s := range cfg.Peers {
 		a, err := netip.ParseAddrPort(s)
 		if err != nil {
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -71,10 +71,10 @@
 // A peer that floods, or a loop that is behind, must not fill the memory with messages.
 func TestMessagesThatWaitAreBounded(t *testing.T) {
 	n := &Node{loop: engine.New(engine.Config{})} // nobody runs it
-	for range 3 * hearMost {
+	for range 3 * n.hearMost() {
 		n.hear(1, nil)
 	}
-	if got := n.hears.Load(); got != hearMost {
+	if got := n.hears.Load(); got != n.hearMost() || got < 1024 {
 		t.Errorf("%d messages wait", got)
 	}
 }
--- a/members/hand.go
+++ b/members/hand.go
@@ -36,9 +36,10 @@
 	gone time.Duration // when it left the list
 }
 
-// goneMost bounds how many backends are remembered that have left the list and that nobody took out: a call on one that
-// has just left is a word on a backend, and not on nobody.
-const goneMost = 512
+// goneLeast and goneParts bound how many backends are remembered that have left the list and that nobody took out: as many as
+// are listed, goneParts times, and goneLeast at least, of some 250 bytes each. A call on one that has just left is a word on a
+// backend, and not on nobody.
+const goneLeast, goneParts = 1024, 2
 
 // Take merges a list, or changes to one, and returns what the engine is to be told instead. lines is not changed.
 func (h *Hand) Take(lines []Line, complete bool, now time.Duration) []Line {
@@ -174,13 +175,14 @@
 			gone = append(gone, k)
 		}
 	}
-	if len(gone) <= goneMost {
+	most := max(goneLeast, goneParts*(len(h.all)-len(gone)))
+	if len(gone) <= most {
 		return
 	}
 	slices.SortFunc(gone, func(x, y *known) int {
 		return cmp.Or(cmp.Compare(x.gone, y.gone), cmp.Compare(x.line.ID, y.line.ID))
 	})
-	for _, k := range gone[:len(gone)-goneMost] {
+	for _, k := range gone[:len(gone)-most] {
 		delete(h.all, k.line.ID)
 	}
 }
--- a/members/hand_test.go
+++ b/members/hand_test.go
@@ -136,11 +136,11 @@
 	}
 	h.Take(line(0, balance.Ready), false, 1)
 	h.Say("0", true, 1)
-	for i := range 3 * goneMost {
+	for i := range 3 * goneLeast {
 		h.Take(line(i, balance.Ready), false, time.Duration(i+2))
 		h.Take(line(i, balance.Gone), false, time.Duration(i+2))
 	}
-	if len(h.all) > goneMost+1 {
+	if len(h.all) > goneLeast+1 {
 		t.Errorf("%d are kept", len(h.all))
 	}
 	if l := h.Take(line(0, balance.Ready), false, 9999); l[0].Phase != balance.Draining {
