life: the phases of a node's life as one state machine, which says taken = answered + left

What a node does at its end was reckoned once and at fixed times in internal/node (leave, yield, finish): it closed the listener while the accepting goroutine might hold a connection that nobody counted, cut what was open at its end whatever stood there, let settings that change in between pass unseen, and told nothing of what was lost. A request that stood in the queue of a full listener got a whole new budget.

Change. life/ (pure) decides when to be ready, until when to accept (the listener's queue seen empty, by poll), by when all is answered (150 ms before the end, sooner where the loop and the writes lag by what is measured), what may be closed, and when to end; SIGTERM, settings that change, a successor and late timers come in at any order, and the end never moves to later. internal/node/life.go obeys; leave and yield are one. A node ends only after its listener is closed and Serve has returned. What is open 200 ms before SIGKILL has 150 ms more. The log says taken, answered, client_left, open, and names what is cut. A request's time begins before its handler where it stood in the queue (tcpi_last_data_recv, bounded by when the queue was known to be empty). The remembered list is taken in before the listener opens; readiness waits 300 ms at most for a source's own list. A stream that begins after the last look at the node's end is ended at once.

--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -73,6 +73,22 @@
 	e.endAttempts(r, balance.Revoked)
 }
 
+// OpenIDs names requests that have no answer yet, most of them at the most, in the order of their arrival. On the loop.
+func (e *Engine) OpenIDs(most int) []string {
+	var open []*Request
+	for _, r := range e.requests {
+		if !r.answered {
+			open = append(open, r)
+		}
+	}
+	slices.SortFunc(open, func(x, y *Request) int { return cmp.Compare(x.seq, y.seq) })
+	var ids []string
+	for _, r := range open[:min(most, len(open))] {
+		ids = append(ids, r.ID)
+	}
+	return ids
+}
+
 // Open is how many requests are in the table: those without an answer, and those with something still out.
 // On the loop.
 func (e *Engine) Open() int { return len(e.requests) }
@@ -176,6 +192,9 @@
 			e.giveUp(other, balance.Revoked)
 		}
 	}
+	if !e.answerBy.IsZero() && !e.Now().Before(e.answerBy) { // the last look at streams has been
+		e.giveUp(a, balance.Expired)
+	}
 }
 
 // giveUp ends an attempt and its connection.
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -61,11 +61,15 @@
 	log      *slog.Logger
 	most     atomic.Int64 // requests at once
 	inFlight atomic.Int64
-	crowded  int         // so many connections that answers close theirs; by mu
-	soft     int         // so many that idle ones give way; by mu
-	full     int         // so many that silent ones give way too; by mu
-	leaving  atomic.Bool // the node is about to end: it is not ready
-	closing  atomic.Bool // and answers close their connections
+	crowded  int          // so many connections that answers close theirs; by mu
+	soft     int          // so many that idle ones give way; by mu
+	full     int          // so many that silent ones give way too; by mu
+	ready    atomic.Bool  // the node's life lets it be ready
+	leaving  atomic.Bool  // the node is about to end
+	closing  atomic.Bool  // and answers close their connections
+	timed    atomic.Bool  // writing answers is timed
+	writes   atomic.Int64 // the mean time of wording and writing an answer, ns
+	book     book
 
 	mu      sync.Mutex
 	conns   map[net.Conn]*clientConn
@@ -129,12 +133,13 @@
 	}
 }
 
-// closeQuiet closes the connections on which no part of a request has come, read or not.
-func (f *front) closeQuiet() {
+// closeQuiet closes the connections on which no part of a request has come, read or not; half: also those on which no whole
+// one has.
+func (f *front) closeQuiet(half bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c, cc := range f.conns {
-		if cc.state != connOpen && !cc.began && closeUnasked(c) {
+		if cc.state != connOpen && (half || !cc.began) && closeUnasked(c) {
 			f.remove(c)
 		}
 	}
@@ -276,11 +281,16 @@
 	return f.enter(c, connOpen)
 }
 
-// connected tells whether any client is connected.
-func (f *front) connected() bool {
+// asked is how many connections have a whole request without an answer.
+func (f *front) asked() (n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.conns) > 0
+	for c, cc := range f.conns {
+		if fc, ok := c.(*framedConn); cc.state == connOpen || ok && fc.asking.Load() {
+			n++
+		}
+	}
+	return n
 }
 
 // isCrowded tells whether there are so many connections, beside those that say nothing and will give way, that
@@ -311,6 +321,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if frame := connOf(hr.Context()); frame != nil {
+		received = received.Add(-frame.stood(received))
 		switch {
 		case frame.unsure.Load(), hr.ProtoMajor == 1 && hr.ProtoMinor == 0 && frame.chunked.Load():
 			// Two lengths, or chunks that this version of HTTP does not have: it may hide another request.
@@ -323,14 +334,24 @@
 	}
 	switch hr.URL.Path {
 	case "/health/ready":
-		f.health(w, f.loop.Ready() && !f.leaving.Load())
+		f.health(w, f.loop.Ready() && f.ready.Load())
 		return
 	case "/health/live":
 		f.health(w, true)
 		return
 	}
 	r, status, err := f.read(w, hr, received)
+	f.book.taken.Add(1)
+	answered := false
+	defer func() {
+		if answered {
+			f.book.answered.Add(1)
+		} else {
+			f.book.left.Add(1) // its connection is broken
+		}
+	}()
 	if err != nil {
+		answered = true
 		f.turnAway(w, hr, err, status)
 		if t := f.tuning.Load(); t.Class(hr.Header.Get("X-Qos")) >= 0 {
 			t.counts[t.Class(hr.Header.Get("X-Qos"))].failed.Add(1)
@@ -353,10 +374,12 @@
 		w.Header().Set("Connection", "close")
 		refuse(w, fullRetry)
 		count.refused.Add(1)
+		answered = true
 		return
 	}
 	defer f.inFlight.Add(-1)
 	f.serve(w, hr.Context(), r)
+	answered = true
 }
 
 // turnAway answers what can't be read and closes the connection.
@@ -404,7 +427,7 @@
 		if a.Kind == engine.Failed && replyOf(a.Body).neverRan {
 			a.Kind = engine.Refused // the only attempt broke before its last byte
 		}
-		write(w, a)
+		f.write(w, a)
 		m.count.answered(a.Kind)
 	case s := <-m.streams:
 		if f.closing.Load() {
@@ -424,6 +447,19 @@
 	}
 }
 
+// write words an answer, and times that while the node ends.
+func (f *front) write(w http.ResponseWriter, a engine.Answer) {
+	if !f.timed.Load() {
+		write(w, a)
+		return
+	}
+	began := time.Now()
+	write(w, a)
+	http.NewResponseController(w).Flush()
+	mean := f.writes.Load()
+	f.writes.Store(mean + int64(writeWeight*float64(int64(time.Since(began))-mean)))
+}
+
 func write(w http.ResponseWriter, a engine.Answer) {
 	switch a.Kind {
 	case engine.Served:
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -110,7 +110,11 @@
 	into   []byte // of the Read under way; net/http has one at a time
 	took   int
 	failed error
-	ended  bool // by taking: closed as unasked. Nothing more is read: its client asks again elsewhere
+	// notBefore is when what comes first on the connection can have come at the soonest: the listener's queue was empty then.
+	// Zero once a request has been taken.
+	notBefore time.Time
+
+	ended bool // by taking: closed as unasked. Nothing more is read: its client asks again elsewhere
 }
 
 // watched returns a connection of a client under watch.
@@ -186,6 +190,23 @@
 	return 0, word
 }
 
+// stoodLeast is how long a request may have stood in the listener's queue without it being asked about.
+const stoodLeast = 20 * time.Millisecond
+
+// stood is how long the first request on a connection had stood there whole when it came to its handler: its time began with
+// its last byte, and the handler's began when there was room to accept it. The kernel tells when data came last; no request
+// came before the queue was empty.
+func (c *framedConn) stood(now time.Time) time.Duration {
+	most := now.Sub(c.notBefore)
+	first := !c.notBefore.IsZero()
+	c.notBefore = time.Time{}
+	b, ok := c.Conn.(*boundedConn)
+	if !first || !ok || most < stoodLeast {
+		return 0
+	}
+	return min(most, sock.SinceData(b.Conn))
+}
+
 // unread tells whether something has come on the connection that has not been read.
 func (c *framedConn) unread() bool {
 	b, ok := c.Conn.(*boundedConn)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,11 +5,9 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,26 +17,10 @@
 	"glencart/internal/handover"
 	"glencart/internal/members/registry"
 	"glencart/internal/settings"
+	"glencart/life"
 	"glencart/members"
 )
 
-const (
-	// lameDuck is how long a node that is to end goes on accepting at the least: the front needs up to 0.4 s to
-	// see it. SIGKILL may come killAfter after SIGTERM and the longest deadline, or deadlineMost where that is less; spare
-	// is kept before that.
-	lameDuck, killAfter, spare = 600 * time.Millisecond, 700 * time.Millisecond, 200 * time.Millisecond
-	deadlineMost               = 3 * time.Second
-	// lastAnswers is how long before its end a node has every request answered: what is answered in the same instant has yet
-	// to be worded and written, request by request.
-	lastAnswers = 150 * time.Millisecond
-	// lastServe is how long before its end a node stops to take requests on connections that it keeps: nearly all are
-	// answered in that time, and the others are at its end.
-	lastServe = 900 * time.Millisecond
-	// clearFor is how long there must be room to accept, for the backlog to be empty.
-	clearFor  = 50 * time.Millisecond
-	lookEvery = 10 * time.Millisecond
-)
-
 // Node is one node. New opens its sockets, Run serves.
 type Node struct {
 	cfg      Config
@@ -57,6 +39,7 @@
 	listed   atomic.Bool // a list has named a backend that may be sent to
 	heard    atomic.Bool // discovery has told a list
 	running  atomic.Bool // clients are let in
+	living   living
 }
 
 // New returns a node that is ready to run.
@@ -66,6 +49,7 @@
 		return nil, err
 	}
 	n := &Node{cfg: cfg, log: log, figures: &figures{}}
+	n.living.born, n.living.life = time.Now(), life.New(longestDeadline(cfg.Settings))
 	limits := cfg.Settings.Config.Limits
 	clients, backends := cfg.Limits.share()
 	n.pool = newPool(backends, limits.ConnectTimeout, limits.IdleClose)
@@ -82,6 +66,7 @@
 			n.loop.Post(func() {
 				n.takeList(kind, list)
 				n.heard.Store(true)
+				n.live(life.Event{Kind: life.Heard})
 			})
 		},
 		func() { n.loop.Post(func() { n.loop.Handle(balance.Event{Kind: balance.MembersRefused}) }) })
@@ -92,6 +77,8 @@
 		}
 		n.loop.Tell = n.peers.tell
 	}
+	n.recall(cfg)
+	// Last: who connects from here on has been taken, and waits.
 	var l net.Listener
 	if cfg.AcceptFD == "" {
 		l, err = net.Listen("tcp", cfg.Listen)
@@ -103,6 +90,7 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	n.listener = limitListener(l, clients)
+	n.live(life.Event{Kind: life.Opened})
 	if cfg.Management != "" {
 		if n.door, err = net.Listen("tcp", cfg.Management); err != nil {
 			n.close()
@@ -122,6 +110,19 @@
 	return n, nil
 }
 
+// recall takes in the list that the node remembers.
+func (n *Node) recall(cfg Config) {
+	known := cfg.Known
+	if cfg.knownErr != nil {
+		n.log.Warn("known: the remembered list can't be read: waiting for discovery", "error", cfg.knownErr)
+	}
+	if known.Complete && len(known.Members) > 0 {
+		n.disco.Holds(known.Revision)
+	}
+	known.Complete = true
+	n.takeList(balance.MembersRemembered, known)
+}
+
 // close ends the sockets of a node that does not come to run.
 func (n *Node) close() {
 	if n.peers != nil {
@@ -161,15 +162,6 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
-	known := n.cfg.Known
-	if err := n.cfg.knownErr; err != nil {
-		n.log.Warn("known: the remembered list can't be read: waiting for discovery", "error", err)
-	}
-	if known.Complete && len(known.Members) > 0 {
-		n.disco.Holds(known.Revision)
-	}
-	known.Complete = true
-	n.takeList(balance.MembersRemembered, known)
 	wg.Go(func() { n.loop.Run(work.Done()) })
 	wg.Go(func() { n.pool.run(work) })
 	wg.Go(func() { n.front.relieve(work) })
@@ -198,69 +190,14 @@
 	n.running.Store(true)
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(n.listener) }()
+	wg.Go(func() { n.remember(work) })
 	n.log.Info("serving", "name", n.cfg.Name, "listen", n.Addr().String())
 	select {
 	case err := <-ended:
 		return fmt.Errorf("accepting: %w", err)
 	case <-ctx.Done():
 	}
-	return n.leave(srv)
-}
-
-// leave ends the node in order: it goes on serving for as long as what comes can be answered in time, then closes
-// each connection after its answer. Clients keep to their connections: one closed early, with other nodes out
-// for a restart too, leaves them none.
-func (n *Node) leave(srv *http.Server) error {
-	if n.place != nil && n.place.Followed() {
-		return n.yield(srv)
-	}
-	end := n.leaveSoon("leaving")
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	pause(ctx, lameDuck)
-	// What stands in the backlog for want of room has been taken too, and closing the listener would reset it.
-	for free := time.Duration(0); free < clearFor && ctx.Err() == nil; free += lookEvery {
-		pause(ctx, lookEvery)
-		if n.listener.full() {
-			free = 0
-		}
-	}
-	// Nobody is sent here any more. Who is connected may have nowhere else to go, and keeps the connection.
-	n.listener.Close()
-	n.front.keepAll()
-	for n.front.connected() && time.Until(end) > lastServe {
-		pause(ctx, lookEvery)
-	}
-	return n.finish(srv, end)
-}
-
-// leaveSoon has all that is open, and all that comes, answered before the node's end, and returns that.
-func (n *Node) leaveSoon(why string) time.Time {
-	most := min(longestDeadline(n.front.tuning.Load().Settings), deadlineMost)
-	end := time.Now().Add(most + killAfter - spare)
-	n.log.Info(why, "most", time.Until(end))
-	n.front.leaving.Store(true)
-	by := end.Add(-lastAnswers)
-	n.loop.PostFirst(func() { n.loop.AnswerBy(by) })
-	time.AfterFunc(time.Until(by), func() { n.loop.PostFirst(func() { n.loop.AnswerBy(by) }) }) // streams
-	return end
-}
-
-// finish closes each connection after its answer, and near the end those on which nothing has come. One on which a request
-// is being written stays to the end.
-func (n *Node) finish(srv *http.Server, end time.Time) error {
-	n.front.closing.Store(true)
-	for n.front.connected() && time.Now().Before(end) {
-		if time.Until(end) < lastServe {
-			n.front.closeQuiet()
-		}
-		time.Sleep(lookEvery)
-	}
-	n.log.Info("left")
-	if err := srv.Close(); err != nil && !errors.Is(err, net.ErrClosed) { // the listener may be closed already
-		return err
-	}
-	return nil
+	return n.leave(srv, ended)
 }
 
 // longestDeadline is the longest time for which a request may be in flight.
@@ -278,7 +215,7 @@
 // limitListener bounds how many connections are open at once. Beyond that they wait in the backlog, where
 // accepting them would run the process out of descriptors.
 func limitListener(l net.Listener, most int) *boundedListener {
-	b := &boundedListener{Listener: l, most: most}
+	b := &boundedListener{Listener: l, most: most, emptyAt: time.Now()}
 	b.free.L = &b.mu
 	return b
 }
@@ -289,6 +226,24 @@
 	free       sync.Cond
 	open, most int // accepted and not closed, and how many may be
 	closed     bool
+	emptyAt    time.Time // when the queue was known to be empty last; of Accept alone
+}
+
+// queueEmpty is how long the system has to wait for a connection for the queue to have been empty.
+const queueEmpty = time.Millisecond
+
+// holds is how many connections are open.
+func (l *boundedListener) holds() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
+// waits tells whether nobody can be let in now: it is full, or closed.
+func (l *boundedListener) waits() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open >= l.most || l.closed
 }
 
 // full tells whether connections have to wait.
@@ -317,10 +272,14 @@
 	if closed {
 		return nil, net.ErrClosed
 	}
+	asked := time.Now()
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
+	if now := time.Now(); now.Sub(asked) >= queueEmpty {
+		l.emptyAt = now
+	}
 	l.mu.Lock()
 	l.open++
 	l.mu.Unlock()
@@ -330,7 +289,9 @@
 		l.open--
 		l.free.Signal()
 	})}
-	return watched(bounded, c), nil
+	w := watched(bounded, c)
+	w.notBefore = l.emptyAt
+	return w, nil
 }
 
 func (l *boundedListener) Close() error {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"glencart/internal/standin"
+	"glencart/life"
 )
 
 // What the tests of this package take from package standin.
@@ -288,7 +289,7 @@
 		waits <- body
 	}()
 	n.stop()
-	time.Sleep(lameDuck + 100*time.Millisecond)
+	time.Sleep(life.AcceptFor + 100*time.Millisecond)
 	for _, c := range silent {
 		c.Close()
 	}
@@ -401,7 +402,7 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	// 3 s and 0.7 s are sure, of which the longest request may need 0.5 s.
-	if d := time.Since(began); d < 2*lameDuck {
+	if d := time.Since(began); d < 2*life.AcceptFor {
 		t.Errorf("closed after %v", d)
 	}
 	if err := receive(t, "the node's end", n.err); err != nil {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -10,6 +10,7 @@
 
 	"glencart/balance"
 	"glencart/internal/settings"
+	"glencart/life"
 )
 
 // tuning is the part of the settings that can change in service, as one piece: a request is read under one of them.
@@ -96,6 +97,7 @@
 		n.loop.Post(func() {
 			n.loop.Handle(balance.Event{Kind: balance.SettingsChanged, Settings: &next.Config})
 			n.front.tuning.Store(next)
+			n.live(life.Event{Kind: life.Changed, Deadline: longestDeadline(next.Settings)})
 		})
 	}
 	n.figures.reloadsOK.Add(1)
--- a/internal/node/succeed.go
+++ b/internal/node/succeed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"runtime/debug"
 	"slices"
 	"time"
@@ -95,12 +94,3 @@
 	}
 	n.loop.PostFirst(func() { n.loop.Handle(balance.Event{Kind: balance.InstancesCounted, Instances: nodes}) })
 }
-
-// yield ends the node where another process follows. It lets nobody in any more: who waits in the socket's queue is the
-// other's. Each answer closes its connection; the others stay for as long as what comes on them can be answered in time,
-// and are then closed unless something has come.
-func (n *Node) yield(srv *http.Server) error {
-	end := n.leaveSoon("leaving: another process follows")
-	n.listener.Close()
-	return n.finish(srv, end)
-}
--- a/internal/node/taken_test.go
+++ b/internal/node/taken_test.go
@@ -1,12 +1,15 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"runtime"
 	"sync"
 	"testing"
+	"time"
 )
 
 // A request that has been read is never on a connection that was closed as silent, however reading and closing meet: one that
@@ -113,3 +116,31 @@
 		t.Errorf("%d messages may wait, of %d peers", got, many)
 	}
 }
+
+// A request's time begins with its last byte, also where that stood in the queue of a full listener: counted from when there
+// was room for it, its answer would be late by as much.
+func TestTimeInTheQueueCounts(t *testing.T) {
+	b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, _ *bufio.Reader) { io.Copy(io.Discard, c) }) // it never answers
+	text := listText(1, true, listed{ID: "s", Addr: b.Addr().String(), Phase: "ready"})
+	cfg := testConfig(t, newRegistry(t, text).Addr, text)
+	cfg.Limits.Sockets = leastSockets
+	n := start(t, cfg)
+	n.front.keepAll() // nobody gives way
+	var silent []net.Conn
+	for !n.listener.full() {
+		silent = append(silent, n.dial(t))
+		eventually(t, "a connection let in", func() bool { return n.listener.holds() >= len(silent) })
+	}
+	c := n.dial(t)
+	began := time.Now()
+	io.WriteString(c, "GET /api/x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: queued\r\nX-Qos: read\r\nX-Customer: acme\r\nX-Expires-In: 2\r\n\r\n")
+	time.Sleep(1500 * time.Millisecond)
+	silent[0].Close()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := time.Since(began); resp.StatusCode < 500 || d > 2750*time.Millisecond {
+		t.Errorf("answered %d after %v of 2 s", resp.StatusCode, d)
+	}
+}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -4,6 +4,9 @@
 import (
 	"net"
 	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Quiet tells whether a connection is up with nothing unread on it. A backend that was restarted under its old address
@@ -15,20 +18,54 @@
 
 // Peek looks for something unread on a connection, and leaves it there. Zero bytes without an error are its end.
 func Peek(c net.Conn) (n int, err error) {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
+	if _, ok := c.(syscall.Conn); !ok {
 		return 0, nil
 	}
+	err = control(c, func(fd int) (err error) {
+		var b [1]byte
+		n, _, err = syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err
+	})
+	return n, err
+}
+
+// Waiting tells whether somebody stands in a listener's queue. known is false where that can't be told.
+func Waiting(l net.Listener) (some, known bool) {
+	fds := []unix.PollFd{{Events: unix.POLLIN}}
+	err := control(l, func(fd int) error {
+		fds[0].Fd = int32(fd)
+		n, err := unix.Poll(fds, 0)
+		some = n > 0
+		return err
+	})
+	return some, err == nil
+}
+
+// SinceData is how long ago data came last on a connection, by the kernel (tcpi_last_data_recv of tcp(7)); 0 where it can't tell.
+func SinceData(c net.Conn) (d time.Duration) {
+	control(c, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			d = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+		return err
+	})
+	return d
+}
+
+// control runs do on the descriptor of what is a socket.
+func control(of any, do func(fd int) error) error {
+	sc, ok := of.(syscall.Conn)
+	if !ok {
+		return syscall.ENOTSOCK
+	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return 0, err
+		return err
 	}
-	ctlErr := raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	if ctlErr != nil {
-		return 0, ctlErr
+	var failed error
+	if err := raw.Control(func(fd uintptr) { failed = do(int(fd)) }); err != nil {
+		return err
 	}
-	return n, err
+	return failed
 }
--- /dev/null
+++ b/life/life_test.go
@@ -0,0 +1,395 @@
+package life
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// A world drives a life: connections with requests on them, a listener's queue, a platform that kills. Its node obeys as the
+// real one does, and the world checks what must hold.
+type world struct {
+	t        failer
+	l        *Life
+	now      time.Duration
+	log      []string
+	deadline time.Duration // of the settings
+	conns    []conn
+	queue    []time.Duration // requests that wait to be let in, and until when
+
+	opened, accepting, ready, closes, ended bool
+	answerBy                                time.Duration
+	toldAt                                  time.Duration
+	kill                                    time.Duration // when SIGKILL may come
+	lag                                     time.Duration // of the loop: answers come so much after their time
+	mute                                    bool          // backends never answer: answers come at their time, or by answerBy
+	lost                                    int           // taken and not answered
+	catches, inHand                         bool          // one is let in, and not counted yet, as the listener closes
+}
+
+type conn struct {
+	half, asked bool
+	due         time.Duration // of the answer
+}
+
+type failer interface{ Fatalf(string, ...any) }
+
+func (w *world) say(format string, args ...any) {
+	w.log = append(w.log, fmt.Sprintf("%v "+format, append([]any{w.now}, args...)...))
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.t.Fatalf("%s; %s; %v", fmt.Sprintf(format, args...), w.l, w.log)
+}
+
+// tell gives the life an event and does what it answers.
+func (w *world) tell(ev Event) {
+	before := w.l.Phase()
+	for _, a := range w.l.Handle(w.now, ev, nil) {
+		switch a.Kind {
+		case BeReady:
+			if !w.opened || w.ready || w.l.Told() {
+				w.fail("ready, opened %t", w.opened)
+			}
+			w.ready = true
+		case BeUnready:
+			w.ready = false
+		case AnswerBy:
+			if w.answerBy > 0 && a.At > w.answerBy {
+				w.fail("answers are due later than was said: %v, %v", w.answerBy, a.At)
+			}
+			w.answerBy = a.At
+			for i := range w.conns {
+				w.conns[i].due = min(w.conns[i].due, max(w.answerBy, w.now)+w.lag)
+			}
+		case StopAccepting:
+			w.accepting = false
+			w.lost += len(w.queue)
+			w.queue = nil
+			w.inHand = w.catches
+			w.say("stops accepting")
+		case CloseAnswered:
+			w.closes = true
+		case CloseQuiet, CloseHalf:
+			kept := w.conns[:0]
+			for _, c := range w.conns {
+				if c.asked || c.half && a.Kind == CloseQuiet {
+					kept = append(kept, c)
+				}
+			}
+			w.conns = kept
+		case End:
+			w.ended = true
+			if w.inHand {
+				w.lost++
+			}
+			for _, c := range w.conns {
+				if c.asked {
+					w.lost++
+				}
+			}
+			w.say("ends, %d connections", len(w.conns))
+		}
+	}
+	if w.l.Phase() < before {
+		w.fail("from %s back to %s", before, w.l.Phase())
+	}
+	if w.l.Told() && w.ready {
+		w.fail("ready after it was told to end")
+	}
+}
+
+func newWorld(t failer, deadline time.Duration) *world {
+	return &world{t: t, l: New(deadline), deadline: deadline, now: time.Second}
+}
+
+func (w *world) open() {
+	w.opened, w.accepting = true, true
+	w.tell(Event{Kind: Opened})
+}
+
+// sigterm is the platform's word.
+func (w *world) sigterm(followed bool) {
+	if w.toldAt == 0 {
+		d := min(w.deadline, Most)
+		if d == 0 {
+			d = Most
+		}
+		w.toldAt, w.kill = w.now, w.now+d+Grace
+	}
+	w.say("SIGTERM")
+	w.tell(Event{Kind: Told, Followed: followed})
+}
+
+// change has other settings come: the platform reckons by those of SIGTERM.
+func (w *world) change(deadline time.Duration) {
+	w.deadline = deadline
+	w.tell(Event{Kind: Changed, Deadline: deadline})
+}
+
+// ask has a client come with a whole request, or half of one.
+func (w *world) ask(whole bool, budget time.Duration) {
+	if !w.accepting || w.toldAt > 0 && w.now-w.toldAt > Still+650*ms {
+		return // nobody new comes any more
+	}
+	w.conns = append(w.conns, conn{half: true, asked: whole, due: w.due(budget)})
+	w.say("a request, whole %t", whole)
+}
+
+// due is when a request of now is answered.
+func (w *world) due(budget time.Duration) time.Duration {
+	at := w.now + budget
+	if !w.mute {
+		at = w.now + min(budget, 30*ms)
+	}
+	if w.answerBy > 0 {
+		at = min(at, max(w.answerBy, w.now))
+	}
+	return at + w.lag
+}
+
+// step lets time pass, answers what is due, and has the life look.
+func (w *world) step(d time.Duration) {
+	w.now += d
+	kept := w.conns[:0]
+	for _, c := range w.conns {
+		switch {
+		case !c.asked || c.due > w.now:
+			kept = append(kept, c)
+		case !w.closes:
+			kept = append(kept, conn{})
+		}
+	}
+	w.conns = kept
+	if w.ended {
+		return
+	}
+	// There is room as soon as all that is open has its answer.
+	for len(w.queue) > 0 && (w.now >= w.queue[0] || w.answerBy > 0 && w.now >= w.answerBy+w.lag) {
+		w.queue = w.queue[1:]
+		w.ask(true, w.deadline)
+	}
+	if w.toldAt > 0 && w.now >= w.kill {
+		w.fail("SIGKILL")
+	}
+	ev := Event{Kind: Seen, Conns: len(w.conns), Queued: len(w.queue) > 0 || w.inHand, Lag: w.lag}
+	if w.inHand {
+		w.inHand = false
+		w.conns = append(w.conns, conn{half: true, asked: true, due: w.due(w.deadline)})
+	}
+	for _, c := range w.conns {
+		if c.asked {
+			ev.Asked++
+		}
+	}
+	w.tell(ev)
+}
+
+// All orders of a few events at a few instants: what has been taken is answered, nothing is accepted that can't be answered,
+// readiness is told only to who is let in, and the node ends by itself before it may be killed.
+func TestAllOrders(t *testing.T) {
+	if n := explore(t); n < 100000 {
+		t.Errorf("only %d lives", n)
+	}
+}
+
+func explore(t failer) (lives int) {
+	events := []struct {
+		name string
+		do   func(w *world, deadline time.Duration)
+	}{
+		{"whole", func(w *world, d time.Duration) { w.ask(true, d) }},
+		{"half", func(w *world, d time.Duration) { w.ask(false, d) }},
+		{"completes", func(w *world, d time.Duration) {
+			for i, c := range w.conns {
+				if c.half && !c.asked {
+					w.conns[i].asked, w.conns[i].due = true, w.due(d)
+					return
+				}
+			}
+		}},
+		{"again on an idle one", func(w *world, d time.Duration) {
+			for i, c := range w.conns {
+				if !c.half {
+					w.conns[i] = conn{half: true, asked: true, due: w.due(d)}
+					return
+				}
+			}
+		}},
+		{"in the queue", func(w *world, d time.Duration) {
+			if w.accepting && (w.toldAt == 0 || w.now-w.toldAt <= Still) {
+				w.queue = append(w.queue, w.now+150*ms) // until there is room
+			}
+		}},
+		{"in a full queue", func(w *world, d time.Duration) {
+			if w.accepting && (w.toldAt == 0 || w.now-w.toldAt <= Still) {
+				w.queue = append(w.queue, w.now+650*ms)
+			}
+		}},
+		{"SIGTERM", func(w *world, d time.Duration) { w.sigterm(false) }},
+		{"shorter settings", func(w *world, d time.Duration) { w.change(d / 2) }},
+		{"longer settings", func(w *world, d time.Duration) { w.change(2 * d) }},
+		{"heard", func(w *world, d time.Duration) { w.tell(Event{Kind: Heard}) }},
+	}
+	gaps := []time.Duration{0, 40 * ms, 590 * ms}
+	for _, deadline := range []time.Duration{300 * ms, time.Second, 3 * time.Second, 12 * time.Second} {
+		for _, lag := range []time.Duration{0, 120 * ms} {
+			const length = 3
+			for code := range pow(len(events), length) * pow(len(gaps), length) {
+				w := newWorld(t, deadline)
+				w.lag, w.mute = lag, code%2 == 0
+				w.open()
+				w.ask(true, deadline)
+				for range length {
+					ev := events[code%len(events)]
+					code /= len(events)
+					gap := gaps[code%len(gaps)]
+					code /= len(gaps)
+					w.say("%s", ev.name)
+					ev.do(w, deadline)
+					w.run(gap)
+				}
+				w.sigterm(false)
+				w.run(5 * time.Second)
+				if !w.ended {
+					w.fail("it does not end")
+				}
+				if w.lost > 0 {
+					w.fail("%d that were taken have no answer", w.lost)
+				}
+				lives++
+			}
+		}
+	}
+	return lives
+}
+
+// run lets time pass in the node's own steps.
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end && !w.ended; {
+		w.step(min(10*ms, end-w.now))
+	}
+}
+
+func pow(x, n int) int {
+	p := 1
+	for range n {
+		p *= x
+	}
+	return p
+}
+
+// The instants of an end, for the shortest and the longest deadlines: all phases fit before SIGKILL, new connections are let in
+// for as long as they may come, and each request still has what time there is.
+func TestInstants(t *testing.T) {
+	for _, c := range []struct{ deadline, accepts, answers, end time.Duration }{
+		{50 * ms, 550 * ms, 400 * ms, 550 * ms},
+		{300 * ms, 600 * ms, 650 * ms, 800 * ms},
+		{400 * ms, 600 * ms, 750 * ms, 900 * ms},
+		{time.Second, 600 * ms, 1350 * ms, 1500 * ms},
+		{3 * time.Second, 600 * ms, 3350 * ms, 3500 * ms},
+		{12 * time.Second, 600 * ms, 3350 * ms, 3500 * ms},
+		{0, 600 * ms, 3350 * ms, 3500 * ms}, // not told
+	} {
+		w := newWorld(t, c.deadline)
+		w.mute = true
+		w.open()
+		w.tell(Event{Kind: Heard})
+		w.ask(true, time.Minute)
+		w.sigterm(false)
+		at := w.now
+		for w.accepting {
+			w.step(10 * ms)
+		}
+		accepts := w.now - at
+		for !w.ended {
+			w.step(10 * ms)
+		}
+		if accepts < c.accepts || accepts > c.accepts+20*ms || w.answerBy-at != c.answers || w.now-at > c.end+10*ms || w.lost > 0 {
+			t.Errorf("%v: accepts for %v, answers by %v, ends after %v, lost %d; want %v", c.deadline, accepts, w.answerBy-at, w.now-at, w.lost, c)
+		}
+	}
+}
+
+// Nobody is connected, and still somebody new may come for a while; one that is let in as the listener closes is not forgotten.
+func TestEmptyNodeAccepts(t *testing.T) {
+	w := newWorld(t, time.Second)
+	w.catches = true
+	w.open()
+	w.sigterm(false)
+	at := w.now
+	w.run(time.Minute)
+	if d := w.now - at; !w.ended || d < AcceptFor || w.lost > 0 {
+		t.Errorf("ended %t after %v, lost %d", w.ended, d, w.lost)
+	}
+}
+
+// A request that nothing ends is cut before SIGKILL, and told of.
+func TestStuckRequestIsCut(t *testing.T) {
+	l := New(time.Second)
+	l.Handle(0, Event{Kind: Opened}, nil)
+	l.Handle(0, Event{Kind: Told}, nil)
+	for now := time.Duration(0); now < time.Second+Grace; now += 10 * ms {
+		for _, a := range l.Handle(now, Event{Kind: Seen, Conns: 1, Asked: 1}, nil) {
+			if a.Kind == End {
+				if now <= time.Second+Grace-Late || a.Left != 1 {
+					t.Errorf("cut at %v, %d left", now, a.Left)
+				}
+				return
+			}
+		}
+	}
+	t.Error("SIGKILL")
+}
+
+// Timers that ring 200 ms late, and a loop that takes long, lose nothing.
+func TestLateTimers(t *testing.T) {
+	for deadline, lag := range map[time.Duration]time.Duration{300 * ms: 120 * ms, time.Second: 120 * ms, 3 * time.Second: 400 * ms} {
+		w := newWorld(t, deadline)
+		w.lag, w.mute = lag, true
+		w.open()
+		w.ask(true, time.Minute)
+		w.sigterm(false)
+		for !w.ended {
+			w.ask(true, time.Minute) // as long as anybody is let in
+			w.step(199 * ms)
+		}
+		if w.lost > 0 {
+			t.Errorf("%v: lost %d: %v", deadline, w.lost, w.log)
+		}
+	}
+}
+
+// A node that is told to end before it lets anybody in ends at once; one that is followed lets nobody in any more; a second
+// SIGTERM changes nothing; one that has no source in time is ready on the list that it remembers.
+func TestOddEnds(t *testing.T) {
+	w := newWorld(t, time.Second)
+	w.sigterm(false)
+	if !w.ended {
+		t.Error("told to end before it lets anybody in, it does not end")
+	}
+	w = newWorld(t, time.Second)
+	w.open()
+	w.ask(true, time.Second)
+	w.sigterm(true)
+	if w.accepting || !w.closes {
+		t.Error("followed, it still accepts")
+	}
+	w.run(time.Second)
+	w.sigterm(true)
+	w.run(time.Second)
+	if !w.ended || w.lost > 0 {
+		t.Errorf("followed: ended %t, lost %d", w.ended, w.lost)
+	}
+	w = newWorld(t, time.Second)
+	w.open()
+	w.now += RememberFor - ms
+	w.tell(Event{Kind: Tick})
+	early := w.ready
+	w.now += ms
+	if w.tell(Event{Kind: Tick}); early || !w.ready {
+		t.Errorf("ready early %t, in time %t", early, w.ready)
+	}
+}
