Every bound of a node derived in one place, none on lists; nobody waits for the log

Change. internal/node/bounds.go derives clients, backends, open requests, heap, bodies and messages of peers from limits and the number of peers; they are logged at the start and stand in a table in docs/OPERATIONS.md. lograte.Writer keeps 256 KiB for who reads the log and drops and counts what is more. A node told to end before it has a socket ends at once.

--- a/cmd/glencart/main.go
+++ b/cmd/glencart/main.go
@@ -15,10 +15,16 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
+	"glencart/internal/lograte"
 	"glencart/internal/node"
 )
 
+// logMost bounds what of the log waits for who reads it, in bytes: the lines of a list of a thousand backends are 140 kB.
+// logWithin is how long the end of a node waits for that.
+const logMost, logWithin = 256 << 10, 20 * time.Millisecond
+
 func main() {
 	if len(os.Args) > 1 {
 		beside, err := os.Executable()
@@ -52,7 +58,12 @@
 	limit(cfg.Limits)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	out := lograte.NewWriter(os.Stderr, logMost)
+	defer out.Close(logWithin)
+	log := slog.New(slog.NewTextHandler(out, nil))
+	if ctx.Err() != nil { // told to end before anybody could come
+		return nil
+	}
 	n, err := node.New(cfg, log)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/node/bounds.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"cmp"
+	"log/slog"
+)
+
+// All bounds that follow from the machine and the fleet are derived here. docs/OPERATIONS.md has them in a table.
+
+const (
+	// leastSockets is the smallest limit on descriptors that a node starts with, otherSockets what it keeps
+	// for all but clients and backends: listeners, discovery, standard streams, the runtime's own.
+	leastSockets, otherSockets = 64, 26
+	// backendPart of what is left is for backends, in hundredths. A request in flight holds a connection on each side; those
+	// of clients that are about to ask, or that stay, come on top.
+	backendPart = 45
+	// usualSockets stands for a limit that is not told, usualMemory, in MB, for one on memory.
+	usualSockets, usualMemory = 1024, 64
+	// heapParts of ten of the memory are the collector's aim; the rest is for stacks, the runtime and the system's buffers.
+	heapParts = 7
+	// holdPart is the part of the memory that bodies over bodyMost may take up together.
+	holdPart = 4
+	// listLeast: no list of nodes or backends is cut below this.
+	listLeast = 1024
+	// hearEach messages of each peer may wait for the loop, each hearBytes: a loop that is behind or a peer that floods must not
+	// fill the memory, of which they get hearPart at the most, and a datagram may be lost anyway.
+	hearEach, hearBytes, hearPart = 2, 200, 64
+	// tellLeast is how many datagrams may wait to be sent at the least: one for each peer always has room.
+	tellLeast = 64
+	// probesOut are connections to backends that are kept for probes.
+	probesOut = 4
+)
+
+// bounds are what a process of a node may hold at once.
+type bounds struct {
+	clients, backends int   // connections
+	requests          int   // open ones
+	heap, held        int64 // bytes: of the collector's aim, and of bodies over bodyMost
+	hear, tell        int   // messages of peers that wait for the loop, and datagrams that wait to be sent
+}
+
+// boundsOf derives the bounds of a process that has these limits, and so many peers.
+func boundsOf(l Limits, peers int) bounds {
+	n := max(cmp.Or(l.Sockets, usualSockets)-otherSockets, otherSockets)
+	memory := cmp.Or(l.MemoryMB, usualMemory) << 20
+	b := bounds{backends: n * backendPart / 100, heap: l.MemoryMB << 20 / 10 * heapParts, held: memory / holdPart}
+	b.clients = n - b.backends
+	b.requests = min(b.clients, b.backends-probesOut)
+	b.hear = max(listLeast, min(hearEach*peers, int(memory/hearPart/hearBytes)))
+	b.tell = max(tellLeast, peers)
+	return b
+}
+
+func (b bounds) LogValue() slog.Value {
+	return slog.GroupValue(slog.Int("clients", b.clients), slog.Int("backends", b.backends), slog.Int("requests", b.requests),
+		slog.Int64("heap", b.heap), slog.Int64("bodies", b.held), slog.Int("hear", b.hear), slog.Int("tell", b.tell))
+}
--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -21,9 +21,6 @@
 const (
 	// uploadMost bounds the body of a request: how long one client may go on.
 	uploadMost = 40 << 20
-	// holdPart is the part of the memory that bodies over bodyMost may take up together, usualHold stands for it where the
-	// memory is not told.
-	holdPart, usualHold = 4, 16 << 20
 	// copyPiece is the buffer of a stream.
 	copyPiece = 32 << 10
 	// silentMost is how long a client may go without a byte of its body, backendSilent a backend without one of its answer or
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -35,8 +35,6 @@
 	// freshFor is how long nothing has to come on a connection before it can be missed: who has just connected, or writes on,
 	// is about to ask, and whoever finds no place waits to be let in. relieveEvery is how often places are looked for.
 	freshFor, relieveEvery = 30 * time.Millisecond, 20 * time.Millisecond
-	// probesOut are connections to backends that are kept for probes.
-	probesOut = 4
 	// giveWayTries bounds how many connections are looked at for one that can be missed.
 	giveWayTries = 8
 	// drainMost bounds what is read of a body that is turned away.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 type Node struct {
 	cfg      Config
 	log      *slog.Logger
+	bounds   bounds
 	hears    atomic.Int32 // messages of peers that wait for the loop
 	listener *boundedListener
 	peers    *peers
@@ -51,12 +52,14 @@
 	n := &Node{cfg: cfg, log: log, figures: &figures{}}
 	n.living.born, n.living.life = time.Now(), life.New(longestDeadline(cfg.Settings))
 	limits := cfg.Settings.Config.Limits
-	clients, backends := cfg.Limits.share()
+	n.bounds = boundsOf(cfg.Limits, len(cfg.Peers))
+	clients, backends := n.bounds.clients, n.bounds.backends
+	log.Info("bounds", "most", n.bounds)
 	n.pool = newPool(backends, limits.ConnectTimeout, limits.IdleClose)
 	n.loop = engine.New(engine.Config{Balancer: bal, Log: log,
 		Transport: newExchanges(n.pool, cfg.Settings.Config.Reports == balance.InlineReports, log)})
 	n.front = newFront(n.loop, cfg.Settings, clients, backends, n.figures, log)
-	n.front.held.left.Store(cmp.Or(cfg.Limits.MemoryMB<<20/holdPart, usualHold))
+	n.front.held.left.Store(n.bounds.held)
 	n.disco = registry.New(cfg.Discovery, cfg.Settings, log,
 		func(list engine.List) {
 			kind := balance.MembersChanged
@@ -72,7 +75,7 @@
 		func() { n.loop.Post(func() { n.loop.Handle(balance.Event{Kind: balance.MembersRefused}) }) })
 	n.loop.Ask = n.disco.Ask
 	if cfg.PeerListen != "" {
-		if n.peers, err = listenPeers(&cfg, log); err != nil {
+		if n.peers, err = listenPeers(&cfg, n.bounds.tell, log); err != nil {
 			return nil, fmt.Errorf("peer_listen: %w", err)
 		}
 		n.loop.Tell = n.peers.tell
@@ -139,16 +142,9 @@
 // Addr is the address that the node listens on for clients.
 func (n *Node) Addr() net.Addr { return n.listener.Addr() }
 
-// hearLeast and hearEach bound the messages of peers that wait for the loop, each some 200 bytes: a loop that is behind or a
-// peer that floods must not fill the memory, and a datagram may be lost anyway. All peers may speak at once, hearEach times.
-const hearLeast, hearEach = 1024, 2
-
-// hearMost is how many messages of peers may wait for the loop.
-func (n *Node) hearMost() int32 { return int32(max(hearLeast, hearEach*len(n.cfg.Peers))) }
-
 // hear passes a peer's message on to the loop.
 func (n *Node) hear(peer int, payload []byte) {
-	if n.hears.Add(1) > n.hearMost() || !n.loop.Post(func() {
+	if int(n.hears.Add(1)) > n.bounds.hear || !n.loop.Post(func() {
 		n.hears.Add(-1)
 		n.loop.Handle(balance.Event{Kind: balance.PeerMessage, Peer: peer, Payload: payload})
 	}) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -15,9 +15,6 @@
 // soReusePort is SO_REUSEPORT of socket(7), which syscall does not name everywhere.
 const soReusePort = 0xf
 
-// tellLeast is how many datagrams may wait to be sent at the least: one for each peer always has room.
-const tellLeast = 64
-
 // datagramMost is the longest datagram between nodes.
 const datagramMost = 256
 
@@ -35,13 +32,13 @@
 	payload []byte
 }
 
-// listenPeers opens the node's socket for datagrams.
-func listenPeers(cfg *Config, log *slog.Logger) (*peers, error) {
+// listenPeers opens the node's socket for datagrams, of which so many may wait to be sent.
+func listenPeers(cfg *Config, most int, log *slog.Logger) (*peers, error) {
 	addr, err := net.ResolveUDPAddr("udp", cfg.PeerListen)
 	if err != nil {
 		return nil, err
 	}
-	p := &peers{out: make(chan datagram, max(tellLeast, len(cfg.Peers))), odd: lograte.Limited{Log: log}}
+	p := &peers{out: make(chan datagram, most), odd: lograte.Limited{Log: log}}
 	for _, s := range cfg.Peers {
 		a, err := netip.ParseAddrPort(s)
 		if err != nil {
--- a/internal/node/wording.go
+++ b/internal/node/wording.go
@@ -19,7 +19,7 @@
 func Decode(names settings.Settings, hr *http.Request, received time.Time) (*engine.Request, error) {
 	f := &front{}
 	f.bodyMost.Store(uploadMost)
-	f.held.left.Store(usualHold)
+	f.held.left.Store(boundsOf(Limits{}, 0).held)
 	f.tuning.Store(newTuning(names, &figures{}))
 	r, _, err := f.read(discard{}, hr, received)
 	return r, err
