life: a lag that passes takes no time from the requests that are open

Cause. life.leave moved the instant by which all is answered to sooner with each look that saw a lag, and never back: a pause of the loop of one second right after SIGTERM took up to 1.75 s from every open request. Seen by reading; TestLagThatPasses fails without the mend.

--- a/life/life.go
+++ b/life/life.go
@@ -25,9 +25,9 @@
 	QuietFor = 50 * time.Millisecond
 	// AnswerLeast is how long before its end a node has every request answered, at the least: what is answered in the same
 	// instant has yet to be worded and written, one by one. Where a word to the loop and the answers take longer by what is
-	// measured, it is lagTimes that, and answerPart of the time there is at the most.
-	AnswerLeast           = 150 * time.Millisecond
-	lagTimes, answerParts = 2, 2
+	// measured, it is lagTimes that, and one of lagParts of the time there is at the most.
+	AnswerLeast        = 150 * time.Millisecond
+	lagTimes, lagParts = 2, 2
 	// ServeLeast is how long before its end a node stops to take requests on connections that it keeps: nearly all are
 	// answered in that time.
 	ServeLeast = 900 * time.Millisecond
@@ -200,14 +200,15 @@
 // leave takes a node that is to end from phase to phase.
 func (l *Life) leave(now time.Duration, ev Event, out []Action) []Action {
 	seen, stopped := ev.Kind == Seen, l.stopped
-	ahead := AnswerLeast
-	if seen {
-		ahead = min(max(ahead, lagTimes*ev.Lag), max(ahead, (l.End()-l.told)/answerParts))
-	}
-	if by := l.End() - ahead; by < l.answerBy {
+	if by := l.End() - AnswerLeast; by < l.answerBy {
 		l.answerBy = by
 		out = append(out, Action{Kind: AnswerBy, At: by})
 	}
+	// A lag counts when the time that it wants has come: one that passes takes nothing from anybody.
+	if by := l.End() - min(lagTimes*ev.Lag, (l.End()-l.told)/lagParts); seen && by <= now && now < l.answerBy {
+		l.answerBy = now
+		out = append(out, Action{Kind: AnswerBy, At: now})
+	}
 	if seen && !l.stopped {
 		switch {
 		case ev.Queued:
--- a/life/life_test.go
+++ b/life/life_test.go
@@ -344,6 +344,21 @@
 	t.Error("SIGKILL")
 }
 
+// A lag that passes takes no time from anybody: only one that is there when the last answers are due has them sooner.
+func TestLagThatPasses(t *testing.T) {
+	w := newWorld(t, 3*time.Second)
+	w.open()
+	w.sigterm(false)
+	at := w.now
+	w.lag = time.Second
+	w.step(10 * ms)
+	w.lag = 0
+	w.run(time.Second)
+	if by := w.answerBy - at; by != 3*time.Second+Grace-Late-AnswerLeast {
+		t.Errorf("answers are due after %v", by)
+	}
+}
+
 // Timers that ring 200 ms late, and a loop that takes long, lose nothing.
 func TestLateTimers(t *testing.T) {
 	for deadline, lag := range map[time.Duration]time.Duration{300 * ms: 120 * ms, time.Second: 120 * ms, 3 * time.Second: 400 * ms} {
