A backend that refused a connection and answers is a new, cold process until discovery says

Change. members.Hand (pure) takes in refused connections (ECONNREFUSED: the machine is up and nobody listens; a silent or full one does neither) and answers. One that refused and answers starts then, for the engine and the Balancer, until discovery tells another start, or 8 s have passed in which it would have. The engine shows each outcome to the node (Saw).

Tests: the table of orders in members, and a backend that ends and comes back at its address while the list says nothing; the latter fails without the call.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -20,6 +20,7 @@
 	Now       func() time.Time               // default: time.Now
 	Ask       func(balance.ActionKind)       // takes Watch, Unwatch and Fetch; must not block
 	Tell      func(peer int, payload []byte) // takes Tell; must not block
+	Saw       func(id string, res Result)    // sees how each attempt and probe ended, on the loop; nil: nobody
 	Trace     func(Step)                     // sees each event with its actions, on the loop; nil: nobody
 }
 
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -175,6 +175,9 @@
 		Kind: balance.Outcome, Request: r.ID, Attempt: a.number, Backend: a.to.number, Spent: e.Clock() - a.sent,
 		Status: res.Status, NoMore: r.answered, Load: res.Load,
 	})
+	if e.Saw != nil {
+		e.Saw(a.To.ID, res)
+	}
 	e.settle(a.to)
 }
 
@@ -264,6 +267,9 @@
 	told := func(res Result) {
 		e.Handle(balance.Event{Kind: balance.Probed, Backend: number, Spent: e.Clock() - sent,
 			Status: res.Status, Load: res.Load})
+		if e.Saw != nil {
+			e.Saw(b.id, res)
+		}
 		e.settle(b)
 	}
 	b.out++
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -38,8 +38,10 @@
 // Result is how an attempt or a probe ended.
 type Result struct {
 	Status balance.Status
-	Load   balance.Load
-	Body   any // the protocol's answer, for the front that asked
+	// Refused tells, with DialFailed, that nobody listens there: the machine is up, and the process has ended.
+	Refused bool
+	Load    balance.Load
+	Body    any // the protocol's answer, for the front that asked
 }
 
 // Request is a client's request: what the front fills in, and, for the loop alone, where it stands.
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"glencart/balance"
@@ -188,7 +189,7 @@
 	case errors.Is(err, errNoRoom):
 		return ended(balance.Unused) // says nothing of the backend
 	case err != nil:
-		return ended(balance.DialFailed)
+		return engine.Result{Status: balance.DialFailed, Refused: errors.Is(err, syscall.ECONNREFUSED)}, false
 	}
 	text := m.wire(to.Addr, time.Until(deadline))
 	if ctx.Err() != nil || !c.state.CompareAndSwap(callQueued, callWriting) {
--- a/internal/node/growth_test.go
+++ b/internal/node/growth_test.go
@@ -146,3 +146,37 @@
 	_, some := n.loop.Next()
 	return some
 }
+
+// A backend whose process ended and that answers again at its address is a cold one before any list says so.
+func TestBackendThatRefusedIsANewProcess(t *testing.T) {
+	serve := answering(func(*http.Request) string { return ok200("x") })
+	conns := make(chan net.Conn, 64)
+	b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) { conns <- c; serve(c, br) })
+	addr := b.Addr().String()
+	n := startOn(t, addr)
+	request := func() int {
+		resp, _ := do(t, ask(t, n.url+"/api/x", "read"))
+		return resp.StatusCode
+	}
+	eventually(t, "an answer", func() bool { return request() == 200 })
+	launched := func() (at time.Duration) {
+		n.onLoop(t, func() { to, _, _, _ := n.loop.Backend("s-0"); at = to.Launched })
+		return at
+	}
+	if at := launched(); at != 0 {
+		t.Fatalf("started at %v, and the list says long ago", at)
+	}
+	b.Close()
+	for len(conns) > 0 {
+		reset(<-conns)
+	}
+	eventually(t, "a refusal", func() bool { request(); return n.doubted(t) > 0 })
+	began := unixNow()
+	newRawBackend(t, addr, serve)
+	eventually(t, "a new process", func() bool { request(); return launched() >= began })
+}
+
+func (s *started) doubted(t *testing.T) (some int) {
+	s.onLoop(t, func() { some = s.hand.InDoubt() })
+	return some
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,7 +73,7 @@
 			})
 		},
 		func() { n.loop.Post(func() { n.loop.Handle(balance.Event{Kind: balance.MembersRefused}) }) })
-	n.loop.Ask = n.disco.Ask
+	n.loop.Ask, n.loop.Saw = n.disco.Ask, n.saw
 	if cfg.PeerListen != "" {
 		if n.peers, err = listenPeers(&cfg, n.bounds.tell, log); err != nil {
 			return nil, fmt.Errorf("peer_listen: %w", err)
@@ -187,6 +187,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(n.listener) }()
 	wg.Go(func() { n.remember(work) })
+	wg.Go(func() { n.doubtEnds(work) })
 	n.log.Info("serving", "name", n.cfg.Name, "listen", n.Addr().String())
 	select {
 	case err := <-ended:
--- a/members/hand.go
+++ b/members/hand.go
@@ -25,15 +25,81 @@
 	Back time.Duration `json:"back,omitempty"` // when the backend was last put back; 0: never
 }
 
-// Hand holds the backends that discovery has named, and the word of operators on each. The zero value is ready.
+// Hand holds the backends that discovery has named, the word of operators on each, and what was seen of each: whether it is
+// another process than discovery knows of. The zero value is ready.
 type Hand struct {
-	all map[string]*known
+	all     map[string]*known
+	doubted int // backends that refused, or are taken for another process
 }
 
 type known struct {
 	line Line // as discovery said it last; Gone for one that it never named
 	call Call
 	gone time.Duration // when it left the list
+
+	refused time.Duration // when it refused a connection, since it answered last; 0: it has not
+	renewed time.Duration // when it answered after that; 0: it has not
+}
+
+// newsWithin is how long discovery may take to tell of a new process (the platform's 6 s, and the way). One that refused and
+// answers, and of which discovery still tells nothing else by then, is the old process.
+const newsWithin = 8 * time.Second
+
+// Refused takes in that nobody listens at a backend: its process has ended.
+func (h *Hand) Refused(id string, now time.Duration) {
+	if k := h.all[id]; k != nil && k.line.Phase != balance.Gone && k.refused == 0 {
+		if k.renewed == 0 {
+			h.doubted++
+		}
+		k.refused = now
+	}
+}
+
+// Answered takes in that a backend has answered. After a refusal it is another process, which has just started, until discovery
+// tells when it did. It returns the lines that the engine has to be told, mostly none.
+func (h *Hand) Answered(id string, now time.Duration) []Line {
+	if h.doubted == 0 {
+		return nil // the common case costs nothing
+	}
+	k := h.all[id]
+	if k == nil || k.refused == 0 {
+		return nil
+	}
+	if k.line.Launched >= k.refused { // discovery has told of it in the meantime
+		h.trust(k)
+		return nil
+	}
+	k.refused, k.renewed = 0, now
+	return []Line{k.told(k.line)}
+}
+
+// Doubted returns the lines that the engine has to be told since discovery would have told of a new process by now.
+func (h *Hand) Doubted(now time.Duration) []Line {
+	if h.doubted == 0 {
+		return nil
+	}
+	var told []Line
+	for _, k := range h.all {
+		if k.renewed > 0 && now-k.renewed > newsWithin {
+			h.trust(k)
+			if k.line.Phase != balance.Gone {
+				told = append(told, k.told(k.line))
+			}
+		}
+	}
+	slices.SortFunc(told, func(x, y Line) int { return cmp.Compare(x.ID, y.ID) })
+	return told
+}
+
+// InDoubt counts the backends that have refused since they answered, or that are taken for another process.
+func (h *Hand) InDoubt() int { return h.doubted }
+
+// trust has discovery's word hold again.
+func (h *Hand) trust(k *known) {
+	if k.refused > 0 || k.renewed > 0 {
+		h.doubted--
+	}
+	k.refused, k.renewed = 0, 0
 }
 
 // goneLeast and goneParts bound how many backends are remembered that have left the list and that nobody took out: as many as
@@ -51,6 +117,7 @@
 		for id, k := range h.all {
 			if !listed[id] {
 				k.leave(now)
+				h.trust(k)
 			}
 		}
 	}
@@ -65,8 +132,12 @@
 		}
 		if l.Phase == balance.Gone {
 			k.leave(now)
+			h.trust(k)
 			l.Addr = cmp.Or(l.Addr, k.line.Addr)
 		} else {
+			if l.Launched != k.line.Launched || l.Addr != k.line.Addr {
+				h.trust(k) // this is news of the process
+			}
 			k.line = l
 		}
 		told = append(told, k.told(l))
@@ -155,8 +226,9 @@
 	}
 }
 
-// told is a line with the operators' word in it. A backend that is out drains, whatever discovery says. One that was put
-// back may have been restarted while it was out, which discovery tells late or never: it started no earlier than that.
+// told is a line with the operators' word in it, and what was seen. A backend that is out drains, whatever discovery says. One
+// that was put back may have been restarted while it was out, which discovery tells late or never: it started no earlier than
+// that. One that refused and answers has started in between.
 func (k *known) told(l Line) Line {
 	if k.call.Out && l.Phase == balance.Ready {
 		l.Phase = balance.Draining
@@ -164,6 +236,7 @@
 	if l.Launched < k.call.Back {
 		l.Launched, l.Returned = k.call.Back, true
 	}
+	l.Launched = max(l.Launched, k.renewed)
 	return l
 }
 
--- a/members/hand_test.go
+++ b/members/hand_test.go
@@ -147,3 +147,65 @@
 		t.Errorf("one that is out came back as %v", l[0].Phase)
 	}
 }
+
+// A backend that refused a connection and answers is a new process from then on, until discovery tells of one, or would have.
+func TestRefusedAndAnswers(t *testing.T) {
+	const sec = time.Second
+	old := Line{ID: "s", Addr: "a:1", Member: balance.Member{Phase: balance.Ready, Launched: 5 * sec}}
+	begin := func() *Hand {
+		var h Hand
+		h.Take([]Line{old, {ID: "other", Addr: "b:1"}}, true, 10*sec)
+		return &h
+	}
+	launched := func(what string, lines []Line, want ...time.Duration) {
+		t.Helper()
+		var got []time.Duration
+		for _, l := range lines {
+			got = append(got, l.Launched)
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("%s: told %v, want %v", what, got, want)
+		}
+	}
+	h := begin()
+	launched("no refusal", h.Answered("s", 11*sec))
+	h.Refused("s", 20*sec)
+	h.Refused("s", 21*sec)
+	launched("another backend", h.Answered("other", 22*sec))
+	launched("answers again", h.Answered("s", 23*sec), 23*sec)
+	launched("and once more", h.Answered("s", 24*sec))
+	launched("the old entry in a whole list", h.Take([]Line{old}, true, 25*sec), 23*sec)
+	launched("in time", h.Doubted(30*sec))
+	launched("discovery would have told", h.Doubted(32*sec), 5*sec)
+	launched("for good", h.Doubted(60*sec))
+
+	h = begin()
+	h.Refused("s", 20*sec)
+	h.Answered("s", 23*sec)
+	fresh := old
+	fresh.Launched = 21 * sec
+	launched("news of the new process", h.Take([]Line{fresh}, false, 25*sec), 21*sec)
+	launched("which holds", h.Doubted(60*sec))
+
+	h = begin()
+	h.Refused("s", 20*sec)
+	launched("news before it answers", h.Take([]Line{fresh}, false, 22*sec), 21*sec)
+	launched("nothing to tell", h.Answered("s", 23*sec))
+
+	h = begin()
+	h.Refused("s", 20*sec)
+	h.Take([]Line{{ID: "s", Member: balance.Member{Phase: balance.Gone}}}, false, 21*sec)
+	launched("gone", h.Answered("s", 23*sec))
+	if h.doubted != 0 {
+		t.Errorf("%d in doubt", h.doubted)
+	}
+	h = begin()
+	h.Refused("s", 20*sec)
+	h.Answered("s", 23*sec)
+	h.Refused("s", 24*sec) // it crashes on
+	launched("again", h.Answered("s", 26*sec), 26*sec)
+	h.Take(nil, true, 27*sec)
+	if h.doubted != 0 {
+		t.Errorf("%d in doubt", h.doubted)
+	}
+}
