--- a/internal/node/life.go
+++ b/internal/node/life.go
@@ -35,6 +35,13 @@
 	lag    atomic.Int64 // how long the last one took, ns
 }
 
+// left is the time to the end of a node that is told to end.
+func (v *living) left() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.life.End() - time.Since(v.born)
+}
+
 // live tells the node's life of an event and obeys. It reports true once the node is to end now.
 func (n *Node) live(ev life.Event) (ended bool) {
 	v := &n.living
@@ -83,7 +90,7 @@
 	}
 	n.front.timed.Store(true)
 	ended := n.live(life.Event{Kind: life.Told, Followed: followed})
-	n.log.Info(why, "most", n.living.life.End()-time.Since(n.living.born))
+	n.log.Info(why, "most", n.living.left())
 	accepting := true
 	for !ended {
 		time.Sleep(lookEvery)
