--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -60,7 +60,6 @@
 	most     atomic.Int64 // requests at once
 	inFlight atomic.Int64
 	crowded  int          // so many connections that answers close theirs; by mu
-	soft     int          // so many that idle ones give way; by mu
 	full     int          // so many that silent ones give way too; by mu
 	ready    atomic.Bool  // the node's life lets it be ready
 	leaving  atomic.Bool  // the node is about to end
@@ -116,19 +115,12 @@
 // relieve has connections that can be missed give way until ctx ends: where all places are taken nobody new is let in, for whom
 // one could give way.
 func (f *front) relieve(ctx context.Context) {
-	t := time.NewTicker(relieveEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	every(ctx, relieveEvery, func() {
 		f.mu.Lock()
+		defer f.mu.Unlock()
 		for len(f.conns) > f.full && f.giveWay() {
 		}
-		f.mu.Unlock()
-	}
+	})
 }
 
 // closeQuiet closes the connections on which no part of a request has come, read or not; half: also those on which no whole
--- a/internal/node/management.go
+++ b/internal/node/management.go
@@ -204,6 +204,7 @@
 	switch {
 	case res.Refused:
 		n.hand.Refused(id, unixNow())
+	case n.hand.InDoubt() == 0: // mostly
 	case res.Status == balance.Delivered, res.Status == balance.AppError, res.Status == balance.Shed:
 		if lines := n.hand.Answered(id, unixNow()); len(lines) > 0 {
 			n.log.Info("backend refused and answers: taken for a new process", "id", id)
@@ -217,20 +218,13 @@
 
 // doubtEnds has discovery's word on backends hold again where it would have told of a new process by now, until ctx ends.
 func (n *Node) doubtEnds(ctx context.Context) {
-	t := time.NewTicker(doubtEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			n.loop.Post(func() {
-				if lines := n.hand.Doubted(unixNow()); len(lines) > 0 {
-					n.heed(lines)
-				}
-			})
-		}
-	}
+	every(ctx, doubtEvery, func() {
+		n.loop.Post(func() {
+			if lines := n.hand.Doubted(unixNow()); len(lines) > 0 {
+				n.heed(lines)
+			}
+		})
+	})
 }
 
 // byHand takes in a call of operators and tells whether anybody has this id. On the loop.
@@ -264,16 +258,7 @@
 
 // countOften copies out what the loop owns until ctx ends: which backends it avoids changes with each answer.
 func (n *Node) countOften(ctx context.Context) {
-	t := time.NewTicker(figuresEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			n.loop.PostFirst(n.countBackends)
-		}
-	}
+	every(ctx, figuresEvery, func() { n.loop.PostFirst(n.countBackends) })
 }
 
 // canServe tells whether this process can serve: it has had a list that names a backend, and is not about to end.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -326,3 +326,17 @@
 	case <-t.C:
 	}
 }
+
+// every calls f each d until ctx ends.
+func every(ctx context.Context, d time.Duration, f func()) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f()
+		}
+	}
+}
