A node whose log reader has gone serves on: a broken log pipe ended the process

Go ends a process by SIGPIPE when a write to standard error breaks (os.File, epipecheck); cmd/glencart writes its log there. Whoever collects the logs of hundreds of nodes and goes away would have ended all of them at their next line, with what they had taken. Seen in a test: the process is gone after the next SIGHUP.

SIGPIPE is ignored; the write fails and the line is lost. The test of SIGHUP closes the log, reloads and ends the node in order; it fails without the line.

--- a/cmd/glencart/main.go
+++ b/cmd/glencart/main.go
@@ -42,6 +42,7 @@
 }
 
 func run() error {
+	signal.Ignore(syscall.SIGPIPE) // else a log that nobody reads any more ends the process at its next line
 	// Before anything else: unhandled, this signal ends the process.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
