members: silence of discovery no longer makes a backend warm that refused and answers

Hand.Doubted took the new start back 8 s after the answer if no list told it. Discovery may be down then, what it has to tell counts as told after 6 s all the same, and the process is cold for 10 to 22 s: all nodes would have sent it what a warm one gets.

The start that was seen holds until discovery tells another, and ages as any other. Doubted, its ticker and its constant are out.

--- a/internal/node/management.go
+++ b/internal/node/management.go
@@ -213,20 +213,6 @@
 	}
 }
 
-// doubtEvery is how often backends that are taken for new processes are looked at.
-const doubtEvery = time.Second
-
-// doubtEnds has discovery's word on backends hold again where it would have told of a new process by now, until ctx ends.
-func (n *Node) doubtEnds(ctx context.Context) {
-	every(ctx, doubtEvery, func() {
-		n.loop.Post(func() {
-			if lines := n.hand.Doubted(unixNow()); len(lines) > 0 {
-				n.heed(lines)
-			}
-		})
-	})
-}
-
 // byHand takes in a call of operators and tells whether anybody has this id. On the loop.
 func (n *Node) byHand(id string, out bool) (members.Call, bool) {
 	lines, call, known := n.hand.Say(id, out, unixNow())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -187,7 +187,6 @@
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(n.listener) }()
 	wg.Go(func() { n.remember(work) })
-	wg.Go(func() { n.doubtEnds(work) })
 	n.log.Info("serving", "name", n.cfg.Name, "listen", n.Addr().String())
 	select {
 	case err := <-ended:
--- a/members/hand.go
+++ b/members/hand.go
@@ -29,7 +29,7 @@
 // another process than discovery knows of. The zero value is ready.
 type Hand struct {
 	all     map[string]*known
-	doubted int // backends that refused, or are taken for another process
+	doubted int // backends that refused, and have not answered since
 }
 
 type known struct {
@@ -41,22 +41,16 @@
 	renewed time.Duration // when it answered after that; 0: it has not
 }
 
-// newsWithin is how long discovery may take to tell of a new process (the platform's 6 s, and the way). One that refused and
-// answers, and of which discovery still tells nothing else by then, is the old process.
-const newsWithin = 8 * time.Second
-
 // Refused takes in that nobody listens at a backend: its process has ended.
 func (h *Hand) Refused(id string, now time.Duration) {
 	if k := h.all[id]; k != nil && k.line.Phase != balance.Gone && k.refused == 0 {
-		if k.renewed == 0 {
-			h.doubted++
-		}
+		h.doubted++
 		k.refused = now
 	}
 }
 
 // Answered takes in that a backend has answered. After a refusal it is another process, which has just started, until discovery
-// tells when it did. It returns the lines that the engine has to be told, mostly none.
+// tells when it did. Silence of discovery takes nothing back: it may be down, and the process is as cold. It returns the lines that the engine has to be told, mostly none.
 func (h *Hand) Answered(id string, now time.Duration) []Line {
 	if h.doubted == 0 {
 		return nil // the common case costs nothing
@@ -69,34 +63,17 @@
 		h.trust(k)
 		return nil
 	}
-	k.refused, k.renewed = 0, now
+	h.trust(k)
+	k.renewed = now
 	return []Line{k.told(k.line)}
 }
 
-// Doubted returns the lines that the engine has to be told since discovery would have told of a new process by now.
-func (h *Hand) Doubted(now time.Duration) []Line {
-	if h.doubted == 0 {
-		return nil
-	}
-	var told []Line
-	for _, k := range h.all {
-		if k.renewed > 0 && now-k.renewed > newsWithin {
-			h.trust(k)
-			if k.line.Phase != balance.Gone {
-				told = append(told, k.told(k.line))
-			}
-		}
-	}
-	slices.SortFunc(told, func(x, y Line) int { return cmp.Compare(x.ID, y.ID) })
-	return told
-}
-
-// InDoubt counts the backends that have refused since they answered, or that are taken for another process.
+// InDoubt counts the backends that have refused since they answered.
 func (h *Hand) InDoubt() int { return h.doubted }
 
 // trust has discovery's word hold again.
 func (h *Hand) trust(k *known) {
-	if k.refused > 0 || k.renewed > 0 {
+	if k.refused > 0 {
 		h.doubted--
 	}
 	k.refused, k.renewed = 0, 0
