--- a/internal/node/framing.go
+++ b/internal/clients/conn.go
@@ -1,4 +1,4 @@
-package node
+package clients
 
 import (
 	"bytes"
@@ -21,19 +21,26 @@
 // Content-Length where Transfer-Encoding stands beside it, before a handler can see both; yet such a request may
 // hide another in its body from who goes by the length. Nothing is held back or changed here.
 type framing struct {
-	// unsure: a head gave its length in two ways, or in a way that can't be followed. It is never taken back:
+	// Unsure: a head gave its length in two ways, or in a way that can't be followed. It is never taken back:
 	// where a request ends is not known any more, so nothing further on the connection can be trusted.
-	unsure atomic.Bool
-	// chunked: a body came in chunks, whose end is not looked for here: this request is the last one.
-	chunked atomic.Bool
+	Unsure atomic.Bool
+	// Chunked: a body came in chunks, whose end is not looked for here: this request is the last one.
+	Chunked atomic.Bool
 
-	// asking: a whole request has been read, and not been answered.
-	asking atomic.Bool
+	// asked is how many whole requests have been read and not been answered: some may stand behind the first.
+	asked atomic.Int32
+
+	// begun: some of a request has been read, and not all of it. net/http tells of a request once its head is whole.
+	begun atomic.Bool
+
+	// opaque: what passes is TLS, and its requests can't be told. All that has come since the last answer is taken for one.
+	opaque bool
 
 	readAt atomic.Int64 // when a byte came last, Unix time in nanoseconds
 
 	line   []byte // the head's line so far, cut at lineMost
 	long   bool   // and whether it is longer
+	lines  int    // of the head so far
 	length int64  // by the head so far; -1 when it gives none
 	coded  bool   // the head has Transfer-Encoding
 	rest   int64  // of the body
@@ -44,13 +51,23 @@
 
 // saw takes in what has been read.
 func (f *framing) saw(p []byte) {
-	for len(p) > 0 && !f.unsure.Load() && !f.chunked.Load() {
+	if f.opaque {
+		if len(p) > 0 {
+			f.asked.Store(1)
+		}
+		return
+	}
+	if len(p) == 0 {
+		return
+	}
+	defer func() { f.begun.Store(f.rest > 0 || f.lines > 0 || len(f.line) > 0) }()
+	for len(p) > 0 && !f.Unsure.Load() && !f.Chunked.Load() {
 		if f.rest > 0 {
 			n := min(f.rest, int64(len(p)))
 			f.rest -= n
 			p = p[n:]
 			if f.rest == 0 {
-				f.asking.Store(true)
+				f.asked.Add(1)
 			}
 			continue
 		}
@@ -73,34 +90,39 @@
 // headLine takes in a line of a head.
 func (f *framing) headLine() {
 	line := strings.TrimSuffix(string(f.line), "\r")
+	f.lines++
 	name, value, _ := strings.Cut(line, ":")
 	switch {
 	case line == "" && !f.long:
 		switch {
 		case f.coded && f.length >= 0:
-			f.unsure.Store(true)
+			f.Unsure.Store(true)
 		case f.coded:
-			f.chunked.Store(true)
+			f.Chunked.Store(true)
 		case f.length <= 0:
-			f.asking.Store(true)
+			f.asked.Add(1)
 		}
-		f.rest, f.length, f.coded = max(f.length, 0), -1, false
+		f.rest, f.length, f.coded, f.lines = max(f.length, 0), -1, false, 0
+		return
 	case strings.EqualFold(strings.TrimSpace(name), "Transfer-Encoding"):
 		f.coded = true
 	case strings.EqualFold(strings.TrimSpace(name), "Content-Length"):
 		n, err := strconv.ParseUint(strings.TrimSpace(value), 10, 63)
 		if err != nil || f.long || f.length >= 0 && f.length != int64(n) {
-			f.unsure.Store(true)
+			f.Unsure.Store(true)
 			return
 		}
 		f.length = int64(n)
 	}
 }
 
-// framedConn is a client's connection under watch.
-type framedConn struct {
-	net.Conn
+// Conn is a client's connection under watch. It shows nobody its socket: the platform may refuse sendfile and splice, which the
+// library would use. Its first request's time is Stood.
+type Conn struct {
+	net.Conn // the socket
 	framing
+	release func()   // its place at the listener
+	known   net.Conn // as the server knows it: itself, or the one of TLS over it
 
 	// taking is held from when bytes leave the socket until they are marked, and while the connection is looked at and closed:
 	// between the two a whole request is neither unread nor asking.
@@ -117,10 +139,10 @@
 	ended bool // by taking: closed as unasked. Nothing more is read: its client asks again elsewhere
 }
 
-// watched returns a connection of a client under watch.
-func watched(c net.Conn, under net.Conn) *framedConn {
-	f := &framedConn{Conn: c, framing: framing{length: -1}}
-	if sc, ok := under.(syscall.Conn); ok {
+// watch returns a connection of a client under watch.
+func watch(c net.Conn, release func()) *Conn {
+	f := &Conn{Conn: c, release: release, framing: framing{length: -1}}
+	if sc, ok := c.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
 			f.raw, f.take = raw, f.takeBytes
 		}
@@ -128,8 +150,15 @@
 	return f
 }
 
+// Close closes it and gives its place back.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	c.release()
+	return err
+}
+
 // takeBytes takes what stands on the socket, and marks it. It tells whether there was anything, an end or an error.
-func (c *framedConn) takeBytes(fd uintptr) bool {
+func (c *Conn) takeBytes(fd uintptr) bool {
 	c.taking.Lock()
 	defer c.taking.Unlock()
 	if c.ended {
@@ -151,14 +180,14 @@
 }
 
 // mark takes in what has been read.
-func (c *framedConn) mark(p []byte) {
+func (c *Conn) mark(p []byte) {
 	if len(p) > 0 {
 		c.readAt.Store(time.Now().UnixNano())
 	}
 	c.saw(p)
 }
 
-func (c *framedConn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	if c.raw == nil || len(p) == 0 {
 		n, err := c.Conn.Read(p)
 		c.mark(p[:n])
@@ -193,37 +222,42 @@
 // stoodLeast is how long a request may have stood in the listener's queue without it being asked about.
 const stoodLeast = 20 * time.Millisecond
 
-// stood is how long the first request on a connection had stood there whole when it came to its handler: its time began with
+// Stood is how long the first request on a connection had stood there whole when it came to its handler: its time began with
 // its last byte, and the handler's began when there was room to accept it. The kernel tells when data came last; no request
-// came before the queue was empty.
-func (c *framedConn) stood(now time.Time) time.Duration {
+// came before the queue was empty. 0 for a later request.
+func (c *Conn) Stood(now time.Time) time.Duration {
 	most := now.Sub(c.notBefore)
 	first := !c.notBefore.IsZero()
 	c.notBefore = time.Time{}
-	b, ok := c.Conn.(*boundedConn)
-	if !first || !ok || most < stoodLeast {
+	if !first || most < stoodLeast {
 		return 0
 	}
-	return min(most, sock.SinceData(b.Conn))
+	return min(most, sock.SinceData(c.Conn))
 }
 
-// unread tells whether something has come on the connection that has not been read.
-func (c *framedConn) unread() bool {
-	b, ok := c.Conn.(*boundedConn)
-	if !ok {
-		return false
+// asking tells whether a whole request has been read that has no answer yet.
+func (f *framing) asking() bool { return f.asked.Load() > 0 }
+
+// answered takes in that a request has had its answer. Reading may add to them meanwhile.
+func (f *framing) answered() {
+	if f.asked.Load() > 0 {
+		f.asked.Add(-1)
 	}
-	n, _ := sock.Peek(b.Conn)
+}
+
+// unread tells whether something has come on the connection that has not been read.
+func (c *Conn) unread() bool {
+	n, _ := sock.Peek(c.Conn)
 	return n > 0
 }
 
-// closeUnasked closes the connection unless a whole request has been read from it, or something stands unread. It tells
-// whether it did. What comes in the very instant of the close has crossed it, unread.
-func (c *framedConn) closeUnasked() bool {
+// closeUnasked closes the connection unless a whole request has been read from it, or something stands unread; unless half, nor
+// if some of one has been read. It tells whether it did. What comes in the very instant of the close has crossed it, unread.
+func (c *Conn) closeUnasked(half bool) bool {
 	if !c.taking.TryLock() {
 		return false // something is being read
 	}
-	c.ended = !c.asking.Load() && !c.unread()
+	c.ended = !c.asking() && (half || !c.begun.Load()) && !c.unread()
 	ended := c.ended
 	c.taking.Unlock() // Close waits for a Read under way, and that one for taking
 	if ended {
@@ -233,25 +267,36 @@
 }
 
 // CloseWrite lets net/http end its side first, so that a client that still sends can read its answer.
-func (c *framedConn) CloseWrite() error {
+func (c *Conn) CloseWrite() error {
 	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return t.CloseWrite()
 	}
 	return nil
 }
 
+// Of finds the watched connection under c, which may be one of TLS; nil if there is none.
+func Of(c net.Conn) *Conn {
+	if t, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = t.NetConn()
+	}
+	w, _ := c.(*Conn)
+	return w
+}
+
 type connKey struct{}
 
-// withConn keeps a client's connection where its requests find it.
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	if c, ok := c.(*framedConn); ok {
-		return context.WithValue(ctx, connKey{}, c)
+// WithConn keeps a client's connection where its requests find it (http.Server's ConnContext).
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	w := Of(c)
+	if w == nil {
+		return ctx
 	}
-	return ctx
+	w.known = c
+	return context.WithValue(ctx, connKey{}, w)
 }
 
-// connOf returns the connection that a request came on.
-func connOf(ctx context.Context) *framedConn {
-	c, _ := ctx.Value(connKey{}).(*framedConn)
+// FromContext returns the connection that a request came on, or nil.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
 	return c
 }
--- a/internal/front/http/handle.go
+++ b/internal/front/http/handle.go
@@ -100,6 +100,16 @@
 	log  entry
 	ask  asked
 	idle time.Duration
+
+	handed bool // the connection is not HTTP's any more, and the request counts as answered
+}
+
+// head writes the head of the answer. Who is answered while the process ends is to ask elsewhere next.
+func (c *visit) head(status int) {
+	if c.closing.Load() {
+		c.w.Header().Set("Connection", "close")
+	}
+	c.w.WriteHeader(status)
 }
 
 // serve answers one request.
@@ -115,8 +125,21 @@
 	c.log = entry{remote: c.ask.remote.String(), method: hr.Method, uri: hr.RequestURI, proto: hr.Proto, referer: hr.Referer(), agent: hr.UserAgent(),
 		began: time.Now()}
 	defer func() { v.access.write(&c.log) }()
-	if v.leaving.Load() {
-		w.Header().Set("Connection", "close")
+	v.book.Taken.Add(1)
+	defer func() {
+		switch p := recover(); {
+		case p != nil:
+			v.book.Left.Add(1) // its connection is broken
+			panic(p)
+		case !c.handed:
+			v.book.Answered.Add(1)
+		}
+	}()
+	if !l.table.Begin(hr.Context()) {
+		panic(http.ErrAbortHandler) // it has given way
+	}
+	if l.table.Crowded() {
+		w.Header().Set("Connection", "close") // after an answer crosses no request, as closing an idle connection may
 	}
 	c.rc.SetWriteDeadline(c.log.began.Add(streamWithin))
 	most := int64(g.site.Limits.Requests)
@@ -181,7 +204,7 @@
 	h := c.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(text)))
-	c.w.WriteHeader(status)
+	c.head(status)
 	n, _ := io.WriteString(c.w, text)
 	c.log.bytes = int64(n)
 }
@@ -304,7 +327,7 @@
 		text = ""
 	case 204, 304:
 		c.log.end, c.log.status = "here", c.tg.Status
-		c.w.WriteHeader(c.tg.Status)
+		c.head(c.tg.Status)
 		return
 	}
 	c.here(c.tg.Status, text)
@@ -495,7 +518,7 @@
 	}
 	if re.body == nil {
 		c.rc.SetWriteDeadline(time.Now().Add(c.idle))
-		c.w.WriteHeader(re.status)
+		c.head(re.status)
 		n, _ := c.w.Write(re.held)
 		c.log.bytes = int64(n)
 		return
@@ -508,7 +531,7 @@
 		}
 		h.Set("Trailer", strings.Join(names, ", "))
 	}
-	c.w.WriteHeader(re.status)
+	c.head(re.status)
 	if err := c.copy(re); err != nil {
 		c.log.end = "cut"
 		panic(http.ErrAbortHandler) // the client can tell that it is not whole
@@ -564,6 +587,8 @@
 	}
 	defer client.Close()
 	defer re.drop()
+	c.handed = true
+	c.book.Answered.Add(1)
 	c.mu.Lock()
 	c.tunnels[client] = true
 	c.mu.Unlock()
--- /dev/null
+++ b/internal/front/http/life.go
@@ -0,0 +1,88 @@
+package httpfront
+
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"glencart/internal/clients"
+	"glencart/internal/site"
+	"glencart/life"
+)
+
+// The phases of a server's life are decided in package life, on its own terms: leave says how long its end may take. What is
+// closed, and when, is as in the platform's node, but that clients are not kept: they find other connections.
+
+// leaveMost is how long the end may take where the file does not say.
+const leaveMost = 10 * time.Second
+
+func leaveWithin(s *site.Site) time.Duration {
+	return cmp.Or(time.Duration(s.Node.Leave), leaveMost)
+}
+
+// obeys does what a server's life decides.
+type obeys struct{ *Server }
+
+// Ready does nothing: no path of an installation's is a server's own.
+func (v obeys) Ready(bool) {}
+
+func (v obeys) AnswerBy(by time.Time) {
+	v.answerBy(by)
+	time.AfterFunc(time.Until(by), func() { v.answerBy(by) }) // streams
+}
+
+// answerBy tells it to every pool in which something may be open.
+func (v *Server) answerBy(by time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for g := range v.alive {
+		for _, p := range g.pools {
+			p.loop.PostFirst(func() { p.loop.AnswerBy(by) })
+		}
+	}
+}
+
+func (v obeys) StopAccepting() {
+	for _, l := range v.listeners {
+		l.Close()
+		l.table.KeepAll()
+	}
+}
+
+func (v obeys) CloseAnswered() { v.closing.Store(true) }
+
+func (v obeys) CloseQuiet(half bool) {
+	for _, l := range v.listeners {
+		l.table.CloseQuiet(half)
+	}
+}
+
+// see looks at what stands now.
+func (v *Server) see(accepting bool) life.Event {
+	ev := life.Event{Kind: life.Seen}
+	for _, l := range v.listeners {
+		ev.Queued = ev.Queued || accepting && l.Queued()
+		ev.Conns += l.table.Counts().Open
+		ev.Asked += l.table.Asked()
+	}
+	for _, p := range v.gen.Load().pools {
+		ev.Lag = max(ev.Lag, p.lag.Measure(p.loop.Post))
+	}
+	return ev
+}
+
+// relieve has connections that can be missed give way until ctx ends.
+func (v *Server) relieve(ctx context.Context) {
+	t := time.NewTicker(clients.RelieveEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			for _, l := range v.listeners {
+				l.table.Relieve()
+			}
+		}
+	}
+}
--- a/internal/front/http/pool.go
+++ b/internal/front/http/pool.go
@@ -11,6 +11,7 @@
 
 	"glencart/balance"
 	"glencart/internal/engine"
+	"glencart/internal/living"
 	"glencart/internal/lograte"
 	"glencart/internal/members/registry"
 	"glencart/internal/settings"
@@ -33,6 +34,7 @@
 	site   site.Pool
 	sum    string // of all that can't change while it runs
 	loop   *engine.Engine
+	lag    living.Lag
 	conns  *conns
 	log    *slog.Logger
 	spare  *reserve.Reserve // on the loop
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -19,9 +19,10 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
+	"glencart/internal/clients"
+	"glencart/internal/living"
 	"glencart/internal/site"
+	"glencart/life"
 	"glencart/route"
 )
 
@@ -34,17 +35,22 @@
 	open      atomic.Int64 // requests
 	number    atomic.Uint64
 	start     string // before the numbers of requests
-	leaving   atomic.Bool
+	living    *living.Living
+	book      living.Book
+	leaving   atomic.Bool // told to end
+	closing   atomic.Bool // answers close their connections
 
 	mu      sync.Mutex
 	tunnels map[net.Conn]bool
+	alive   map[*generation]bool // those whose pools may have something open
 	retired sync.WaitGroup
 }
 
 type listener struct {
-	net.Listener
-	site site.Listener
-	port string
+	*clients.Listener
+	table *clients.Table
+	site  site.Listener
+	port  string
 }
 
 // generation is all that one version of the file says.
@@ -70,12 +76,14 @@
 
 // New opens the listeners of a site and starts its pools.
 func New(s *site.Site, log *slog.Logger) (*Server, error) {
-	v := &Server{log: log, tunnels: map[net.Conn]bool{}, start: fmt.Sprintf("%x-", time.Now().UnixNano())}
+	v := &Server{log: log, tunnels: map[net.Conn]bool{}, alive: map[*generation]bool{}, start: fmt.Sprintf("%x-", time.Now().UnixNano())}
 	g, err := v.build(s, nil)
 	if err != nil {
 		return nil, err
 	}
 	v.gen.Store(g)
+	v.alive[g] = true
+	v.living = living.New(life.New(life.Own, leaveWithin(s)), obeys{v})
 	if v.access, err = openAccess(s.Node.AccessLog); err != nil {
 		g.end()
 		return nil, err
@@ -94,8 +102,11 @@
 			return nil, fmt.Errorf("listener %q: %w", l.Name, err)
 		}
 		_, port, _ := net.SplitHostPort(nl.Addr().String())
-		v.listeners = append(v.listeners, &listener{Listener: netutil.LimitListener(nl, most), site: l, port: port})
+		cl := clients.Limit(nl, most)
+		cl.Opaque = len(l.TLS) > 0
+		v.listeners = append(v.listeners, &listener{Listener: cl, table: clients.NewTable(most), site: l, port: port})
 	}
+	v.living.Tell(life.Event{Kind: life.Opened})
 	return v, nil
 }
 
@@ -215,7 +226,11 @@
 	if err != nil {
 		return err
 	}
+	v.mu.Lock()
+	v.alive[g] = true
+	v.mu.Unlock()
 	v.gen.Store(g)
+	v.living.Tell(life.Event{Kind: life.Changed, Deadline: leaveWithin(s)})
 	if err := v.access.reopen(); err != nil {
 		v.log.Error("access log not opened anew, the old one is written on", "error", err)
 	}
@@ -258,6 +273,9 @@
 			p.end()
 		}
 	}
+	v.mu.Lock()
+	delete(v.alive, old)
+	v.mu.Unlock()
 }
 
 // longest is the longest time until the head of an answer.
@@ -269,10 +287,11 @@
 	return d
 }
 
-// Run serves until ctx ends. Then it takes nothing new, lets what is open end, for leave at the most, and returns.
+// Run serves until ctx ends. Then it takes nothing new, answers what is open, within the file's leave at the most, and returns.
 func (v *Server) Run(ctx context.Context) error {
 	s := v.gen.Load().site
 	failed := make(chan error, len(v.listeners))
+	var accepting sync.WaitGroup
 	servers := make([]*http.Server, 0, len(v.listeners))
 	for _, l := range v.listeners {
 		srv := &http.Server{
@@ -282,6 +301,8 @@
 			MaxHeaderBytes:    int(s.Limits.Head.Or(32 << 10)),
 			ErrorLog:          slog.NewLogLogger(v.log.Handler(), slog.LevelDebug),
 			TLSNextProto:      map[string]func(*http.Server, *tls.Conn, http.Handler){}, // HTTP/1.1 only
+			ConnState:         l.table.Track,
+			ConnContext:       clients.WithConn,
 		}
 		servers = append(servers, srv)
 		var nl net.Listener = l.Listener
@@ -293,30 +314,29 @@
 						Certificates: v.gen.Load().certs[l.site.Name]}, nil
 				}})
 		}
-		go func() { failed <- srv.Serve(nl) }()
+		accepting.Go(func() { failed <- srv.Serve(nl) })
 		v.log.Info("serving", "listener", l.site.Name, "address", l.Listener.Addr().String(), "tls", len(l.site.TLS) > 0)
 	}
+	relieving, stop := context.WithCancel(context.Background())
+	defer stop()
+	go v.relieve(relieving)
 	var err error
 	select {
 	case err = <-failed:
 		err = fmt.Errorf("accepting: %w", err)
 	case <-ctx.Done():
 	}
-	leave := v.gen.Load().site.Node.Leave.Or(10 * time.Second)
-	v.log.Info("leaving", "most", leave, "open", v.open.Load())
 	v.leaving.Store(true)
-	end, cancel := context.WithTimeout(context.Background(), leave)
-	defer cancel()
-	var wg sync.WaitGroup
+	ended := v.living.Tell(life.Event{Kind: life.Told})
+	v.log.Info("leaving", "most", v.living.Left(), "open", v.open.Load())
+	if !ended {
+		served := make(chan error)
+		go func() { accepting.Wait(); close(served) }()
+		v.living.Leave(served, v.see)
+	}
 	for _, srv := range servers {
-		srv.SetKeepAlivesEnabled(false)
-		wg.Go(func() {
-			if srv.Shutdown(end) != nil {
-				srv.Close()
-			}
-		})
+		srv.Close()
 	}
-	wg.Wait()
 	v.mu.Lock()
 	for c := range v.tunnels {
 		c.Close()
@@ -330,6 +350,7 @@
 	g.end()
 	v.retired.Wait()
 	v.access.close()
-	v.log.Info("left")
+	v.log.Info("left", "taken", v.book.Taken.Load(), "answered", v.book.Answered.Load(), "client_left", v.book.Left.Load(),
+		"open", v.book.Open())
 	return err
 }
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -9,19 +9,19 @@
 	"io"
 	"log/slog"
 	"math"
-	"net"
 	"net/http"
 	"path"
 	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"glencart/balance"
+	"glencart/internal/clients"
 	"glencart/internal/engine"
+	"glencart/internal/living"
 	"glencart/internal/settings"
 )
 
@@ -29,14 +29,6 @@
 	// headWithin is how long a client may take from its connection, or the first byte of a further request,
 	// to the last byte of the head; idleWithin how long it may keep a connection without a request.
 	headWithin, idleWithin = 3 * time.Second, 4 * time.Second
-	// slowAfter is when a connection without a whole request is the first to give way: the usual clients send
-	// theirs at once.
-	slowAfter = 250 * time.Millisecond
-	// freshFor is how long nothing has to come on a connection before it can be missed: who has just connected, or writes on,
-	// is about to ask, and whoever finds no place waits to be let in. relieveEvery is how often places are looked for.
-	freshFor, relieveEvery = 30 * time.Millisecond, 20 * time.Millisecond
-	// giveWayTries bounds how many connections are looked at for one that can be missed.
-	giveWayTries = 8
 	// drainMost bounds what is read of a body that is turned away.
 	drainMost = 4 * bodyMost
 	// answerWithin is how long a client may take to read its answer.
@@ -59,89 +51,28 @@
 	log      *slog.Logger
 	most     atomic.Int64 // requests at once
 	inFlight atomic.Int64
-	crowded  int          // so many connections that answers close theirs; by mu
-	full     int          // so many that silent ones give way too; by mu
 	ready    atomic.Bool  // the node's life lets it be ready
 	leaving  atomic.Bool  // the node is about to end
 	closing  atomic.Bool  // and answers close their connections
 	timed    atomic.Bool  // writing answers is timed
 	writes   atomic.Int64 // the mean time of wording and writing an answer, ns
-	book     book
-
-	mu      sync.Mutex
-	conns   map[net.Conn]*clientConn
-	waiting int // connections without a whole request
-}
-
-// clientConn is where a client's connection stands, by f.mu.
-type clientConn struct {
-	state connState
-	since time.Time
-	began bool // some byte of a request has come
+	book     living.Book
+	table    *clients.Table
 }
 
-type connState uint8
-
-const (
-	connWaits connState = iota // no whole request has come yet
-	connOpen                   // a request is open: never closed from this side
-	connIdle                   // it has had its answer
-)
-
 // newFront returns the client side for a node that may hold so many connections of clients.
-func newFront(l *engine.Engine, names settings.Settings, clients, backends int, fig *figures, log *slog.Logger) *front {
-	f := &front{loop: l, log: log, conns: map[net.Conn]*clientConn{}}
+func newFront(l *engine.Engine, names settings.Settings, most, backends int, fig *figures, log *slog.Logger) *front {
+	f := &front{loop: l, log: log, table: clients.NewTable(most)}
 	f.tuning.Store(newTuning(names, fig))
 	f.bodyMost.Store(uploadMost)
-	f.resize(clients, backends)
+	f.resize(most, backends)
 	return f
 }
 
 // resize changes how many connections of clients there may be, and how many to backends they may need.
-func (f *front) resize(clients, backends int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.most.Store(int64(min(clients, backends-probesOut)))
-	f.crowded, f.full = clients*3/4, clients*6/10
-}
-
-// keepAll has nobody give way any more.
-func (f *front) keepAll() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.crowded, f.full = math.MaxInt, math.MaxInt
-}
-
-// relieve has connections that can be missed give way until ctx ends: where all places are taken nobody new is let in, for whom
-// one could give way.
-func (f *front) relieve(ctx context.Context) {
-	every(ctx, relieveEvery, func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		for len(f.conns) > f.full && f.giveWay() {
-		}
-	})
-}
-
-// closeQuiet closes the connections on which no part of a request has come, read or not; half: also those on which no whole
-// one has.
-func (f *front) closeQuiet(half bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for c, cc := range f.conns {
-		if cc.state != connOpen && (half || !cc.began) && closeUnasked(c) {
-			f.remove(c)
-		}
-	}
-}
-
-// closeUnasked closes a connection if no request stands on it that has been taken.
-func closeUnasked(c net.Conn) bool {
-	if fc, ok := c.(*framedConn); ok {
-		return fc.closeUnasked()
-	}
-	c.Close()
-	return true
+func (f *front) resize(most, backends int) {
+	f.most.Store(int64(min(most, backends-probesOut)))
+	f.table.Resize(most)
 }
 
 // server returns the HTTP server of the client side.
@@ -152,143 +83,9 @@
 		IdleTimeout:       idleWithin,
 		MaxHeaderBytes:    headMost,
 		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
-		ConnState:         f.track,
-		ConnContext:       withConn,
-	}
-}
-
-// track follows the connections of clients. When they become many, one gives way to each that comes: a crowd that
-// says nothing, or that keeps its connections, would lock out who has something to ask.
-func (f *front) track(c net.Conn, s http.ConnState) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch s {
-	case http.StateNew:
-		f.conns[c] = &clientConn{since: time.Now()}
-		f.waiting++
-		if len(f.conns) > f.full {
-			f.giveWay()
-		}
-	case http.StateActive:
-		if cc := f.conns[c]; cc != nil {
-			if cc.state == connIdle {
-				f.enter(c, connWaits)
-			}
-			cc.began = true
-		}
-	case http.StateIdle:
-		if fc, ok := c.(*framedConn); ok {
-			fc.asking.Store(false)
-		}
-		if f.enter(c, connIdle) {
-			f.conns[c].began = false
-		}
-	case http.StateClosed, http.StateHijacked:
-		f.remove(c)
-	}
-}
-
-// enter has a connection change its state. One that has given way has none. It tells whether it is still there.
-func (f *front) enter(c net.Conn, to connState) bool {
-	cc := f.conns[c]
-	if cc == nil {
-		return false
-	}
-	if cc.state == connWaits {
-		f.waiting--
-	}
-	if to == connWaits {
-		f.waiting++
-	}
-	cc.state, cc.since = to, time.Now()
-	return true
-}
-
-func (f *front) remove(c net.Conn) {
-	if cc := f.conns[c]; cc != nil {
-		if cc.state == connWaits {
-			f.waiting--
-		}
-		delete(f.conns, c)
-	}
-}
-
-// giveWay closes the connection that can best be missed: one that has long been without a whole request, then the
-// one that has been idle longest, unless most of the crowd has just come and says nothing. What stands unread
-// since this node is slow is no silence, and closing it could lose a request that has been taken. It tells whether one did.
-func (f *front) giveWay() bool {
-	for range giveWayTries {
-		var oldest [connIdle + 1]net.Conn
-		for c, cc := range f.conns {
-			if fc, ok := c.(*framedConn); ok && fc.asking.Load() {
-				continue // a whole request has been read from it
-			}
-			if cc.state == connWaits && time.Since(f.moved(c)) < freshFor {
-				continue
-			}
-			if o := oldest[cc.state]; o == nil || f.moved(c).Before(f.moved(o)) {
-				oldest[cc.state] = c
-			}
-		}
-		slow, idle := oldest[connWaits], oldest[connIdle]
-		out := idle
-		if slow != nil && (idle == nil || f.waiting > f.crowded/3 || time.Since(f.moved(slow)) > slowAfter) {
-			out = slow
-		}
-		if out == nil {
-			return false
-		}
-		if !closeUnasked(out) {
-			f.conns[out].since = time.Now() // the last to be looked at again
-			continue
-		}
-		f.remove(out)
-		return true
-	}
-	return false
-}
-
-// moved is when a connection came into its state, or when a byte came on it last: a request that is written slowly is not
-// one that has stopped.
-func (f *front) moved(c net.Conn) time.Time {
-	at := f.conns[c].since
-	if fc, ok := c.(*framedConn); ok {
-		if last := time.Unix(0, fc.readAt.Load()); last.After(at) {
-			return last
-		}
+		ConnState:         f.table.Track,
+		ConnContext:       clients.WithConn,
 	}
-	return at
-}
-
-// begin marks the connection of a whole request. It fails where that has given way.
-func (f *front) begin(ctx context.Context) bool {
-	c := connOf(ctx)
-	if c == nil {
-		return true
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.enter(c, connOpen)
-}
-
-// asked is how many connections have a whole request without an answer.
-func (f *front) asked() (n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for c, cc := range f.conns {
-		if fc, ok := c.(*framedConn); cc.state == connOpen || ok && fc.asking.Load() {
-			n++
-		}
-	}
-	return n
-}
-
-// isCrowded tells whether there are so many connections, beside those that say nothing and will give way, that
-// answers should close theirs.
-func (f *front) isCrowded() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.conns)-f.waiting > f.crowded
 }
 
 // ServeHTTP answers one request of a client.
@@ -306,19 +103,19 @@
 	}()
 	// The last request's would hold on.
 	http.NewResponseController(w).SetWriteDeadline(received.Add(headWithin + answerWithin))
-	if f.closing.Load() || f.isCrowded() {
+	if f.closing.Load() || f.table.Crowded() {
 		// Closing after an answer crosses no request, as closing an idle connection may.
 		w.Header().Set("Connection", "close")
 	}
-	if frame := connOf(hr.Context()); frame != nil {
-		received = received.Add(-frame.stood(received))
+	if frame := clients.FromContext(hr.Context()); frame != nil {
+		received = received.Add(-frame.Stood(received))
 		switch {
-		case frame.unsure.Load(), hr.ProtoMajor == 1 && hr.ProtoMinor == 0 && frame.chunked.Load():
+		case frame.Unsure.Load(), hr.ProtoMajor == 1 && hr.ProtoMinor == 0 && frame.Chunked.Load():
 			// Two lengths, or chunks that this version of HTTP does not have: it may hide another request.
 			w.Header().Set("Connection", "close")
 			http.Error(w, "the length of the body is not certain", http.StatusBadRequest)
 			return
-		case frame.chunked.Load():
+		case frame.Chunked.Load():
 			w.Header().Set("Connection", "close")
 		}
 	}
@@ -331,13 +128,13 @@
 		return
 	}
 	r, status, err := f.read(w, hr, received)
-	f.book.taken.Add(1)
+	f.book.Taken.Add(1)
 	answered := false
 	defer func() {
 		if answered {
-			f.book.answered.Add(1)
+			f.book.Answered.Add(1)
 		} else {
-			f.book.left.Add(1) // its connection is broken
+			f.book.Left.Add(1) // its connection is broken
 		}
 	}()
 	if err != nil {
@@ -355,7 +152,7 @@
 	if m.up != nil {
 		defer m.up.stop()
 	}
-	if !f.begin(hr.Context()) {
+	if !f.table.Begin(hr.Context()) {
 		panic(http.ErrAbortHandler) // it has given way
 	}
 	// Only whole requests count: else a few clients that send theirs slowly would have the rest refused.
--- a/internal/node/life.go
+++ b/internal/node/life.go
@@ -5,80 +5,45 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
-	"glencart/internal/sock"
+	"glencart/internal/living"
 	"glencart/life"
 )
 
 // The phases of a node's life are decided in package life; this file tells it what is seen, and obeys.
 
 const (
-	// lookEvery is how often a node that is to end looks at what is open.
-	lookEvery = 10 * time.Millisecond
 	// openNamed is how many requests that a node's end cuts are named in the log.
 	openNamed = 8
 	// writeWeight is the weight of a new answer in the mean time of wording and writing one.
 	writeWeight = 0.2
 )
 
-// living is a node's life, and where the loop's lag is measured while it ends.
-type living struct {
-	mu      sync.Mutex
-	life    *life.Life
-	born    time.Time
-	actions []life.Action
+// obeys does what a node's life decides.
+type obeys struct{ *Node }
 
-	posted atomic.Int64 // when the word to the loop that is under way was given, in ns since born; 0: none is
-	lag    atomic.Int64 // how long the last one took, ns
-}
-
-// left is the time to the end of a node that is told to end.
-func (v *living) left() time.Duration {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.life.End() - time.Since(v.born)
-}
-
-// live tells the node's life of an event and obeys. It reports true once the node is to end now.
-func (n *Node) live(ev life.Event) (ended bool) {
-	v := &n.living
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.actions = v.life.Handle(time.Since(v.born), ev, v.actions[:0])
-	for _, a := range v.actions {
-		switch a.Kind {
-		case life.BeReady:
-			n.front.ready.Store(true)
-		case life.BeUnready:
-			n.front.ready.Store(false)
-			n.front.leaving.Store(true)
-		case life.AnswerBy:
-			n.answerBy(v.born.Add(a.At))
-		case life.StopAccepting:
-			n.listener.Close()
-			n.front.keepAll()
-		case life.CloseAnswered:
-			n.front.closing.Store(true)
-		case life.CloseQuiet:
-			n.front.closeQuiet(false)
-		case life.CloseHalf:
-			n.front.closeQuiet(true)
-		case life.End:
-			ended = true
-		}
+func (n obeys) Ready(is bool) {
+	n.front.ready.Store(is)
+	if !is {
+		n.front.leaving.Store(true)
 	}
-	return ended
 }
 
-// answerBy has all that is open, and all that comes, answered by then.
-func (n *Node) answerBy(by time.Time) {
+func (n obeys) AnswerBy(by time.Time) {
 	n.loop.PostFirst(func() { n.loop.AnswerBy(by) })
 	time.AfterFunc(time.Until(by), func() { n.loop.PostFirst(func() { n.loop.AnswerBy(by) }) }) // streams
 }
 
+func (n obeys) StopAccepting() {
+	n.listener.Close()
+	n.front.table.KeepAll()
+}
+
+func (n obeys) CloseAnswered() { n.front.closing.Store(true) }
+
+func (n obeys) CloseQuiet(half bool) { n.front.table.CloseQuiet(half) }
+
 // leave ends the node in order: it goes on serving for as long as what comes can be answered in time, then closes
 // each connection after its answer. Clients keep to their connections: one closed early, with other nodes out
 // for a restart too, leaves them none. served ends when nobody is accepted any more.
@@ -89,24 +54,14 @@
 		why = "leaving: another process follows"
 	}
 	n.front.timed.Store(true)
-	ended := n.live(life.Event{Kind: life.Told, Followed: followed})
-	n.log.Info(why, "most", n.living.left())
-	accepting := true
-	for !ended {
-		time.Sleep(lookEvery)
-		if accepting {
-			select {
-			case <-served:
-				accepting = false
-			default:
-			}
-		}
-		ended = n.live(n.see(accepting))
+	ended := n.living.Tell(life.Event{Kind: life.Told, Followed: followed})
+	n.log.Info(why, "most", n.living.Left())
+	if !ended {
+		n.living.Leave(served, n.see)
 	}
-	open := n.front.book.open()
-	n.log.Info("left", "taken", n.front.book.taken.Load(), "answered", n.front.book.answered.Load(),
-		"client_left", n.front.book.left.Load(), "open", open)
-	if open > 0 {
+	book := &n.front.book
+	n.log.Info("left", "taken", book.Taken.Load(), "answered", book.Answered.Load(), "client_left", book.Left.Load(), "open", book.Open())
+	if book.Open() > 0 {
 		n.nameOpen()
 	}
 	if err := srv.Close(); err != nil && !errors.Is(err, net.ErrClosed) { // the listener may be closed already
@@ -117,24 +72,8 @@
 
 // see looks at what stands now.
 func (n *Node) see(accepting bool) life.Event {
-	ev := life.Event{Kind: life.Seen, Queued: accepting, Conns: n.listener.holds(), Asked: n.front.asked()}
-	if accepting && !n.listener.waits() { // else it is full, or closed and the last one let in is not counted yet
-		some, known := sock.Waiting(n.listener.Listener)
-		ev.Queued = some && known // where it can't be told, room is taken for a sign
-	}
-	v := &n.living
-	now := int64(time.Since(v.born))
-	switch at := v.posted.Load(); {
-	case at == 0:
-		v.posted.Store(now)
-		n.loop.Post(func() {
-			v.lag.Store(int64(time.Since(v.born)) - now)
-			v.posted.Store(0)
-		})
-	case now-at > v.lag.Load():
-		v.lag.Store(now - at)
-	}
-	ev.Lag = time.Duration(v.lag.Load()) + time.Duration(ev.Asked)*time.Duration(n.front.writes.Load())
+	ev := life.Event{Kind: life.Seen, Queued: accepting && n.listener.Queued(), Conns: n.listener.Holds(), Asked: n.front.table.Asked()}
+	ev.Lag = n.lag.Measure(n.loop.Post) + time.Duration(ev.Asked)*time.Duration(n.front.writes.Load())
 	return ev
 }
 
@@ -147,7 +86,7 @@
 	select {
 	case ids := <-named:
 		n.log.Error("requests without an answer are cut", "ids", ids)
-	case <-time.After(lookEvery):
+	case <-time.After(living.LookEvery):
 		n.log.Error("requests without an answer are cut, and the loop is too busy to name them")
 	}
 }
@@ -155,11 +94,5 @@
 // remember has the node call itself ready on the list that it remembers, if no source tells one in time.
 func (n *Node) remember(ctx context.Context) {
 	pause(ctx, life.RememberFor)
-	n.live(life.Event{Kind: life.Tick})
+	n.living.Tell(life.Event{Kind: life.Tick})
 }
-
-// book counts requests from when they are taken to when their answer is handed to their connection.
-type book struct{ taken, answered, left atomic.Int64 }
-
-// open is how many have neither an answer nor lost their client.
-func (b *book) open() int64 { return b.taken.Load() - b.answered.Load() - b.left.Load() }
--- a/internal/node/management.go
+++ b/internal/node/management.go
@@ -70,14 +70,16 @@
 		ErrorLog:  slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 		ConnState: d.track,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, c)
+			return context.WithValue(ctx, doorKey{}, c)
 		},
 	}
 	return d
 }
 
+type doorKey struct{}
+
 func connOfDoor(ctx context.Context) net.Conn {
-	c, _ := ctx.Value(connKey{}).(net.Conn)
+	c, _ := ctx.Value(doorKey{}).(net.Conn)
 	return c
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,8 +13,10 @@
 	"time"
 
 	"glencart/balance"
+	"glencart/internal/clients"
 	"glencart/internal/engine"
 	"glencart/internal/handover"
+	"glencart/internal/living"
 	"glencart/internal/members/registry"
 	"glencart/internal/settings"
 	"glencart/life"
@@ -27,7 +29,7 @@
 	log      *slog.Logger
 	bounds   bounds
 	hears    atomic.Int32 // messages of peers that wait for the loop
-	listener *boundedListener
+	listener *clients.Listener
 	peers    *peers
 	pool     *pool
 	loop     *engine.Engine
@@ -40,7 +42,8 @@
 	listed   atomic.Bool // a list has named a backend that may be sent to
 	heard    atomic.Bool // discovery has told a list
 	running  atomic.Bool // clients are let in
-	living   living
+	living   *living.Living
+	lag      living.Lag
 }
 
 // New returns a node that is ready to run.
@@ -50,15 +53,15 @@
 		return nil, err
 	}
 	n := &Node{cfg: cfg, log: log, figures: &figures{}}
-	n.living.born, n.living.life = time.Now(), life.New(longestDeadline(cfg.Settings))
+	n.living = living.New(life.New(life.Platform, longestDeadline(cfg.Settings)), obeys{n})
 	limits := cfg.Settings.Config.Limits
 	n.bounds = boundsOf(cfg.Limits, len(cfg.Peers))
-	clients, backends := n.bounds.clients, n.bounds.backends
+	most, backends := n.bounds.clients, n.bounds.backends
 	log.Info("bounds", "most", n.bounds)
 	n.pool = newPool(backends, limits.ConnectTimeout, limits.IdleClose)
 	n.loop = engine.New(engine.Config{Balancer: bal, Log: log,
 		Transport: newExchanges(n.pool, cfg.Settings.Config.Reports == balance.InlineReports, log)})
-	n.front = newFront(n.loop, cfg.Settings, clients, backends, n.figures, log)
+	n.front = newFront(n.loop, cfg.Settings, most, backends, n.figures, log)
 	n.front.held.left.Store(n.bounds.held)
 	n.disco = registry.New(cfg.Discovery, cfg.Settings, log,
 		func(list engine.List) {
@@ -69,7 +72,7 @@
 			n.loop.Post(func() {
 				n.takeList(kind, list)
 				n.heard.Store(true)
-				n.live(life.Event{Kind: life.Heard})
+				n.living.Tell(life.Event{Kind: life.Heard})
 			})
 		},
 		func() { n.loop.Post(func() { n.loop.Handle(balance.Event{Kind: balance.MembersRefused}) }) })
@@ -92,8 +95,8 @@
 		n.close()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	n.listener = limitListener(l, clients)
-	n.live(life.Event{Kind: life.Opened})
+	n.listener = clients.Limit(l, most)
+	n.living.Tell(life.Event{Kind: life.Opened})
 	if cfg.Management != "" {
 		if n.door, err = net.Listen("tcp", cfg.Management); err != nil {
 			n.close()
@@ -160,7 +163,7 @@
 	defer stop()
 	wg.Go(func() { n.loop.Run(work.Done()) })
 	wg.Go(func() { n.pool.run(work) })
-	wg.Go(func() { n.front.relieve(work) })
+	wg.Go(func() { every(work, clients.RelieveEvery, n.front.table.Relieve) })
 	wg.Go(func() { n.disco.Run(work) })
 	if n.peers != nil {
 		wg.Go(func() {
@@ -208,114 +211,6 @@
 	return longest
 }
 
-// limitListener bounds how many connections are open at once. Beyond that they wait in the backlog, where
-// accepting them would run the process out of descriptors.
-func limitListener(l net.Listener, most int) *boundedListener {
-	b := &boundedListener{Listener: l, most: most, emptyAt: time.Now()}
-	b.free.L = &b.mu
-	return b
-}
-
-type boundedListener struct {
-	net.Listener
-	mu         sync.Mutex
-	free       sync.Cond
-	open, most int // accepted and not closed, and how many may be
-	closed     bool
-	emptyAt    time.Time // when the queue was known to be empty last; of Accept alone
-}
-
-// queueEmpty is how long the system has to wait for a connection for the queue to have been empty.
-const queueEmpty = time.Millisecond
-
-// holds is how many connections are open.
-func (l *boundedListener) holds() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.open
-}
-
-// waits tells whether nobody can be let in now: it is full, or closed.
-func (l *boundedListener) waits() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.open >= l.most || l.closed
-}
-
-// full tells whether connections have to wait.
-func (l *boundedListener) full() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.open >= l.most
-}
-
-// resize changes how many may be open. What is open is let be.
-func (l *boundedListener) resize(most int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.most = most
-	l.free.Broadcast()
-}
-
-// Accept is for one goroutine.
-func (l *boundedListener) Accept() (net.Conn, error) {
-	l.mu.Lock()
-	for l.open >= l.most && !l.closed {
-		l.free.Wait()
-	}
-	closed := l.closed
-	l.mu.Unlock()
-	if closed {
-		return nil, net.ErrClosed
-	}
-	asked := time.Now()
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	if now := time.Now(); now.Sub(asked) >= queueEmpty {
-		l.emptyAt = now
-	}
-	l.mu.Lock()
-	l.open++
-	l.mu.Unlock()
-	bounded := &boundedConn{Conn: c, release: sync.OnceFunc(func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.open--
-		l.free.Signal()
-	})}
-	w := watched(bounded, c)
-	w.notBefore = l.emptyAt
-	return w, nil
-}
-
-func (l *boundedListener) Close() error {
-	l.mu.Lock()
-	l.closed = true
-	l.free.Broadcast()
-	l.mu.Unlock()
-	return l.Listener.Close()
-}
-
-type boundedConn struct {
-	net.Conn
-	release func()
-}
-
-func (c *boundedConn) CloseWrite() error {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		return t.CloseWrite()
-	}
-	return nil
-}
-
-func (c *boundedConn) Close() error {
-	err := c.Conn.Close()
-	c.release()
-	return err
-}
-
 // pause waits, or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -97,7 +97,7 @@
 		n.loop.Post(func() {
 			n.loop.Handle(balance.Event{Kind: balance.SettingsChanged, Settings: &next.Config})
 			n.front.tuning.Store(next)
-			n.live(life.Event{Kind: life.Changed, Deadline: longestDeadline(next.Settings)})
+			n.living.Tell(life.Event{Kind: life.Changed, Deadline: longestDeadline(next.Settings)})
 		})
 	}
 	n.figures.reloadsOK.Add(1)
--- a/internal/node/succeed.go
+++ b/internal/node/succeed.go
@@ -8,6 +8,7 @@
 
 	"glencart/balance"
 	"glencart/internal/handover"
+	"glencart/internal/living"
 )
 
 const (
@@ -28,13 +29,13 @@
 				n.relearn(l)
 				return
 			}
-			pause(ctx, lookEvery)
+			pause(ctx, living.LookEvery)
 		}
 	}()
 	ctx, cancel := context.WithTimeout(ctx, listWithin)
 	defer cancel()
 	for ctx.Err() == nil && !(n.heard.Load() && n.loop.Ready()) {
-		pause(ctx, lookEvery)
+		pause(ctx, living.LookEvery)
 	}
 }
 
@@ -85,9 +86,9 @@
 		n.leaveLearned()
 	}
 	n.log.Info("share of the machine", "another process of this node runs", is)
-	clients, backends := limits.share()
-	n.listener.resize(clients)
-	n.front.resize(clients, backends)
+	most, backends := limits.share()
+	n.listener.Resize(most)
+	n.front.resize(most, backends)
 	n.pool.resize(backends)
 	if heap := limits.Heap(); heap > 0 {
 		debug.SetMemoryLimit(heap)
--- /dev/null
+++ b/internal/node/underway_test.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// What is under way when a node is told to end has its whole answer, or its client can tell that it never ran; then the node ends.
+// The longest deadline is 2 s: connections close as they are answered from 1.6 s on, all is answered by 2.35 s.
+func TestUnderWayAtTheEnd(t *testing.T) {
+	const large = 32 << 20
+	post := func(id string, length int) string {
+		return fmt.Sprintf("%sX-Trace-Id: %s\r\nContent-Length: %d\r\n\r\n", orderHead, id, length)
+	}
+	answer := func(t *testing.T, r *bufio.Reader) (*http.Response, int) {
+		t.Helper()
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n, err := io.Copy(io.Discard, resp.Body)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%d, %d bytes, %v", resp.StatusCode, n, err)
+		}
+		return resp, int(n)
+	}
+	for name, do := range map[string]func(t *testing.T, n *started, c net.Conn, told func()){
+		"half a head": func(t *testing.T, n *started, c net.Conn, told func()) {
+			text := post("half", 0)
+			io.WriteString(c, text[:30])
+			eventually(t, "the half", func() bool { return n.front.table.Counts().Begun == 1 })
+			told()
+			time.Sleep(1800 * time.Millisecond)
+			io.WriteString(c, text[30:])
+			answer(t, bufio.NewReader(c))
+		},
+		"a large upload": func(t *testing.T, n *started, c net.Conn, told func()) {
+			io.WriteString(c, post("up", large))
+			c.Write(make([]byte, large/2))
+			told()
+			time.Sleep(time.Second)
+			c.Write(make([]byte, large/2))
+			answer(t, bufio.NewReader(c))
+		},
+		"a large answer, read slowly": func(t *testing.T, n *started, c net.Conn, told func()) {
+			io.WriteString(c, strings.Replace(post("down", 0), "/api/x", "/api/large", 1))
+			r := bufio.NewReader(c)
+			r.Peek(1)
+			told()
+			time.Sleep(time.Second)
+			if _, got := answer(t, r); got != large {
+				t.Errorf("%d bytes", got)
+			}
+		},
+		"a second request behind the first": func(t *testing.T, n *started, c net.Conn, told func()) {
+			io.WriteString(c, strings.Replace(post("first", 0), "/api/x", "/api/slow", 1)+post("second", 0))
+			eventually(t, "the first", func() bool { return n.open(t) == 1 })
+			told()
+			r := bufio.NewReader(c)
+			if resp, _ := answer(t, r); !resp.Close {
+				answer(t, r) // it was read, too: it is answered
+			}
+		},
+		"discovery that moves": func(t *testing.T, n *started, c net.Conn, told func()) {
+			told()
+			moved := n.cfg
+			moved.Discovery = newRegistry(t, listText(7, true)).Addr // which lists nobody any more
+			if err := n.Reload(moved); err != nil {
+				t.Fatal(err)
+			}
+			io.WriteString(c, post("kept", 0))
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil || resp.StatusCode != 200 && resp.StatusCode != 503 {
+				t.Errorf("%v, %v", resp, err)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, r *bufio.Reader) {
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, req.Body)
+					switch req.URL.Path {
+					case "/api/large":
+						fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", large)
+						c.Write(make([]byte, large))
+						continue
+					case "/api/slow":
+						time.Sleep(400 * time.Millisecond)
+					}
+					io.WriteString(c, ok200("x"))
+				}
+			})
+			text := listText(1, true, listed{ID: "s", Addr: b.Addr().String(), Phase: "ready"})
+			n := start(t, testConfig(t, newRegistry(t, text).Addr, text, `"deadline":10000000000`, `"deadline":2000000000`))
+			c := n.dial(t)
+			c.SetDeadline(time.Now().Add(patience))
+			do(t, n, c, func() {
+				n.stop()
+				eventually(t, "leaving", n.front.leaving.Load)
+			})
+			if err := receive(t, "the node's end", n.err); err != nil {
+				t.Error(err)
+			}
+			if b := &n.front.book; b.Open() != 0 || b.Taken.Load() != b.Answered.Load() {
+				t.Errorf("taken %d, answered %d, client left %d", b.Taken.Load(), b.Answered.Load(), b.Left.Load())
+			}
+		})
+	}
+}
--- a/life/life.go
+++ b/life/life.go
@@ -2,8 +2,9 @@
 // to end, by when each request has to be answered, which connections may be closed, and when it ends. It has no sockets, no
 // clock and no goroutine: events go in with the time, actions come out, and the same events give the same actions.
 //
-// What the platform guarantees: SIGKILL comes no sooner than the longest deadline (Most at most) and Grace after SIGTERM; new
-// connections come for Still after SIGTERM at the most, and requests on connections that are open for as long as these are.
+// Terms say what is guaranteed to a node that is told to end. On the platform SIGKILL comes no sooner than the longest deadline
+// and Grace after SIGTERM, new connections come for Still at the most, and clients keep to their connections for as long as these
+// are open. An installation of one's own says itself how long it may take to leave.
 package life
 
 import (
@@ -11,16 +12,24 @@
 	"time"
 )
 
+// Terms are what holds for a node that is told to end.
+type Terms struct {
+	Most  time.Duration // the longest deadline that the time until SIGKILL counts
+	Grace time.Duration // what is added to it
+	Still time.Duration // how long new connections go on coming
+	Stay  bool          // clients keep to a connection while it is open, and may find no other: it is open for as long as can be
+}
+
+// Platform are the terms of the platform.
+var Platform = Terms{Most: 3 * time.Second, Grace: 700 * time.Millisecond, Still: 400 * time.Millisecond, Stay: true}
+
+// Own are the terms of an installation that says itself how long leaving may take: New is told that in the place of a deadline.
+var Own = Terms{Most: 24 * time.Hour}
+
 const (
-	// Most is the longest deadline that the time until SIGKILL counts, and Grace what is added to it.
-	Most, Grace = 3 * time.Second, 700 * time.Millisecond
-	// Still is how long new connections go on coming after SIGTERM.
-	Still = 400 * time.Millisecond
 	// Late is how late a timer, and with it everything here, may be on a busy machine. A node is to have ended so long before
 	// SIGKILL may come; what is not answered by then has half of it yet, and no more.
 	Late = 200 * time.Millisecond
-	// AcceptFor is how long a node that is to end goes on accepting at the least: until nobody new comes, even if it is late.
-	AcceptFor = Still + Late
 	// QuietFor is how long nothing has to stand in the listener's queue for it to be empty.
 	QuietFor = 50 * time.Millisecond
 	// AnswerLeast is how long before its end a node has every request answered, at the least: what is answered in the same
@@ -103,6 +112,7 @@
 
 // Life is one node's. New returns one.
 type Life struct {
+	terms    Terms
 	phase    Phase
 	followed bool
 	deadline time.Duration
@@ -119,7 +129,15 @@
 }
 
 // New returns the life of a node whose settings' longest deadline is this one; 0: not told.
-func New(deadline time.Duration) *Life { return &Life{deadline: deadline, quiet: -1} }
+func New(terms Terms, deadline time.Duration) *Life {
+	return &Life{terms: terms, deadline: deadline, quiet: -1}
+}
+
+// acceptFor is how long a node that is to end goes on accepting at the least: until nobody new comes, even if it is late.
+func (l *Life) acceptFor() time.Duration { return l.terms.Still + Late }
+
+// closes tells whether connections are not worth keeping any more.
+func (l *Life) closes(now time.Duration) bool { return !l.terms.Stay || now >= l.End()-ServeLeast }
 
 // Phase tells where it stands.
 func (l *Life) Phase() Phase { return l.phase }
@@ -172,10 +190,10 @@
 
 func (l *Life) killAt() time.Duration {
 	d := l.deadline
-	if d <= 0 || d > Most {
-		d = Most
+	if d <= 0 || d > l.terms.Most {
+		d = l.terms.Most
 	}
-	return l.told + d + Grace
+	return l.told + d + l.terms.Grace
 }
 
 // tell begins the end.
@@ -218,11 +236,11 @@
 		}
 	}
 	// What stands in the listener's queue has been taken, and closing the listener would reset it.
-	if l.phase == Leaving && (now-l.told >= AcceptFor && l.quiet >= 0 && now-l.quiet >= QuietFor || now >= l.End()) {
+	if l.phase == Leaving && (now-l.told >= l.acceptFor() && l.quiet >= 0 && now-l.quiet >= QuietFor || now >= l.End()) {
 		l.phase, l.stopped = Staying, true
 		out = append(out, Action{Kind: StopAccepting})
 	}
-	if l.phase == Staying && now >= l.End()-ServeLeast {
+	if l.phase == Staying && l.closes(now) {
 		l.phase, l.closing = Closing, true
 		out = append(out, Action{Kind: CloseAnswered})
 	}
@@ -232,7 +250,7 @@
 	switch {
 	case l.phase == Last && seen:
 		out = append(out, Action{Kind: CloseHalf})
-	case l.phase == Closing && seen && now >= l.End()-ServeLeast:
+	case l.phase == Closing && seen && l.closes(now):
 		out = append(out, Action{Kind: CloseQuiet})
 	}
 	switch {
