--- a/internal/node/room_test.go
+++ b/internal/node/room_test.go
@@ -1,9 +1,19 @@
 package node
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
 	"runtime"
+	"strconv"
+	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // BenchmarkRoom tells what lists of backends and peers take: bytes of heap and stacks in use, and goroutines, of a node at rest.
@@ -44,3 +54,104 @@
 		})
 	}
 }
+
+// BenchmarkRoomUnderLoad tells what a node takes, in bytes of heap and stacks, goroutines and descriptors, while its places are in
+// use: 64 clients ask without a pause, each answer takes 20 ms. Backends and clients are in a process of their own.
+func BenchmarkRoomUnderLoad(b *testing.B) {
+	for _, many := range []int{20, 200, 1024} {
+		b.Run(fmt.Sprintf("backends=%d", many), func(b *testing.B) {
+			for b.Loop() {
+				helper := exec.Command(os.Args[0], "-test.run=^$")
+				helper.Env = append(os.Environ(), fmt.Sprintf("%s=%d", surroundings, many))
+				in, _ := helper.StdinPipe()
+				out, _ := helper.StdoutPipe()
+				if err := helper.Start(); err != nil {
+					b.Fatal(err)
+				}
+				told := bufio.NewScanner(out)
+				var members []listed
+				for i := 0; i < many && told.Scan(); i++ {
+					members = append(members, listed{ID: fmt.Sprintf("s-%d", i), Addr: told.Text(), Phase: "ready"})
+				}
+				var before, now runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				goroutines := runtime.NumGoroutine()
+				cfg := testConfig(&testing.T{}, "127.0.0.1:1", listText(1, true, members...))
+				cfg.Limits = Limits{Cores: 1, MemoryMB: 32, Sockets: 256}
+				n, err := New(cfg, quiet())
+				if err != nil {
+					b.Fatal(err)
+				}
+				ctx, end := context.WithCancel(context.Background())
+				ended := make(chan error, 1)
+				go func() { ended <- n.Run(ctx) }()
+				fmt.Fprintln(in, n.Addr())
+				var heap, most, served uint64
+				for told.Scan() { // some times a second, then the number of answers
+					runtime.ReadMemStats(&now)
+					heap = max(heap, now.HeapAlloc+now.StackInuse)
+					most = max(most, uint64(runtime.NumGoroutine()-goroutines))
+					fmt.Sscan(told.Text(), &served)
+				}
+				end()
+				<-ended
+				in.Close()
+				helper.Wait()
+				b.ReportMetric(float64(int64(heap)-int64(before.HeapAlloc+before.StackInuse)), "B-held")
+				b.ReportMetric(float64(most), "goroutines")
+				b.ReportMetric(float64(served), "answers")
+			}
+		})
+	}
+}
+
+// surroundings names the variable by which a process of the tests is so many backends, and 64 clients of the node whose address it
+// is told, for two seconds.
+const surroundings = "GLENCART_TEST_SURROUNDINGS"
+
+func init() {
+	many, _ := strconv.Atoi(os.Getenv(surroundings))
+	if many == 0 {
+		return
+	}
+	for range many {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			os.Exit(1)
+		}
+		fmt.Println(l.Addr())
+		go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/stats" {
+				time.Sleep(20 * time.Millisecond)
+			}
+			io.WriteString(w, "{}")
+		}))
+	}
+	var addr string
+	fmt.Scanln(&addr)
+	var answers atomic.Int64
+	for i := range 64 {
+		go func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			for k := 0; ; k++ {
+				r, _ := http.NewRequest("POST", "http://"+addr+"/api/x", nil)
+				r.Header = http.Header{"X-Qos": {"order"}, "X-Customer": {"acme"}, "X-Trace-Id": {fmt.Sprintf("r%d-%d", i, k)}, "X-Expires-In": {"9"}}
+				resp, err := client.Do(r)
+				if err != nil {
+					return
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				if resp.StatusCode == 200 {
+					answers.Add(1)
+				}
+			}
+		}()
+	}
+	for range 20 {
+		time.Sleep(100 * time.Millisecond)
+		fmt.Println(answers.Load())
+	}
+	os.Exit(0)
+}
