Checks of boxes for serve: HTTP, gRPC health or connecting, as one fact of the merge

A verdict on a box that has another address by now is dropped, and what was said of the old one is taken back (planted: without that the newcomer stays out; the test sees it).

--- /dev/null
+++ b/check/check_test.go
@@ -0,0 +1,174 @@
+package check
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// pool is boxes that are well or not, and answer a check after a while.
+type pool struct {
+	t       *testing.T
+	c       *Checks
+	now     time.Duration
+	sick    map[string]bool // by address
+	takes   time.Duration
+	pending []pending
+	heard   map[string][]Verdict
+	asked   map[string][]time.Duration
+	most    int
+}
+
+type pending struct {
+	at time.Duration
+	Ask
+}
+
+func newPool(t *testing.T, cfg Config, seed uint64) *pool {
+	return &pool{t: t, c: New(cfg, seed, 0), sick: map[string]bool{}, heard: map[string][]Verdict{}, asked: map[string][]time.Duration{}}
+}
+
+func (p *pool) run(d time.Duration) {
+	for end := p.now + d; p.now < end; p.now += 10 * time.Millisecond {
+		for i := 0; i < len(p.pending); {
+			a := p.pending[i]
+			if a.at > p.now {
+				i++
+				continue
+			}
+			p.pending = append(p.pending[:i], p.pending[i+1:]...)
+			if v := p.c.Result(p.now, a.Token, !p.sick[a.Addr], "said so"); v != nil {
+				p.heard[v.Box] = append(p.heard[v.Box], *v)
+			}
+		}
+		for _, a := range p.c.Due(p.now, nil) {
+			for _, o := range p.pending {
+				if o.Box == a.Box && o.Addr == a.Addr {
+					p.t.Fatalf("%v: two checks of %s at once", p.now, a.Box)
+				}
+			}
+			p.asked[a.Box] = append(p.asked[a.Box], p.now)
+			p.pending = append(p.pending, pending{p.now + p.takes, a})
+		}
+		p.most = max(p.most, p.c.Out())
+	}
+}
+
+// What answers make of a box: a row turns it, anything else does not; one that has never answered is down at its first failure.
+func TestRiseAndFall(t *testing.T) {
+	for _, tc := range []struct{ answers, verdicts string }{
+		{"+", ""}, {"-", "d"}, {"+--", ""}, {"+---", "d"}, {"+--+--", ""}, {"+---+", "d"}, {"+---++", "du"}, {"+---+-+", "d"},
+		{"+---+-++", "du"}, {"-++", "du"}, {"-++--", "du"}, {"-++---", "dud"}, {"------", "d"}, {"++++++", ""},
+	} {
+		c := New(Config{Every: time.Second, Rise: 2, Fall: 3}, 1, 0)
+		c.Set(0, "a", "x:1")
+		got, now := "", time.Duration(0)
+		for _, answer := range tc.answers {
+			var asks []Ask
+			for range 100 { // Next may be sooner than what is due
+				next, ok := c.Next()
+				if !ok {
+					t.Fatalf("%s: nothing is due", tc.answers)
+				}
+				now = next
+				if asks = c.Due(now, nil); len(asks) > 0 {
+					break
+				}
+			}
+			if len(asks) != 1 || asks[0].Addr != "x:1" {
+				t.Fatalf("%s: asks %v", tc.answers, asks)
+			}
+			if v := c.Result(now, asks[0].Token, answer == '+', "why"); v != nil {
+				got += map[bool]string{true: "u", false: "d"}[v.Up]
+			}
+			if v := c.Result(now, asks[0].Token, answer != '+', "twice"); v != nil {
+				t.Fatalf("%s: a result counted twice", tc.answers)
+			}
+		}
+		if got != tc.verdicts {
+			t.Errorf("%s: %q, want %q", tc.answers, got, tc.verdicts)
+		}
+	}
+}
+
+// Boxes that come, go and move while checks are out: a check of what was there before says nothing of what is there now, each box
+// is checked about once in Every, never twice at once, and no more at once than there is room for.
+func TestBoxesComeAndGo(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		cfg := Config{Every: time.Second, Rise: 2, Fall: 2, AtOnce: 4}
+		p := newPool(t, cfg, seed)
+		p.takes = 300 * time.Millisecond
+		addr := map[string]string{}
+		for step := range 200 {
+			id := fmt.Sprint(rng.IntN(10))
+			switch rng.IntN(4) {
+			case 0:
+				addr[id] = fmt.Sprintf("%s:%d", id, step)
+				p.c.Set(p.now, id, addr[id])
+				p.heard[id] = nil
+			case 1:
+				p.c.Remove(id)
+				delete(addr, id)
+				p.heard[id] = nil
+			case 2:
+				if a := addr[id]; a != "" {
+					p.sick[a] = !p.sick[a]
+				}
+			}
+			p.run(time.Duration(rng.IntN(300)) * time.Millisecond)
+			for id := range p.heard {
+				if addr[id] == "" && len(p.heard[id]) > 0 {
+					t.Fatalf("seed %d: a verdict on %s, which is gone", seed, id)
+				}
+			}
+		}
+		p.run(20 * time.Second) // it has settled
+		if p.most > cfg.AtOnce || p.c.Len() != len(addr) {
+			t.Errorf("seed %d: %d checks at once, %d boxes of %d", seed, p.most, p.c.Len(), len(addr))
+		}
+		for id, a := range addr {
+			if up, known := p.c.Up(id); !known || up == p.sick[a] {
+				t.Errorf("seed %d: %s is sick %t, taken for up %t, known %t", seed, id, p.sick[a], up, known)
+			}
+		}
+		for id := range addr {
+			n := 0
+			for _, at := range p.asked[id] {
+				if at > p.now-10*time.Second {
+					n++
+				}
+			}
+			if n < 5 || n > 11 { // an answer takes 0.3 s, and may wait for room
+				t.Errorf("seed %d: %s was checked %d times in 10 s", seed, id, n)
+			}
+		}
+		for id := range addr {
+			p.c.Remove(id)
+		}
+		p.run(2 * time.Second)
+		if _, some := p.c.Next(); some || p.c.Out() > 0 || len(p.c.late) > 0 {
+			t.Errorf("seed %d: something is left of no box: %d out, %d late", seed, p.c.Out(), len(p.c.late))
+		}
+	}
+}
+
+// A fleet that begins in one second with the same boxes does not check them together, then or later.
+func TestFleetIsSpread(t *testing.T) {
+	const nodes, every = 300, 2 * time.Second
+	at := map[time.Duration]int{}
+	for seed := range uint64(nodes) {
+		p := newPool(t, Config{Every: every}, seed)
+		p.c.Set(0, "a", "x:1")
+		p.run(20 * time.Second)
+		for _, d := range p.asked["a"] {
+			at[d/(100*time.Millisecond)]++
+		}
+	}
+	for slot, n := range at {
+		if n > nodes/20*2 { // twice the mean of a tenth of a second
+			t.Errorf("%d nodes checked in one tenth of a second, number %d", n, slot)
+		}
+	}
+}
--- a/internal/front/http/pool.go
+++ b/internal/front/http/pool.go
@@ -120,12 +120,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	q.ctx, q.stop, q.knocks, q.backup = ctx, cancel, map[string]bool{}, map[string]bool{}
 	q.loop = engine.New(engine.Config{Balancer: bal, Transport: x, Log: log})
-	if len(p.Sources) > 0 {
+	if len(p.Sources) > 0 || p.Check != nil {
 		m, err := NewMembership(s, p, log, q.loop.Clock())
 		if err != nil {
 			cancel()
 			return nil, err
 		}
+		if p.Check != nil {
+			m.check(p.Check, cs.tls)
+		}
 		q.follow(m)
 	} else if p.Registry != "" {
 		src := registry.New(p.Registry, settings.Settings{Config: cfg}, log,
--- a/internal/front/http/sources.go
+++ b/internal/front/http/sources.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -11,8 +12,10 @@
 	"time"
 
 	"glencart/balance"
+	"glencart/check"
 	"glencart/internal/engine"
 	sources "glencart/internal/members"
+	"glencart/internal/members/checks"
 	"glencart/internal/members/discovery"
 	"glencart/internal/members/dnssrv"
 	"glencart/internal/members/file"
@@ -43,7 +46,8 @@
 	Merge   *merge.Merge
 	Names   []string // of the sources, by rank
 	running []sources.Source
-	first   []merge.Event // what is known at the start
+	checker *checks.Checker // nil: boxes are not asked
+	first   []merge.Event   // what is known at the start
 	folder  string
 	pool    string
 	log     *slog.Logger
@@ -109,6 +113,19 @@
 	return m, nil
 }
 
+// check has the boxes of the pool asked whether they are well, over the pool's own TLS if it has one.
+func (m *Membership) check(c *site.Check, over *tls.Config) {
+	cfg := checks.Config{Config: check.Config{Every: time.Duration(c.Every), Rise: c.Rise, Fall: c.Fall},
+		Path: c.HTTP, Host: c.Host, Status: c.Status, Timeout: time.Duration(c.Timeout), TLS: over}
+	switch {
+	case c.HTTP != "":
+		cfg.Kind = checks.HTTP
+	case c.GRPC != nil:
+		cfg.Kind, cfg.Service = checks.GRPC, *c.GRPC
+	}
+	m.checker = checks.New(cfg)
+}
+
 // Static words the boxes of the file as a list of the first source.
 func (m *Membership) Static(boxes []site.Box) merge.Event {
 	ev := merge.Event{Kind: merge.Listed, Complete: true, Decided: true} // the operator's own hand: the guard has no say
@@ -175,6 +192,18 @@
 		q.loop.Post(func() { q.hear(t.Event(source, q.loop.Clock())) })
 	})
 	q.wg.Go(q.pass)
+	if m.checker != nil {
+		q.wg.Go(func() {
+			m.checker.Run(q.ctx, func(v check.Verdict) {
+				q.log.Warn("check of a box", "box", v.Box, "well", v.Up, "said", v.Why)
+				q.loop.Post(func() {
+					if q.merged[v.Box].Addr == v.Addr { // else it is another box by now
+						q.hear(merge.Event{Kind: merge.Checked, Box: v.Box, Up: v.Up})
+					}
+				})
+			})
+		})
+	}
 }
 
 // hear takes in one event of the membership. On the loop.
@@ -195,6 +224,7 @@
 		q.heard[ev.Source], fresh = true, fresh || now-q.from < firstWithin
 	}
 	turned := false
+	var moved []string
 	for _, c := range changes {
 		old, had := q.merged[c.ID]
 		if c.Line.Phase == balance.Gone {
@@ -202,9 +232,18 @@
 			delete(q.since, c.ID)
 			delete(q.backup, c.ID)
 			turned = q.spare.Remove(c.ID) || turned
+			if q.member.checker != nil {
+				q.member.checker.Remove(c.ID)
+			}
 			continue
 		}
+		if q.member.checker != nil {
+			q.member.checker.Set(c.ID, c.Addr)
+		}
 		if !had && !fresh || had && old.Addr != c.Addr {
+			if had {
+				moved = append(moved, c.ID)
+			}
 			q.since[c.ID] = now // it starts now, as far as anybody says
 			q.spare.Restarted(c.ID)
 		}
@@ -219,6 +258,9 @@
 		q.push(changes)
 	}
 	q.keepSoon()
+	for _, id := range moved { // what checks said was of what stood there before
+		q.hear(merge.Event{Kind: merge.Checked, Box: id, Up: true})
+	}
 }
 
 // push tells the engine of boxes that have changed. On the loop.
--- a/internal/front/http/sources_test.go
+++ b/internal/front/http/sources_test.go
@@ -223,3 +223,65 @@
 		n.stop()
 	}
 }
+
+// A box whose checks fail gets nothing new, and is back when they pass; where most fail them, checks count for nothing; and what
+// was said of a box says nothing of another one under its name.
+func TestChecks(t *testing.T) {
+	var sick [3]atomic.Bool
+	var got [3]atomic.Int64
+	addrs := map[string]string{}
+	for i := range sick {
+		addrs[string(rune('a'+i))] = handler(t, func(w http.ResponseWriter, r *http.Request) {
+			switch {
+			case r.URL.Path != "/well":
+				got[i].Add(1)
+			case sick[i].Load():
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		})
+	}
+	const text = `
+[[pool]]
+name = "p"
+boxes = [{ id = "a", address = "{a}" }, { id = "b", address = "{b}" }]
+check = { http = "/well", every = "100ms", timeout = "100ms", rise = 1, fall = 1 }
+spread = "weights"
+[[server]]
+[[server.location]]
+path = "/"
+[[server.location.route]]
+pool = "p"
+`
+	n := serve(t, text, addrs)
+	// gets tells which boxes get requests now.
+	gets := func() (names string) {
+		for i := range got {
+			got[i].Store(0)
+		}
+		for range 20 {
+			if status, _, _ := n.get("GET", "/", ""); status != 200 {
+				t.Errorf("answered %d", status)
+			}
+		}
+		for i := range got {
+			if got[i].Load() > 0 {
+				names += string(rune('a' + i))
+			}
+		}
+		return names
+	}
+	await := func(want string) {
+		t.Helper()
+		standin.Eventually(t, "requests to "+want+" only", func() bool { return gets() == want })
+	}
+	await("ab")
+	sick[1].Store(true)
+	await("a")
+	sick[0].Store(true)
+	await("ab") // all fail: checks are wrong, or it does not matter
+	sick[0].Store(false)
+	await("a")
+	addrs["b"] = addrs["c"]
+	n.reload(text, addrs)
+	await("ac")
+}
--- /dev/null
+++ b/internal/members/checks/checks.go
@@ -0,0 +1,254 @@
+// Package checks asks boxes whether they are well, as package check says when: over HTTP, gRPC's health protocol or by connecting.
+package checks
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+
+	"glencart/check"
+)
+
+// Kind is how a box is asked.
+type Kind uint8
+
+// Kinds.
+const (
+	TCP  Kind = iota // it takes connections; with TLS, a handshake
+	HTTP             // GET Path answers with a status that is good
+	GRPC             // grpc.health.v1.Health/Check of Service says SERVING
+)
+
+const (
+	// timeoutDefault is how long a box may take to answer.
+	timeoutDefault = time.Second
+	// bodyMost bounds what is read of an answer: a check is no download.
+	bodyMost = 64 << 10
+)
+
+// Config says how the boxes of a pool are asked.
+type Config struct {
+	check.Config
+	Kind    Kind
+	Path    string        // of HTTP, with its query
+	Host    string        // of HTTP, and gRPC's authority; none: the box's address
+	Status  []int         // good ones of HTTP; none: 200 to 399
+	Service string        // of GRPC; none: the whole server
+	Timeout time.Duration // 0: 1 s
+	TLS     *tls.Config   // nil: plain
+}
+
+// Checker checks the boxes of one pool.
+type Checker struct {
+	cfg    Config
+	client *http.Transport
+	origin time.Time
+	wake   chan struct{}
+
+	mu     sync.Mutex
+	checks *check.Checks
+}
+
+// New returns a Checker without boxes. Run has it work.
+func New(cfg Config) *Checker {
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = timeoutDefault
+	}
+	c := &Checker{cfg: cfg, origin: time.Now(), wake: make(chan struct{}, 1), checks: check.New(cfg.Config, rand.Uint64(), 0)}
+	c.client = &http.Transport{DisableKeepAlives: true, TLSClientConfig: cfg.TLS, MaxResponseHeaderBytes: bodyMost, DialContext: dial}
+	return c
+}
+
+// dial connects to host:port, or to unix:/path, which net/http has with a port behind it.
+func dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	var d net.Dialer
+	if at, ok := ctx.Value(addrKey{}).(string); ok {
+		addr = at
+	}
+	if path, ok := strings.CutPrefix(addr, "unix:"); ok {
+		network, addr = "unix", path
+	}
+	return d.DialContext(ctx, network, addr)
+}
+
+type addrKey struct{}
+
+// Set has a box checked. Another address makes it another box.
+func (c *Checker) Set(id, addr string) {
+	c.mu.Lock()
+	news := c.checks.Set(time.Since(c.origin), id, addr)
+	c.mu.Unlock()
+	if news {
+		c.nudge()
+	}
+}
+
+// Remove has a box checked no more.
+func (c *Checker) Remove(id string) {
+	c.mu.Lock()
+	c.checks.Remove(id)
+	c.mu.Unlock()
+}
+
+func (c *Checker) nudge() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run checks until ctx ends, and returns once no check is out. tell is told of each box that is down or up again; it may be called
+// from several goroutines, for one box from one at a time.
+func (c *Checker) Run(ctx context.Context, tell func(check.Verdict)) {
+	var out sync.WaitGroup
+	defer out.Wait()
+	defer c.client.CloseIdleConnections()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-c.wake:
+		}
+		c.mu.Lock()
+		asks := c.checks.Due(time.Since(c.origin), nil)
+		next, some := c.checks.Next()
+		c.mu.Unlock()
+		for _, a := range asks {
+			out.Go(func() {
+				err := c.ask(ctx, a.Addr)
+				if ctx.Err() != nil {
+					return // it was broken off: that says nothing
+				}
+				why := "answers"
+				if err != nil {
+					why = err.Error()
+				}
+				c.mu.Lock()
+				v := c.checks.Result(time.Since(c.origin), a.Token, err == nil, why)
+				c.mu.Unlock()
+				if v != nil {
+					tell(*v)
+				}
+				c.nudge()
+			})
+		}
+		if some {
+			timer.Reset(max(next-time.Since(c.origin), time.Millisecond))
+		} else {
+			timer.Stop()
+		}
+	}
+}
+
+// ask asks a box once. An error says in what it is not well.
+func (c *Checker) ask(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	switch c.cfg.Kind {
+	case HTTP:
+		return c.http(ctx, addr)
+	case GRPC:
+		return c.grpc(ctx, addr)
+	default:
+		return c.tcp(ctx, addr)
+	}
+}
+
+func (c *Checker) tcp(ctx context.Context, addr string) error {
+	nc, err := dial(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer nc.Close()
+	if c.cfg.TLS == nil {
+		return nil
+	}
+	return tls.Client(nc, named(c.cfg.TLS, addr)).HandshakeContext(ctx)
+}
+
+// named gives a configuration without a name that of the box.
+func named(cfg *tls.Config, addr string) *tls.Config {
+	if cfg.ServerName != "" {
+		return cfg
+	}
+	cfg = cfg.Clone()
+	cfg.ServerName = "localhost"
+	if host, _, err := net.SplitHostPort(addr); err == nil {
+		cfg.ServerName = host
+	}
+	return cfg
+}
+
+func (c *Checker) http(ctx context.Context, addr string) error {
+	host, scheme := addr, "http://"
+	if strings.HasPrefix(addr, "unix:") {
+		ctx, host = context.WithValue(ctx, addrKey{}, addr), "localhost"
+	}
+	if c.cfg.TLS != nil {
+		scheme = "https://"
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, scheme+host+c.cfg.Path, nil)
+	if err != nil {
+		return err
+	}
+	r.Host = c.cfg.Host
+	r.Header.Set("User-Agent", "glencart-check")
+	resp, err := c.client.RoundTrip(r) // a redirect is an answer
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if good := resp.StatusCode >= 200 && resp.StatusCode < 400; len(c.cfg.Status) > 0 && !slices.Contains(c.cfg.Status, resp.StatusCode) ||
+		len(c.cfg.Status) == 0 && !good {
+		return fmt.Errorf("answers %s", resp.Status)
+	}
+	_, err = io.CopyN(io.Discard, resp.Body, bodyMost)
+	if err == io.EOF {
+		err = nil
+	}
+	return err
+}
+
+// grpc asks by the health protocol (grpc.health.v1). A server without it answers Unimplemented, and is not well.
+func (c *Checker) grpc(ctx context.Context, addr string) error {
+	creds := insecure.NewCredentials()
+	if c.cfg.TLS != nil {
+		cfg := c.cfg.TLS.Clone()
+		cfg.NextProtos = nil // gRPC's own
+		creds = credentials.NewTLS(named(cfg, addr))
+	}
+	opts := []grpc.DialOption{grpc.WithTransportCredentials(creds), grpc.WithDisableServiceConfig(),
+		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return dial(ctx, "tcp", addr) })}
+	if c.cfg.Host != "" {
+		opts = append(opts, grpc.WithAuthority(c.cfg.Host))
+	}
+	cc, err := grpc.NewClient("passthrough:///"+addr, opts...)
+	if err != nil {
+		return err
+	}
+	defer cc.Close()
+	resp, err := healthpb.NewHealthClient(cc).Check(ctx, &healthpb.HealthCheckRequest{Service: c.cfg.Service})
+	if err != nil {
+		return err
+	}
+	if resp.Status != healthpb.HealthCheckResponse_SERVING {
+		return fmt.Errorf("answers %s", resp.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/members/checks/checks_test.go
@@ -0,0 +1,132 @@
+package checks
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/health"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+
+	"glencart/check"
+	"glencart/internal/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Every way of asking, against boxes that are well, sick, silent, gone or something else.
+func TestAsk(t *testing.T) {
+	status := func(code int) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.RequestURI() != "/well?deep=1" || r.Host != "menu.khuree.mn" {
+				code = http.StatusTeapot
+			}
+			if code == 302 {
+				w.Header().Set("Location", "http://127.0.0.1:1/") // nobody is there: not followed
+			}
+			w.WriteHeader(code)
+			w.Write(make([]byte, 1<<20)) // not read to its end
+		}))
+		t.Cleanup(s.Close)
+		return s.Listener.Addr().String()
+	}
+	path := filepath.Join(t.TempDir(), "s")
+	over, err := net.Listen("unix", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	unix := &httptest.Server{Listener: over, Config: &http.Server{Handler: http.NotFoundHandler()}}
+	unix.Start()
+	t.Cleanup(unix.Close)
+	silent := standin.NewRaw(t, "127.0.0.1:0", func(c net.Conn, _ *bufio.Reader) { io.Copy(io.Discard, c) }).Listener.Addr().String()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone := l.Addr().String()
+	l.Close()
+	gl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	words := health.NewServer()
+	words.SetServingStatus("menu", healthpb.HealthCheckResponse_SERVING)
+	words.SetServingStatus("dish", healthpb.HealthCheckResponse_NOT_SERVING)
+	gs := grpc.NewServer()
+	healthpb.RegisterHealthServer(gs, words)
+	go gs.Serve(gl)
+	t.Cleanup(gs.Stop)
+	rpc := gl.Addr().String()
+	web := Config{Kind: HTTP, Path: "/well?deep=1", Host: "menu.khuree.mn"}
+	only := web
+	only.Status = []int{204}
+	plain := Config{Kind: HTTP, Path: "/"}
+	found := Config{Kind: HTTP, Path: "/", Status: []int{404}}
+	health := func(service string) Config { return Config{Kind: GRPC, Service: service} }
+	for name, c := range map[string]struct {
+		cfg  Config
+		addr string
+		says string // in the error; none: it is well
+	}{
+		"http 200": {web, status(200), ""}, "http 302": {web, status(302), ""}, "http 500": {web, status(500), "500"}, "http 404": {web, status(404), "404"},
+		"only 204, and 204": {only, status(204), ""}, "only 204, and 200": {only, status(200), "200"},
+		"http unix": {found, "unix:" + path, ""}, "http unix 404": {plain, "unix:" + path, "404"},
+		"http silent": {web, silent, "deadline"}, "http gone": {web, gone, "refused"}, "http at a grpc server": {web, rpc, " "},
+		"grpc whole": {health(""), rpc, ""}, "grpc service": {health("menu"), rpc, ""}, "grpc not serving": {health("dish"), rpc, "NOT_SERVING"},
+		"grpc no such": {health("tea"), rpc, "unknown service"}, "grpc gone": {health(""), gone, "refused"}, "grpc silent": {health(""), silent, "DeadlineExceeded"},
+		"tcp": {Config{}, silent, ""}, "tcp gone": {Config{}, gone, "refused"}, "tcp unix": {Config{}, "unix:" + path, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c.cfg.Timeout = 300 * time.Millisecond
+			if c.says == "" {
+				c.cfg.Timeout = standin.Patience
+			}
+			err := New(c.cfg).ask(context.Background(), c.addr)
+			if c.says == "" && err != nil || c.says != "" && (err == nil || !strings.Contains(err.Error(), c.says)) {
+				t.Errorf("%v, want %q", err, c.says)
+			}
+		})
+	}
+}
+
+// A box that stops answering is told of once, and so is its coming back; one that is taken out is not asked any more.
+func TestRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.7.7.7:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	c := New(Config{Config: check.Config{Every: check.EveryLeast, Rise: 1, Fall: 2}})
+	ctx, cancel := context.WithCancel(context.Background())
+	told, ended := make(chan check.Verdict, 8), make(chan struct{})
+	go func() { c.Run(ctx, func(v check.Verdict) { told <- v }); close(ended) }()
+	c.Set("a", addr)
+	l.Close()
+	if v := standin.Receive(t, "down", told); v.Up || v.Box != "a" || v.Addr != addr || v.Why == "" {
+		t.Errorf("%+v", v)
+	}
+	if l, err = net.Listen("tcp", addr); err != nil {
+		t.Fatal(err) // nobody else uses this address
+	}
+	if v := standin.Receive(t, "up", told); !v.Up {
+		t.Errorf("%+v", v)
+	}
+	c.Remove("a")
+	l.Close()
+	c.Set("b", addr)
+	if v := standin.Receive(t, "the other", told); v.Up || v.Box != "b" {
+		t.Errorf("%+v", v)
+	}
+	cancel()
+	standin.Receive(t, "the end", ended)
+}
--- a/internal/site/load.go
+++ b/internal/site/load.go
@@ -18,6 +18,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"glencart/check"
 	"glencart/internal/tomlat"
 	"glencart/route"
 )
@@ -200,6 +201,9 @@
 		c.fault(path+".registry", "stands beside boxes or sources: write it as one of sources, { registry = %q }", p.Registry)
 	}
 	c.sources(path, p)
+	if p.Check != nil {
+		c.pings(path+".check", p)
+	}
 	if p.Registry != "" && !hostPort(p.Registry) {
 		c.fault(path+".registry", "%q is not an address with a port", p.Registry)
 	}
@@ -286,6 +290,42 @@
 	}
 }
 
+// pings checks how boxes are asked whether they are well.
+func (c *checker) pings(path string, p *Pool) {
+	k, given := p.Check, 0
+	for _, is := range []bool{k.HTTP != "", k.GRPC != nil, k.TCP} {
+		if is {
+			given++
+		}
+	}
+	switch {
+	case given != 1:
+		c.fault(path, "http, grpc or tcp: give exactly one of them")
+	case p.Registry != "":
+		c.fault(path, "a pool with registry takes the registry's word: write it as one of sources, { registry = %q }", p.Registry)
+	case k.HTTP != "" && k.HTTP[0] != '/':
+		c.fault(path+".http", "%q is not a path: begin it with a slash", k.HTTP)
+	case len(k.Status) > 0 && k.HTTP == "":
+		c.fault(path+".status", "is for http: take it out")
+	case k.Host != "" && k.TCP:
+		c.fault(path+".host", "is for http and grpc: take it out")
+	}
+	for j, status := range k.Status {
+		if status < 200 || status > 599 {
+			c.fault(fmt.Sprintf("%s.status.%d", path, j), "%d is no status of an answer: 200 to 599", status)
+		}
+	}
+	if k.Rise < 0 || k.Fall < 0 {
+		c.fault(path, "rise and fall: a negative count")
+	}
+	if k.Every != 0 && time.Duration(k.Every) < check.EveryLeast {
+		c.fault(path+".every", "shorter than %v: make it longer", check.EveryLeast)
+	}
+	if t, every := k.Timeout.Or(time.Second), k.Every.Or(check.EveryDefault); t > every {
+		c.fault(path+".timeout", "%v is longer than every, %v: make it shorter", t, every)
+	}
+}
+
 func (c *checker) server(path string, s *Server) {
 	c.oneOf(path+".slashes", s.Slashes, "merge", "keep")
 	for j, l := range s.Listeners {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -73,6 +73,8 @@
 	Guard     *float64 `toml:"guard,omitempty"`      // the part of the boxes that sources may take out at once; none: 0.5; 1: all
 	GuardHold Duration `toml:"guard_hold,omitempty"` // how long the others are held; 0: 60s
 
+	Check *Check `toml:"check,omitempty"` // boxes are asked whether they are well; none: they are not
+
 	Spread  string `toml:"spread,omitempty"`  // "estimate" (default) or "weights"
 	Probe   string `toml:"probe,omitempty"`   // a path that answers a load report; none: no probes
 	Reports bool   `toml:"reports,omitempty"` // answers carry Endpoint-Load-Metrics
@@ -91,6 +93,19 @@
 	TLSInsecure bool     `toml:"tls_insecure,omitempty"` // certificates are not verified
 }
 
+// Check is how the boxes of a pool are asked whether they are well. Exactly one of HTTP, GRPC and TCP is given.
+type Check struct {
+	HTTP    string   `toml:"http,omitempty"`    // a path, with a query if you like
+	GRPC    *string  `toml:"grpc,omitempty"`    // a service of gRPC's health protocol; "": the whole server
+	TCP     bool     `toml:"tcp,omitempty"`     // it takes connections; with tls, a handshake
+	Host    string   `toml:"host,omitempty"`    // of http and grpc; none: the box's address
+	Status  []int    `toml:"status,omitempty"`  // good ones of http; none: 200 to 399
+	Every   Duration `toml:"every,omitempty"`   // between two checks of a box; 0: 5s
+	Timeout Duration `toml:"timeout,omitempty"` // 0: 1s
+	Rise    int      `toml:"rise,omitempty"`    // good answers in a row that bring a box back; 0: 2
+	Fall    int      `toml:"fall,omitempty"`    // bad ones that take it out; 0: 3
+}
+
 // Source is a source of boxes. Exactly one of DNS, Registry and File is given.
 type Source struct {
 	Name     string   `toml:"name,omitempty"`     // none: what it is
