nginx importer: server NAME service=... resolve becomes a DNS source, with its resolver

The name is made as nginx's documentation says, valid= bounds the lifetimes, an upstream's own resolver stands over that of the http block; a name without service= stays not carried (the resolver asks for SRV first). Found on the way: a pool whose own boxes are all backups was refused although sources stand beside them, as docs/MEMBERS.md shows it (internal/site/load.go, pool).

--- a/internal/importer/nginx/corpus_test.go
+++ b/internal/importer/nginx/corpus_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"glencart/internal/site"
 	"glencart/internal/standin/corpus"
@@ -46,6 +47,13 @@
 			boxes = append(boxes, b.Address)
 		}
 	}
+	for _, src := range p.Sources {
+		text := "dns:" + src.DNS + "@" + strings.Join(src.Resolvers, ",")
+		if src.Floor > 0 {
+			text += "/" + time.Duration(src.Floor).String()
+		}
+		boxes = append(boxes, text)
+	}
 	slices.Sort(boxes)
 	path = raw
 	if tg.Rewrite != nil {
--- a/internal/importer/nginx/import.go
+++ b/internal/importer/nginx/import.go
@@ -68,6 +68,7 @@
 	pools     map[string]string // pool names by what makes them differ
 	listeners map[string]*site.Listener
 	names     map[string]*Directive // server_name by listener and name
+	names53   *resolver             // of the http block
 	defaults  map[string]*Directive // listen ... default_server by listener
 }
 
@@ -158,6 +159,9 @@
 	if err != nil {
 		return err
 	}
+	if m.names53, err = m.resolver(&resolver{}, list); err != nil {
+		return err
+	}
 	for _, d := range list {
 		if d.Name == "upstream" {
 			if err := m.upstream(d); err != nil {
--- a/internal/importer/nginx/upstream.go
+++ b/internal/importer/nginx/upstream.go
@@ -35,9 +35,13 @@
 	method, backup := (*Directive)(nil), (*Directive)(nil)
 	ids := map[string]int{}
 	fails := map[int]bool{}
+	var named []*Directive // servers whose boxes DNS tells
 	for _, s := range list {
 		switch s.Name {
 		case "server":
+			if slices.ContainsFunc(s.Args, func(a string) bool { return strings.HasPrefix(a, "service=") }) {
+				named = append(named, s)
+			}
 			b, err := m.box(s, u, fails)
 			if err != nil {
 				return err
@@ -88,14 +92,15 @@
 			m.say(s, Difference, "a request that no box has room for is refused at once")
 		case "ntlm":
 			m.say(s, NotCarried, "requests of one client take any connection: NTLM needs its own")
-		case "resolver", "resolver_timeout":
-			m.say(s, NotCarried, "names are looked up when a connection is made")
 		}
 	}
+	if err := m.follow(u, list, named); err != nil {
+		return err
+	}
 	if backup != nil && method != nil && slices.Contains([]string{"ip_hash", "hash", "random"}, method.Name) {
 		return bad(backup, "nginx takes no backup beside %s (line %d)", method.Name, method.Line)
 	}
-	if len(u.pool.Boxes) == 0 {
+	if len(u.pool.Boxes)+len(u.pool.Sources) == 0 {
 		if len(list) > 0 && slices.ContainsFunc(list, func(s *Directive) bool { return s.Name == "server" }) {
 			return nil // all of them can't be carried, which is said
 		}
@@ -162,11 +167,12 @@
 			b.State = "down"
 		case "drain":
 			b.State = "draining"
-		case "resolve", "service":
-			m.say(d, NotCarried, "%s: names are not followed as they change", key)
-			if key == "service" {
-				return site.Box{Backup: b.Backup}, nil // its port is told by DNS alone
+		case "resolve":
+			if !slices.ContainsFunc(d.Args, func(a string) bool { return strings.HasPrefix(a, "service=") }) {
+				m.say(d, NotCarried, "resolve: a name's addresses are not followed as they change, only SRV records (service=) are")
 			}
+		case "service":
+			return site.Box{Backup: b.Backup}, nil // its boxes are told by DNS alone: follow
 		case "route", "id":
 			m.say(d, Difference, "%s= has no use here", key)
 		default:
@@ -215,7 +221,7 @@
 		}
 		m.upstreams[name] = u
 	}
-	if len(u.pool.Boxes) == 0 {
+	if len(u.pool.Boxes)+len(u.pool.Sources) == 0 {
 		return "", 0, nil
 	}
 	p := u.pool
@@ -231,6 +237,9 @@
 		}
 	}
 	p.Attempts = max(1, min(len(p.Boxes), 10))
+	if len(p.Sources) > 0 {
+		ready, p.Attempts = ready+2, max(p.Attempts, namedAttempts) // how many there are is not known before DNS has said so
+	}
 	key := fmt.Sprintf("%s %v %v %s %s %v", u.pool.Name, p.Connect, p.TLS, p.TLSName, p.TLSCA, p.TLSInsecure)
 	if have, ok := m.pools[key]; ok {
 		return have, ready, nil
@@ -238,7 +247,7 @@
 	for i := 2; slices.ContainsFunc(m.site.Pools, func(x site.Pool) bool { return x.Name == p.Name }); i++ {
 		p.Name = fmt.Sprintf("%s-%d", u.pool.Name, i)
 	}
-	if slices.IndexFunc(p.Boxes, func(b site.Box) bool { return !b.Backup }) < 0 {
+	if len(p.Sources) == 0 && slices.IndexFunc(p.Boxes, func(b site.Box) bool { return !b.Backup }) < 0 {
 		m.say(u.at, Difference, "all of its servers are backups: they are the usual boxes here")
 		p.Boxes = slices.Clone(p.Boxes)
 		for i := range p.Boxes {
--- a/internal/site/load.go
+++ b/internal/site/load.go
@@ -234,7 +234,7 @@
 		}
 		c.oneOf(at+".state", b.State, "ready", "draining", "down")
 	}
-	if len(p.Boxes) > 0 && !primary {
+	if len(p.Boxes) > 0 && !primary && len(p.Sources) == 0 {
 		c.fault(path+".boxes", "all are backups: make one of them a usual box")
 	}
 }
