--- a/merge/merge_test.go
+++ b/merge/merge_test.go
@@ -15,6 +15,27 @@
 	"glencart/members"
 )
 
+// Word that is old and told again is fresh; of two starts in one list of a later source the latest counts; and the drain of a
+// source that is not believed in phases keeps nobody once that source has forgotten the box.
+func TestTold(t *testing.T) {
+	p := newPool(t, Config{DrainFor: time.Minute, Sources: []SourceConfig{{Name: "a", Trust: AllFacts &^ Phase, Keep: time.Hour}, {Name: "b"}}})
+	p.list(0, time.Second, named("x", "1.1.1.1:1", 0, 0))
+	p.now = 2 * time.Second
+	p.do(Event{Kind: Ticked})
+	p.list(0, 9*time.Second, named("x", "1.1.1.1:1", 0, 4))
+	if v := p.m.Views()[0]; v.Says[0].Vote != Has {
+		t.Errorf("told again, its vote is %v", v.Says[0].Vote)
+	}
+	p.list(1, 0, named("x", "1.1.1.1:1", 0, 6))
+	if p.have["x"].Launched != 6 {
+		t.Errorf("the latest start does not count: %+v", p.have["x"])
+	}
+	p.list(0, 9*time.Second, named("x", "1.1.1.1:1", balance.Draining, 4))
+	p.list(0, 9*time.Second)
+	p.list(1, 0)
+	p.want("nobody lists it", "")
+}
+
 // Every combination of votes has one rule, every rule has some combination, and the verdicts keep what the table promises.
 func TestTable(t *testing.T) {
 	used := map[int]int{}
