serve closes no idle connection to make room, and says close from SIGTERM on

Cause: the shared table had serve close idle connections from six tenths of the places on, as the platform's node does, whose clients send again what crossed a close. serve's need not: a request written at that moment was lost.

--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -73,7 +73,7 @@
 	}
 	bounded := Limit(l, 8)
 	defer bounded.Close()
-	f := NewTable(8)
+	f := NewTable(8, Platform)
 	f.full = 2
 	pair := func(text string) net.Conn {
 		c, err := net.Dial("tcp", l.Addr().String())
@@ -110,6 +110,41 @@
 	}
 }
 
+// Where clients don't send again what crossed a close, an idle connection never gives way, and a silent one only after a while.
+func TestIdleIsKept(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	bounded := Limit(l, 4)
+	defer bounded.Close()
+	f := NewTable(4, Own)
+	f.full = 1
+	pair := func(since time.Duration, states ...http.ConnState) net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		s, err := bounded.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { s.Close() })
+		for _, state := range states {
+			f.Track(s, state)
+		}
+		f.conns[s].since = time.Now().Add(-since)
+		return s
+	}
+	idle := pair(time.Hour, http.StateNew, http.StateActive, http.StateIdle)
+	fresh, silent := pair(100*time.Millisecond, http.StateNew), pair(time.Second, http.StateNew)
+	f.Relieve()
+	if f.conns[idle] == nil || f.conns[fresh] == nil || f.conns[silent] != nil {
+		t.Errorf("there yet: idle %t, fresh %t, silent %t", f.conns[idle] != nil, f.conns[fresh] != nil, f.conns[silent] != nil)
+	}
+}
+
 // Requests that stand behind the first are asked for yet when that has its answer; of one that has come in part it is known.
 func TestAskedAndBegun(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/clients/table.go
+++ b/internal/clients/table.go
@@ -23,12 +23,22 @@
 	giveWayTries = 8
 	// RelieveEvery is how often Relieve is to be called.
 	RelieveEvery = 20 * time.Millisecond
-	// Beyond crowdedPart hundredths of the places, answers close their connections; beyond fullPart, silent ones give way.
-	crowdedPart, fullPart = 75, 60
 )
 
+// Parts are how much of a listener's places may be taken, in hundredths.
+type Parts struct {
+	Crowded  int  // beyond it, answers close their connections, but for those of silent ones
+	Full     int  // beyond it, connections that say nothing give way, and those that are idle
+	KeepIdle bool // but no idle ones, and none that has been silent for a short while only
+}
+
+// Platform are the parts where clients are rude, and send what crossed a close again. Own are those where a client may not do
+// that: its request on a kept connection would be lost.
+var Platform, Own = Parts{Crowded: 75, Full: 60}, Parts{Crowded: 75, Full: 95, KeepIdle: true}
+
 // Table is where the connections of a listener's clients stand. NewTable returns one.
 type Table struct {
+	parts   Parts
 	mu      sync.Mutex
 	crowded int // so many connections that answers close theirs
 	full    int // so many that silent ones give way too
@@ -51,8 +61,8 @@
 )
 
 // NewTable returns the table of a listener that holds so many connections.
-func NewTable(most int) *Table {
-	t := &Table{conns: map[net.Conn]*entry{}}
+func NewTable(most int, parts Parts) *Table {
+	t := &Table{parts: parts, conns: map[net.Conn]*entry{}}
 	t.Resize(most)
 	return t
 }
@@ -61,7 +71,7 @@
 func (t *Table) Resize(most int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.crowded, t.full = most*crowdedPart/100, most*fullPart/100
+	t.crowded, t.full = most*t.parts.Crowded/100, most*t.parts.Full/100
 }
 
 // KeepAll has nobody give way any more.
@@ -170,6 +180,12 @@
 			}
 		}
 		slow, quiet := oldest[waits], oldest[idle]
+		if t.parts.KeepIdle {
+			quiet = nil
+			if slow != nil && time.Since(t.moved(slow)) <= slowAfter {
+				return false
+			}
+		}
 		out := quiet
 		if slow != nil && (quiet == nil || t.waiting > t.crowded/3 || time.Since(t.moved(slow)) > slowAfter) {
 			out = slow
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -104,7 +104,7 @@
 		_, port, _ := net.SplitHostPort(nl.Addr().String())
 		cl := clients.Limit(nl, most)
 		cl.Opaque = len(l.TLS) > 0
-		v.listeners = append(v.listeners, &listener{Listener: cl, table: clients.NewTable(most), site: l, port: port})
+		v.listeners = append(v.listeners, &listener{Listener: cl, table: clients.NewTable(most, clients.Own), site: l, port: port})
 	}
 	v.living.Tell(life.Event{Kind: life.Opened})
 	return v, nil
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -62,7 +62,7 @@
 
 // newFront returns the client side for a node that may hold so many connections of clients.
 func newFront(l *engine.Engine, names settings.Settings, most, backends int, fig *figures, log *slog.Logger) *front {
-	f := &front{loop: l, log: log, table: clients.NewTable(most)}
+	f := &front{loop: l, log: log, table: clients.NewTable(most, clients.Platform)}
 	f.tuning.Store(newTuning(names, fig))
 	f.bodyMost.Store(uploadMost)
 	f.resize(most, backends)
--- a/life/life.go
+++ b/life/life.go
@@ -207,6 +207,10 @@
 	l.ready = false
 	out = append(out, Action{Kind: BeUnready})
 	l.answerBy = l.kill
+	if !l.terms.Stay && !followed { // who asks on is told so before quiet connections close
+		l.closing = true
+		out = append(out, Action{Kind: CloseAnswered})
+	}
 	if followed { // who waits in the queue is the other process's, and its clients have a place to go
 		l.stopped, l.closing = true, true
 		l.phase = Closing
@@ -241,8 +245,11 @@
 		out = append(out, Action{Kind: StopAccepting})
 	}
 	if l.phase == Staying && l.closes(now) {
-		l.phase, l.closing = Closing, true
-		out = append(out, Action{Kind: CloseAnswered})
+		l.phase = Closing
+		if !l.closing {
+			l.closing = true
+			out = append(out, Action{Kind: CloseAnswered})
+		}
 	}
 	if l.phase == Closing && now >= l.End() {
 		l.phase = Last
