The gRPC plug-in takes sources; a fixed list no longer forgets boxes of a source that fails

The plug-in's Config.Sources takes the keys of a pool in TOML, with the same errors and lines.

Found by its test, with a backup of its own beside a file that is gone: a pool's own boxes are a source that is always heard, so its lack of the others made them 'forgotten' once DNS, a file or a registry failed, and the guard held them for a minute only (merge/merge.go, vote). A partial list now says nothing of boxes that it has never listed; what it drops is still gone. Seen to fail before: TestSources (calls never came to the kept backend), TestAPartialList.

--- a/glencartgrpc/plugin.go
+++ b/glencartgrpc/plugin.go
@@ -30,8 +30,10 @@
 	"glencart/balance"
 	"glencart/internal/engine"
 	"glencart/internal/lograte"
+	"glencart/internal/members/follow"
 	"glencart/internal/members/registry"
 	"glencart/internal/settings"
+	"glencart/internal/site"
 )
 
 // Config is what a plug-in is told.
@@ -41,8 +43,11 @@
 	// Settings is the settings object of the installation as the daemon takes it (JSON): classes, tenants, limits,
 	// obligations. Needed, with one class at the least.
 	Settings []byte
-	// Discovery is the registry's address, HTTP. Empty: the application gives lists to SetList.
+	// Discovery is the registry's address, HTTP. Empty: Sources, or the application gives lists to SetList.
 	Discovery string
+	// Sources says where backends come from if that is several places, or DNS, files or fixed boxes: the keys boxes, sources,
+	// guard, guard_hold, check and keep of docs/MEMBERS.md, in TOML. It stands in the place of Discovery and SetList.
+	Sources string
 	// Methods names the class of each method: by full name ("/shop.Orders/Place") or by service ("/shop.Orders/"). The
 	// exact name goes first. A method that is not named is of an unsafe class.
 	Methods map[string]string
@@ -91,6 +96,9 @@
 	config  string // the service config that resolvers give to gRPC
 	engine  *engine.Engine
 	trust   *trust
+	member  *follow.Membership // nil: no Sources; on the loop, as are:
+	spare   int                // the highest tier of backends that may be sent to
+	keeping bool               // the list will be written down soon
 	judge   func(seen) verdict // judge, but for tests that plant a mistake
 	spoilt  *lograte.Limited
 
@@ -140,6 +148,9 @@
 	p.end = cancel
 	p.wait.Go(func() { p.engine.Run(p.quit) })
 	p.wait.Go(func() { p.trust.run(ctx) })
+	if p.member != nil {
+		p.learn(ctx)
+	}
 	if cfg.Discovery != "" {
 		source := registry.New(cfg.Discovery, p.names, p.cfg.Log, p.trust.heard, func() {
 			p.engine.Post(func() { p.engine.Handle(balance.Event{Kind: balance.MembersRefused}) })
@@ -226,6 +237,21 @@
 	}
 	p.engine = engine.New(engine.Config{Balancer: b, Transport: p, Log: cfg.Log, Trace: cfg.trace})
 	p.trust, p.judge = newTrust(p), judge
+	if cfg.Sources != "" {
+		if cfg.Discovery != "" {
+			return nil, errors.New("config: Sources, Discovery: both are given: write the registry as one of sources, { registry = \"ADDRESS\" }")
+		}
+		pool, keep, err := site.ParseMembers("config: Sources", cfg.Target, []byte(cfg.Sources))
+		if err != nil {
+			return nil, err
+		}
+		if p.member, err = follow.New(pool, p.names, keep, cfg.Log, p.engine.Clock()); err != nil {
+			return nil, fmt.Errorf("config: Sources: %w", err)
+		}
+		if pool.Check != nil {
+			p.member.Check(pool.Check, nil)
+		}
+	}
 	return p, nil
 }
 
@@ -302,6 +328,9 @@
 
 // SetList takes in the whole list of backends. One malformed line spoils the list, and the last one holds.
 func (p *Plugin) SetList(boxes []Box) error {
+	if p.member != nil {
+		return errors.New("glencartgrpc: list: Config.Sources says where backends come from: give one or the other")
+	}
 	list := engine.List{Complete: true}
 	named := map[string]bool{}
 	for i, b := range boxes {
--- /dev/null
+++ b/glencartgrpc/sources.go
@@ -0,0 +1,102 @@
+package glencartgrpc
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"glencart/balance"
+	"glencart/internal/engine"
+	"glencart/internal/members/follow"
+	"glencart/merge"
+)
+
+// learn has the plug-in learn its backends from Config.Sources until ctx ends. The merge's word goes to trust as a list would: a
+// backend's own word that it drains, or has started, still corrects it.
+func (p *Plugin) learn(ctx context.Context) {
+	p.engine.Post(func() { p.merged(p.member.Begin(p.engine.Clock())) })
+	p.member.Run(ctx, func(f func()) { p.wait.Go(f) }, func(event func(time.Duration) (merge.Event, bool)) {
+		p.engine.Post(func() {
+			if ev, counts := event(p.engine.Clock()); counts {
+				p.merged(p.member.Hear(p.engine.Clock(), ev))
+			}
+		})
+	})
+	p.wait.Go(func() { p.pass(ctx) })
+}
+
+// merged takes in backends that have changed. On the loop.
+func (p *Plugin) merged(boxes []follow.Box) {
+	if len(boxes) == 0 {
+		return
+	}
+	changed := make([]merge.Change, 0, len(boxes))
+	for _, b := range boxes {
+		changed = append(changed, b.Change)
+	}
+	all := p.member.All()
+	if spare := spareTier(all); spare != p.spare { // others step in, or back
+		p.spare = spare
+		p.cfg.Log.Info("backends are sent to up to this tier", "tier", spare)
+		changed = append(slices.DeleteFunc(changed, func(c merge.Change) bool { return c.Line.Phase != balance.Gone }), all...)
+	}
+	list := engine.List{Members: make([]engine.Member, 0, len(changed))}
+	for _, c := range changed {
+		list.Members = append(list.Members, p.line(c))
+	}
+	p.trust.take(list)
+	if p.member.Keeps() && !p.keeping {
+		p.keeping = true
+		time.AfterFunc(follow.KeepEvery, func() {
+			p.engine.Post(func() {
+				p.keeping = false
+				views := p.member.Merge.Views()
+				p.wait.Go(func() { p.member.Keep(views) })
+			})
+		})
+	}
+}
+
+// spareTier is the lowest tier in which some backend is ready: those of higher ones wait.
+func spareTier(all []merge.Change) int {
+	tier := -1
+	for _, c := range all {
+		if c.Line.Phase == balance.Ready && (tier < 0 || c.Tier < tier) {
+			tier = c.Tier
+		}
+	}
+	return max(tier, 0)
+}
+
+// line is a backend as the list has it.
+func (p *Plugin) line(c merge.Change) engine.Member {
+	m := c.Line
+	if c.Tier > p.spare && m.Phase == balance.Ready {
+		m.Phase = balance.Draining
+	}
+	return m
+}
+
+// pass has what is due in the membership happen, until ctx ends.
+func (p *Plugin) pass(ctx context.Context) {
+	for {
+		next := make(chan time.Duration, 1)
+		if !p.engine.Post(func() {
+			boxes, wait := p.member.Pass(p.engine.Clock())
+			p.merged(boxes)
+			next <- wait
+		}) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case wait := <-next:
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(wait):
+			}
+		}
+	}
+}
--- a/internal/cli/members.go
+++ b/internal/cli/members.go
@@ -10,9 +10,9 @@
 	"text/tabwriter"
 	"time"
 
-	httpfront "glencart/internal/front/http"
-	sources "glencart/internal/members"
+	"glencart/internal/members/follow"
 	"glencart/internal/members/kept"
+	"glencart/internal/settings"
 	"glencart/internal/site"
 	"glencart/merge"
 )
@@ -105,29 +105,25 @@
 func (c *membersCmd) listen(x *Context, s *site.Site, p *site.Pool) (memberPool, error) {
 	start := time.Now()
 	clock := func() time.Duration { return time.Duration(start.UnixNano()) + time.Since(start) }
-	m, err := httpfront.NewMembership(s, p, x.Log, clock())
+	m, err := follow.New(p, settings.Settings{}, s.Node.Keep, x.Log.With("pool", p.Name), clock())
 	if err != nil {
 		return memberPool{}, err
 	}
 	var mu sync.Mutex
-	hear := func(ev merge.Event) {
-		mu.Lock()
-		defer mu.Unlock()
-		m.Merge.Handle(clock(), ev, nil)
-	}
-	for _, ev := range m.First() {
-		hear(ev)
-	}
+	m.Begin(clock())
 	ctx, cancel := context.WithTimeout(context.Background(), c.Wait)
 	defer cancel()
 	var wg sync.WaitGroup
-	m.Run(ctx, func(f func()) { wg.Go(f) }, func(source int, t sources.Told) { hear(t.Event(source, clock())) })
+	m.Run(ctx, func(f func()) { wg.Go(f) }, func(event func(time.Duration) (merge.Event, bool)) {
+		mu.Lock()
+		defer mu.Unlock()
+		if ev, counts := event(clock()); counts {
+			m.Hear(clock(), ev)
+		}
+	})
 	<-ctx.Done()
 	wg.Wait()
-	hear(merge.Event{Kind: merge.Ticked})
-	for _, line := range m.Merge.Log() {
-		x.Log.Warn(line, "pool", p.Name)
-	}
+	m.Pass(clock())
 	got := memberPool{Pool: p.Name, At: time.Now(), Sources: m.Names}
 	for _, v := range m.Merge.Views() {
 		b := memberLine{Box: v.ID, Address: v.Addr, State: phaseNames[v.Line.Phase], Tier: v.Tier, Rule: merge.Rules[v.Rule].Name, Note: v.Note, Differs: v.Disagree()}
--- a/internal/front/http/pool.go
+++ b/internal/front/http/pool.go
@@ -13,6 +13,7 @@
 	"glencart/internal/engine"
 	"glencart/internal/living"
 	"glencart/internal/lograte"
+	"glencart/internal/members/follow"
 	"glencart/internal/members/registry"
 	"glencart/internal/settings"
 	"glencart/internal/site"
@@ -43,14 +44,8 @@
 	knocks map[string]bool  // boxes that are knocked at; on the loop
 
 	// Where boxes come from several sources, on the loop:
-	member  *Membership // nil: they don't
-	merged  map[string]merge.Change
-	since   map[string]time.Duration // when a box began, as found out here
-	changes []merge.Change
-	from    time.Duration // when the pool began
-	begun   bool          // sources are running
-	heard   map[int]bool  // sources that have told a list
-	keeping bool          // the list will be written down soon
+	member  *follow.Membership // nil: they don't
+	keeping bool               // the list will be written down soon
 
 	ctx  context.Context
 	stop context.CancelFunc
@@ -121,13 +116,13 @@
 	q.ctx, q.stop, q.knocks, q.backup = ctx, cancel, map[string]bool{}, map[string]bool{}
 	q.loop = engine.New(engine.Config{Balancer: bal, Transport: x, Log: log})
 	if len(p.Sources) > 0 || p.Check != nil {
-		m, err := NewMembership(s, p, log, q.loop.Clock())
+		m, err := follow.New(p, settings.Settings{}, s.Node.Keep, log, q.loop.Clock())
 		if err != nil {
 			cancel()
 			return nil, err
 		}
 		if p.Check != nil {
-			m.check(p.Check, cs.tls)
+			m.Check(p.Check, cs.tls)
 		}
 		q.follow(m)
 	} else if p.Registry != "" {
@@ -160,7 +155,7 @@
 func (q *pool) reload(boxes []site.Box) {
 	switch {
 	case q.member != nil && len(q.site.Boxes) > 0:
-		q.loop.Post(func() { q.hear(q.member.Static(boxes)) })
+		q.loop.Post(func() { q.changed(q.member.Hear(q.loop.Clock(), q.member.Static(boxes))) })
 	case q.member == nil && q.site.Registry == "":
 		q.loop.Post(func() { q.take(boxes, q.loop.Clock()) })
 	}
@@ -239,17 +234,18 @@
 				q.list.Members[i].Launched = q.loop.Clock()
 			}
 		}
-		if q.member != nil {
-			q.since[id] = q.loop.Clock()
-		}
+	}
+	var now merge.Change
+	listed := false
+	if restarted && q.member != nil {
+		now, listed = q.member.Restarted(q.loop.Clock(), id)
 	}
 	switch {
 	case q.member != nil && changed:
-		q.pushAll(q.all())
-	case q.member != nil && restarted:
-		if c, listed := q.merged[id]; listed {
-			q.push([]merge.Change{c})
-		}
+		q.pushAll()
+	case listed:
+		q.loop.TakeList(balance.MembersChanged, engine.List{Members: []engine.Member{q.line(now)}})
+	case q.member != nil:
 	case changed || restarted:
 		q.tell()
 	}
--- a/internal/front/http/sources_test.go
+++ b/internal/front/http/sources_test.go
@@ -18,8 +18,6 @@
 	"glencart/internal/standin/box"
 	"glencart/internal/standin/dns"
 	"glencart/internal/standin/httpbox"
-	"glencart/members"
-	"glencart/merge"
 )
 
 // srv words SRV records for addresses on 127.0.0.1.
@@ -156,7 +154,7 @@
 	standin.Eventually(t, "the drain", func() bool {
 		drains := make(chan bool, 1)
 		p.loop.Post(func() {
-			for _, c := range p.merged {
+			for _, c := range p.member.All() {
 				if c.Addr == a {
 					drains <- c.Line.Phase != 0
 				}
@@ -201,29 +199,6 @@
 	}
 }
 
-// A source that is first heard long after the start names boxes that may have begun in between: they are taken for cold. One that is
-// heard at once names boxes at work.
-func TestALateFirstListIsOfColdBoxes(t *testing.T) {
-	for _, late := range []bool{false, true} {
-		n := serve(t, dnsPool, map[string]string{"dns": "127.0.0.1:9", "more": ""}) // nobody answers there
-		q := n.gen.Load().pools["menu"]
-		since := make(chan bool, 1)
-		q.loop.Post(func() {
-			if late {
-				q.from -= 2 * firstWithin
-			}
-			q.hear(merge.Event{Kind: merge.Listed, Complete: true, Until: q.loop.Clock() + time.Minute, Entries: []merge.Entry{{Name: "a",
-				Knows: merge.Existence | merge.Address, Line: members.Line{Addr: "127.0.0.1:1"}}}})
-			_, cold := q.since["a"]
-			since <- cold
-		})
-		if cold := standin.Receive(t, "a look", since); cold != late {
-			t.Errorf("late %t: cold %t", late, cold)
-		}
-		n.stop()
-	}
-}
-
 // A box whose checks fail gets nothing new, and is back when they pass; where most fail them, checks count for nothing; and what
 // was said of a box says nothing of another one under its name.
 func TestChecks(t *testing.T) {
--- /dev/null
+++ b/internal/members/follow/follow.go
@@ -0,0 +1,323 @@
+// Package follow has a pool follow its sources: it makes them of the pool's settings, feeds the merge with what they and the checks
+// tell, and says which boxes the pool is to be told of, and when each began. Every front that takes sources uses it.
+package follow
+
+import (
+	"cmp"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"log/slog"
+	"maps"
+	"os"
+	"slices"
+	"time"
+
+	"glencart/balance"
+	"glencart/check"
+	sources "glencart/internal/members"
+	"glencart/internal/members/checks"
+	"glencart/internal/members/discovery"
+	"glencart/internal/members/dnssrv"
+	"glencart/internal/members/file"
+	"glencart/internal/members/kept"
+	"glencart/internal/settings"
+	"glencart/internal/site"
+	"glencart/lookup"
+	"glencart/members"
+	"glencart/merge"
+)
+
+const (
+	// guardPart is the part of a pool that may go at once, guardWindow how long at once is.
+	guardPart, guardWindow, guardHold = 0.5, 10 * time.Second, time.Minute
+	// firstWithin is how long after the start a source's first list names boxes that have been at work.
+	firstWithin = 10 * time.Second
+	// drainFor is how long a drain counts that its source has forgotten, while others still list the box.
+	drainFor = 5 * time.Minute
+	// keepLong is how long what was kept on disk counts: while nobody is heard, there is nothing better.
+	keepLong = 10 * 365 * 24 * time.Hour
+	// waitMost bounds how long nobody looks whether something is due.
+	waitMost = time.Second
+	// KeepEvery bounds how often a list is written to disk.
+	KeepEvery = time.Second
+)
+
+// Membership is the sources of one pool, the Merge that they feed and the list that comes of it. All but Run belongs to one
+// goroutine.
+type Membership struct {
+	Merge   *merge.Merge
+	Names   []string // of the sources, by rank
+	running []sources.Source
+	checker *checks.Checker // nil: boxes are not asked
+	first   []merge.Event   // what is known at the start
+	folder  string
+	pool    string
+	log     *slog.Logger
+
+	have    map[string]merge.Change
+	since   map[string]time.Duration // when a box began, as found out here
+	heard   map[int]bool             // sources that have told a list
+	from    time.Duration            // when all began
+	begun   bool                     // sources are running
+	changes []merge.Change
+}
+
+// New makes the sources of a pool. Nothing is asked yet.
+// names are those of an installation's zones and kinds, for registries; keep is the folder for the last list, "" for none.
+func New(p *site.Pool, names settings.Settings, keep string, log *slog.Logger, now time.Duration) (*Membership, error) {
+	m := &Membership{folder: keep, pool: p.Name, log: log, from: now,
+		have: map[string]merge.Change{}, since: map[string]time.Duration{}, heard: map[int]bool{}}
+	cfg := merge.Config{GuardPart: guardPart, GuardWindow: guardWindow, GuardHold: p.GuardHold.Or(guardHold), PanicPart: 0.5, DrainFor: drainFor}
+	if p.Guard != nil {
+		cfg.GuardPart = *p.Guard
+	}
+	if cfg.GuardPart == 1 {
+		cfg.GuardPart = 0 // off
+	}
+	add := func(c merge.SourceConfig, run sources.Source) {
+		cfg.Sources = append(cfg.Sources, c)
+		m.running = append(m.running, run)
+		m.Names = append(m.Names, c.Name)
+	}
+	if len(p.Boxes) > 0 {
+		add(merge.SourceConfig{Name: site.StaticSource, Partial: true}, nil)
+	}
+	for i := range p.Sources {
+		src := &p.Sources[i]
+		c := merge.SourceConfig{Name: src.Name, Must: src.Must, Keep: time.Duration(src.Stale)}
+		for _, f := range src.Trust {
+			c.Trust |= 1 << slices.Index(site.Facts, f)
+		}
+		log := log.With("source", src.Name)
+		switch {
+		case src.DNS != "":
+			run, err := dnssrv.New(dnssrv.Config{Servers: src.Resolvers, ResolvConf: src.ResolvConf, Log: log, Config: lookup.Config{Name: src.DNS,
+				Floor: time.Duration(src.Floor), Ceiling: time.Duration(src.Ceiling), Timeout: time.Duration(src.Timeout)}})
+			if err != nil {
+				return nil, fmt.Errorf("pool %q: %w", p.Name, err)
+			}
+			add(c, run)
+		case src.File != "":
+			add(c, file.New(src.File, log))
+		default:
+			add(c, discovery.New(src.Registry, names, log))
+		}
+	}
+	if m.folder != "" {
+		if err := os.MkdirAll(m.folder, 0o700); err != nil {
+			return nil, fmt.Errorf("node.keep: %w", err)
+		}
+		l, err := kept.Read(m.folder, p.Name)
+		if err != nil {
+			log.Warn("no list from before", "error", err)
+		}
+		if l != nil {
+			log.Info("begins with the list from before, as old word", "boxes", len(l.Boxes), "age", time.Since(l.At).Round(time.Second))
+			m.first = append(m.first, merge.Event{Kind: merge.Listed, Source: len(m.Names), Entries: l.Entries(now)})
+		}
+		add(merge.SourceConfig{Name: site.KeptSource, Keep: keepLong}, nil)
+	}
+	m.Merge = merge.NewMerge(cfg, now)
+	if len(p.Boxes) > 0 {
+		m.first = append([]merge.Event{m.Static(p.Boxes)}, m.first...)
+	}
+	return m, nil
+}
+
+// Check has the boxes asked whether they are well, over the pool's own TLS if it has one. It is for before Begin.
+func (m *Membership) Check(c *site.Check, over *tls.Config) {
+	cfg := checks.Config{Config: check.Config{Every: time.Duration(c.Every), Rise: c.Rise, Fall: c.Fall},
+		Path: c.HTTP, Host: c.Host, Status: c.Status, Timeout: time.Duration(c.Timeout), TLS: over}
+	switch {
+	case c.HTTP != "":
+		cfg.Kind = checks.HTTP
+	case c.GRPC != nil:
+		cfg.Kind, cfg.Service = checks.GRPC, *c.GRPC
+	}
+	m.checker = checks.New(cfg)
+}
+
+// Static words the boxes of the file as a list of the first source.
+func (m *Membership) Static(boxes []site.Box) merge.Event {
+	ev := merge.Event{Kind: merge.Listed, Complete: true, Decided: true} // the operator's own hand: the guard has no say
+	for _, b := range boxes {
+		if b.State == "down" {
+			continue
+		}
+		e := merge.Entry{Name: b.ID, Knows: merge.AllFacts &^ (merge.Zone | merge.Start), Line: members.Line{ID: b.ID, Addr: b.Address,
+			Member: balance.Member{Weight: b.Weight}}}
+		if b.State == "draining" {
+			e.Line.Phase = balance.Draining
+		}
+		if b.Backup {
+			e.Tier = 1
+		}
+		ev.Entries = append(ev.Entries, e)
+	}
+	return ev
+}
+
+// Run runs the sources, and the checks, until ctx ends. told takes what each tells to wherever Hear is called; it is called from
+// several goroutines. start has a function run in one of its own.
+func (m *Membership) Run(ctx context.Context, start func(func()), told func(event func(now time.Duration) (ev merge.Event, counts bool))) {
+	for i, src := range m.running {
+		if src != nil {
+			start(func() {
+				src.Run(ctx, func(t sources.Told) {
+					told(func(now time.Duration) (merge.Event, bool) { return t.Event(i, now), true })
+				})
+			})
+		}
+	}
+	if m.checker == nil {
+		return
+	}
+	start(func() {
+		m.checker.Run(ctx, func(v check.Verdict) {
+			m.log.Warn("check of a box", "box", v.Box, "well", v.Up, "said", v.Why)
+			told(func(time.Duration) (merge.Event, bool) {
+				// With another address it is another box by now.
+				return merge.Event{Kind: merge.Checked, Box: v.Box, Up: v.Up}, m.have[v.Box].Addr == v.Addr
+			})
+		})
+	})
+}
+
+// Box is a box that has changed, as the pool is to have it. One that is gone has the phase Gone.
+type Box struct {
+	merge.Change
+	Began bool // it, or another one in its place, begins now
+}
+
+// Begin takes in what is known before any source has told anything, and returns the boxes of it.
+func (m *Membership) Begin(now time.Duration) (out []Box) {
+	for _, ev := range m.first {
+		out = append(out, m.Hear(now, ev)...)
+	}
+	m.begun = true
+	return latest(out)
+}
+
+// latest leaves one line for each box, the last.
+func latest(boxes []Box) []Box {
+	at := make(map[string]int, len(boxes))
+	kept := boxes[:0]
+	for _, b := range boxes {
+		if i, twice := at[b.ID]; twice {
+			b.Began = b.Began || kept[i].Began
+			kept[i] = b
+			continue
+		}
+		at[b.ID] = len(kept)
+		kept = append(kept, b)
+	}
+	return kept
+}
+
+// Hear takes in one event and returns the boxes that have changed.
+func (m *Membership) Hear(now time.Duration, ev merge.Event) (out []Box) {
+	m.changes = m.Merge.Handle(now, ev, m.changes[:0])
+	for _, line := range m.Merge.Log() {
+		m.log.Warn(line)
+	}
+	if len(m.changes) == 0 {
+		return nil
+	}
+	// A pool that begins finds its boxes at work, and so does each source whose first list comes soon: later, after an outage say,
+	// a box that nobody has named may have started in the meantime.
+	fresh := !m.begun
+	if ev.Kind == merge.Listed && !m.heard[ev.Source] {
+		m.heard[ev.Source], fresh = true, fresh || now-m.from < firstWithin
+	}
+	var moved []string
+	for _, c := range m.changes {
+		old, had := m.have[c.ID]
+		if c.Line.Phase == balance.Gone {
+			delete(m.have, c.ID)
+			delete(m.since, c.ID)
+			if m.checker != nil {
+				m.checker.Remove(c.ID)
+			}
+			out = append(out, Box{Change: c})
+			continue
+		}
+		if m.checker != nil {
+			m.checker.Set(c.ID, c.Addr)
+		}
+		began := !had && !fresh || had && old.Addr != c.Addr
+		if began {
+			m.since[c.ID] = now // it starts now, as far as anybody says
+		}
+		if had && began {
+			moved = append(moved, c.ID)
+		}
+		m.have[c.ID] = c
+		out = append(out, Box{Change: m.whole(c), Began: began})
+	}
+	for _, id := range moved { // what checks said was of what stood there before
+		out = append(out, m.Hear(now, merge.Event{Kind: merge.Checked, Box: id, Up: true})...)
+	}
+	if len(moved) > 0 {
+		out = latest(out)
+	}
+	return out
+}
+
+// whole adds what was found out here of a box's start.
+func (m *Membership) whole(c merge.Change) merge.Change {
+	c.Launched = max(c.Launched, m.since[c.ID])
+	return c
+}
+
+// Restarted takes in that a box has been found to be another process than before. It tells whether there is one of this name.
+func (m *Membership) Restarted(now time.Duration, id string) (merge.Change, bool) {
+	c, listed := m.have[id]
+	if listed {
+		m.since[id] = now
+	}
+	return m.whole(c), listed
+}
+
+// All is every box, by id.
+func (m *Membership) All() []merge.Change {
+	all := slices.SortedFunc(maps.Values(m.have), func(x, y merge.Change) int { return cmp.Compare(x.ID, y.ID) })
+	for i := range all {
+		all[i] = m.whole(all[i])
+	}
+	return all
+}
+
+// Pass has what is due happen, and returns the boxes that have changed and how long to wait until it is called again.
+func (m *Membership) Pass(now time.Duration) (out []Box, wait time.Duration) {
+	if at, some := m.Merge.Next(); some && at <= now {
+		out = m.Hear(now, merge.Event{Kind: merge.Ticked})
+	}
+	wait = waitMost // lists that come meanwhile may have shorter lifetimes
+	if at, some := m.Merge.Next(); some {
+		wait = min(wait, max(at-now, time.Millisecond))
+	}
+	return out, wait
+}
+
+// Keeps tells whether there is a folder for the last list.
+func (m *Membership) Keeps() bool { return m.folder != "" }
+
+// Keep writes the list down, as it stands.
+func (m *Membership) Keep(views []merge.View) {
+	l := kept.List{Pool: m.pool, At: time.Now(), Sources: m.Names}
+	for _, v := range views {
+		if v.Line.Phase == balance.Gone {
+			continue
+		}
+		b := kept.Box{ID: v.ID, Named: v.Named, Address: v.Addr, Draining: v.Line.Phase == balance.Draining, Tier: v.Tier, Weight: v.Line.Member.Weight,
+			Zone: v.Line.Zone, Cell: v.Cell, Kind: v.Kind, Launched: v.Launched, Rule: merge.Rules[v.Rule].Name, Note: v.Note, Differs: v.Disagree()}
+		for _, s := range v.Says {
+			b.Says = append(b.Says, s.Vote.String())
+		}
+		l.Boxes = append(l.Boxes, b)
+	}
+	if err := kept.Write(m.folder, l); err != nil {
+		m.log.Error("list not kept: a start with all sources down goes by an older one", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/members/follow/follow_test.go
@@ -0,0 +1,65 @@
+package follow
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"glencart/internal/settings"
+	"glencart/internal/site"
+	"glencart/members"
+	"glencart/merge"
+)
+
+func list(boxes ...string) merge.Event {
+	ev := merge.Event{Kind: merge.Listed, Complete: true}
+	for i := 0; i < len(boxes); i += 2 {
+		ev.Entries = append(ev.Entries, merge.Entry{Name: boxes[i], Knows: merge.Existence | merge.Address,
+			Line: members.Line{ID: boxes[i], Addr: boxes[i+1]}})
+	}
+	return ev
+}
+
+// A source that is first heard long after the start names boxes that may have begun in between: they are taken for cold. One that is
+// heard at once names boxes at work; so does every start. A box that moves begins anew, once, and nothing that checks said
+// of the one before holds; one that was found to have restarted has begun then.
+func TestBegins(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		now := time.Hour
+		m, err := New(&site.Pool{Name: "p", Sources: []site.Source{{Name: "f", File: "none"}}}, settings.Settings{}, "", slog.New(slog.DiscardHandler), now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.Check(&site.Check{TCP: true}, nil)
+		if got := m.Begin(now); len(got) != 0 {
+			t.Errorf("begins with %v", got)
+		}
+		if late {
+			now += 2 * firstWithin
+		}
+		got := m.Hear(now, list("a", "1.1.1.1:1", "b", "1.1.1.2:1"))
+		if len(got) != 2 || got[0].Began != late || got[0].Launched > 0 != late {
+			t.Errorf("late %t: %+v", late, got)
+		}
+		m.Hear(now, merge.Event{Kind: merge.Checked, Box: "b", Up: false})
+		if all := m.All(); all[1].Line.Phase == 0 {
+			t.Errorf("its checks fail, and it is %+v", all[1])
+		}
+		now += time.Second
+		got = m.Hear(now, list("a", "1.1.1.1:1", "b", "1.1.1.3:1"))
+		if len(got) != 1 || !got[0].Began || got[0].Launched != now || got[0].Addr != "1.1.1.3:1" || got[0].Line.Phase != 0 {
+			t.Errorf("moved: %+v", got)
+		}
+		now += time.Second
+		if c, listed := m.Restarted(now, "a"); !listed || c.Launched != now || m.All()[0].Launched != now {
+			t.Errorf("restarted: %+v, %t", c, listed)
+		}
+		if _, listed := m.Restarted(now, "x"); listed {
+			t.Error("one that nobody lists has restarted")
+		}
+		got = m.Hear(now, list("b", "1.1.1.3:1", "c", "1.1.1.4:1"))
+		if all := m.All(); len(all) != 2 || all[1].Launched != now { // a later list's newcomer begins now
+			t.Errorf("%+v after %+v", all, got)
+		}
+	}
+}
--- a/internal/site/load.go
+++ b/internal/site/load.go
@@ -53,6 +53,35 @@
 	return s, nil
 }
 
+// Members are the keys of a pool that say where its boxes come from, for a front that has no site around it.
+type Members struct {
+	Keep      string   `toml:"keep,omitempty"` // as node.keep
+	Boxes     []Box    `toml:"boxes,omitempty"`
+	Sources   []Source `toml:"sources,omitempty"`
+	Guard     *float64 `toml:"guard,omitempty"`
+	GuardHold Duration `toml:"guard_hold,omitempty"`
+	Check     *Check   `toml:"check,omitempty"`
+}
+
+// ParseMembers reads and checks such keys, and returns a pool that has nothing else, and the folder for its last list. file
+// names the text in errors.
+func ParseMembers(file, name string, text []byte) (p *Pool, keep string, err error) {
+	var m Members
+	lines, err := tomlat.Decode(file, "docs/MEMBERS.md", text, &m)
+	if err != nil {
+		return nil, "", err
+	}
+	s := &Site{file: file, at: tomlat.Lines{}, Pools: []Pool{{Name: name, Boxes: m.Boxes, Sources: m.Sources, Guard: m.Guard,
+		GuardHold: m.GuardHold, Check: m.Check}}}
+	for key, line := range lines {
+		s.at["pool."+key] = line
+	}
+	s.fill()
+	c := &checker{Site: s}
+	c.pool("pool", &s.Pools[0])
+	return &s.Pools[0], m.Keep, errors.Join(c.errs...)
+}
+
 // Names of the classes that every site has.
 const (
 	SafeClass   = "safe"
--- a/merge/merge.go
+++ b/merge/merge.go
@@ -36,6 +36,8 @@
 	Trust Facts         // what it is believed in; 0: all
 	Must  bool          // a box that its list does not name is gone, whatever the others say
 	Keep  time.Duration // how long its word counts after its lifetime
+	// Partial: its list is not meant to be all there is. It says nothing of boxes that it has never listed.
+	Partial bool
 }
 
 // Config is what a Merge is built from. Zero values switch the guard and the panic threshold off.
@@ -153,6 +155,7 @@
 	hold  time.Duration // until when the guard holds it
 	freed bool          // it has been held for long enough
 	mark  uint64
+	was   []bool // by source: a partial one has listed it
 }
 
 // alarm is what is due then: the lifetime of an entry or of a list, or the end of a hold.
@@ -410,6 +413,12 @@
 	if m.bare[b.told.Addr] == b {
 		delete(m.bare, b.told.Addr)
 	}
+	if m.src[e.src].Partial {
+		if b.was == nil {
+			b.was = make([]bool, len(m.src))
+		}
+		b.was[e.src] = true
+	}
 	if b.says[e.src] == nil { // of two entries of one source for one box the first counts
 		b.says[e.src] = e
 	}
@@ -584,7 +593,7 @@
 		return Had
 	case e != nil:
 		return Has
-	case !s.whole:
+	case !s.whole, s.Partial && (b.was == nil || !b.was[i]):
 		return Silent
 	case old:
 		return Lacked
--- a/merge/merge_test.go
+++ b/merge/merge_test.go
@@ -35,6 +35,24 @@
 	p.want("who is believed in that lists it no more", "")
 }
 
+// A partial list, as of the boxes in a file, says nothing of those that others tell: they stay when these fail. What it lists no
+// more is gone, also where nobody else has ever known it.
+func TestAPartialList(t *testing.T) {
+	p := newPool(t, Config{Sources: []SourceConfig{{Name: "boxes", Partial: true}, {Name: "dns", Keep: time.Hour}}})
+	p.list(0, 0, named("x", "1.1.1.9:1", 0, 0), named("y", "1.1.1.8:1", 0, 0))
+	p.list(1, time.Second, named("a", "1.1.1.1:1", 0, 0), named("x", "1.1.1.9:1", 0, 0))
+	p.do(Event{Kind: Failed, Source: 1})
+	p.want("the other fails", "a@1.1.1.1:1 x@1.1.1.9:1 y@1.1.1.8:1")
+	p.list(0, 0)
+	p.want("taken out of the partial one, which is heard", "a@1.1.1.1:1")
+	p.list(1, time.Second)
+	p.want("heard, and lists none", "")
+	p.list(0, 0, named("a", "1.1.1.1:1", 0, 0))
+	p.want("the partial one alone", "a@1.1.1.1:1")
+	p.list(0, 0)
+	p.want("nobody", "")
+}
+
 // Every combination of votes has one rule, every rule has some combination, and the verdicts keep what the table promises.
 func TestTable(t *testing.T) {
 	used := map[int]int{}
