--- a/internal/members/follow/follow.go
+++ b/internal/members/follow/follow.go
@@ -63,12 +63,24 @@
 	changes []merge.Change
 }
 
+// Defaults are how a pool merges where its settings say nothing else.
+func Defaults() merge.Config {
+	return merge.Config{GuardPart: guardPart, GuardWindow: guardWindow, GuardHold: guardHold, PanicPart: 0.5, DrainFor: drainFor}
+}
+
+// Of returns a Membership without sources of its own: whoever has it calls Hear.
+func Of(cfg merge.Config, log *slog.Logger, now time.Duration) *Membership {
+	return &Membership{Merge: merge.NewMerge(cfg, now), log: log, from: now,
+		have: map[string]merge.Change{}, since: map[string]time.Duration{}, heard: map[int]bool{}}
+}
+
 // New makes the sources of a pool. Nothing is asked yet.
 // names are those of an installation's zones and kinds, for registries; keep is the folder for the last list, "" for none.
 func New(p *site.Pool, names settings.Settings, keep string, log *slog.Logger, now time.Duration) (*Membership, error) {
-	m := &Membership{folder: keep, pool: p.Name, log: log, from: now,
-		have: map[string]merge.Change{}, since: map[string]time.Duration{}, heard: map[int]bool{}}
-	cfg := merge.Config{GuardPart: guardPart, GuardWindow: guardWindow, GuardHold: p.GuardHold.Or(guardHold), PanicPart: 0.5, DrainFor: drainFor}
+	cfg := Defaults()
+	m := Of(cfg, log, now)
+	m.folder, m.pool = keep, p.Name
+	cfg.GuardHold = p.GuardHold.Or(guardHold)
 	if p.Guard != nil {
 		cfg.GuardPart = *p.Guard
 	}
--- a/lab/baseline.go
+++ b/lab/baseline.go
@@ -86,16 +86,17 @@
 		return Policies(), nil
 	}
 	var out []Policy
+	known := append(Policies(), OneSource())
 	for name := range strings.SplitSeq(names, ",") {
-		i := slices.IndexFunc(Policies(), func(p Policy) bool { return p.Name == strings.TrimSpace(name) })
+		i := slices.IndexFunc(known, func(p Policy) bool { return p.Name == strings.TrimSpace(name) })
 		if i < 0 {
 			var all []string
-			for _, p := range Policies() {
+			for _, p := range known {
 				all = append(all, p.Name)
 			}
 			return nil, fmt.Errorf("policy %q: none of all, %s", name, strings.Join(all, ", "))
 		}
-		out = append(out, Policies()[i])
+		out = append(out, known[i])
 	}
 	return out, nil
 }
--- a/lab/box.go
+++ b/lab/box.go
@@ -167,7 +167,11 @@
 		return
 	}
 	c.begun = true
-	if b.toldAt >= 0 && w.now-b.toldAt > 500*time.Millisecond {
+	toldAt := b.toldAt
+	if n, ok := c.from.(*shipped); ok && n.merged != nil {
+		toldAt = n.merged.toldAt(b)
+	}
+	if toldAt >= 0 && w.now-toldAt > 500*time.Millisecond {
 		w.res.AfterDrain++
 	}
 	c.work = w.draw(&w.s.Classes[c.q.class])
--- a/lab/glencart.go
+++ b/lab/glencart.go
@@ -21,6 +21,8 @@
 	life  int
 	armed time.Duration // when the next timer event comes; -1: none
 	open  map[*ask]struct{}
+
+	merged *merged // nil: there is one list for all
 }
 
 // attempt is what a call of a shipped node stands for.
@@ -31,11 +33,24 @@
 
 // Glencart is the shipped policy. change, if any, may alter what the module is told.
 func Glencart(change func(*balance.Config)) Policy {
-	return Policy{Name: "glencart", make: func(w *world, i int, rng *rand.Rand) (node, error) {
+	return glencart("glencart", change, func(s *Scenario) int { return len(s.Sources) })
+}
+
+// OneSource is the shipped policy with the first source of a scenario alone.
+func OneSource() Policy {
+	return glencart("glencart-one", nil, func(s *Scenario) int { return min(len(s.Sources), 1) })
+}
+
+// glencart is the shipped policy with so many of the sources.
+func glencart(name string, change func(*balance.Config), sources func(*Scenario) int) Policy {
+	return Policy{Name: name, make: func(w *world, i int, rng *rand.Rand) (node, error) {
 		n := &shipped{w: w, i: i, zone: i % w.s.Zones, rng: rng, cfg: config(w.s, i), open: map[*ask]struct{}{}}
 		if change != nil {
 			change(&n.cfg)
 		}
+		if most := sources(w.s); most > 0 {
+			return newMerged(n, most)
+		}
 		return n, n.begin()
 	}}
 }
--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -198,3 +199,19 @@
 	}
 	s.has = true
 }
+
+// Sources that lag, lie, go stale and fail: with all of them no node sends to a box later than 500 ms after it learned that it drains,
+// no cold box is pushed over, and a list that leaves out nearly half takes nothing away; that of the first one alone takes half of
+// the boxes out.
+func TestSources(t *testing.T) {
+	s := *find(t, "sources-outage")
+	s.Nodes, s.Boxes = 12, slices.Clone(s.Boxes)
+	s.Boxes[0].Count, s.Clients.Rate = 40, 800
+	all, one := play(t, &s, "glencart", 1), play(t, &s, "glencart-one", 1)
+	if all.Broken() || all.Worth < 0.99 {
+		t.Errorf("all sources: lost %d, twice %d, after a drain %d, pushed over %d, worth %.3f", all.Lost, all.Twice, all.AfterDrain, all.Fell, all.Worth)
+	}
+	if one.Broken() || one.Worth >= all.Worth || one.Fair >= all.Fair {
+		t.Errorf("one source: broken %t, worth %.3f beside %.3f, fair %.3f beside %.3f", one.Broken(), one.Worth, all.Worth, one.Fair, all.Fair)
+	}
+}
--- a/lab/scenario.go
+++ b/lab/scenario.go
@@ -23,6 +23,7 @@
 	Classes  []Class  `toml:"class"`
 	Clients  Clients  `toml:"clients"`
 	Network  Network  `toml:"network"`
+	Sources  []Source `toml:"source"` // of the list, by rank, for nodes that merge several; none: one list, told to all
 	Events   []Event  `toml:"event"`
 
 	file string
@@ -104,6 +105,7 @@
 var verbs = map[string]bool{
 	"load": false, "drain": true, "undrain": true, "remove": true, "add": true, "crash": true, "restart": true, "hang": true, "unhang": true,
 	"slow": true, "fail": true, "lie": true, "partition": true, "heal": true, "cut-list": false, "heal-list": false, "roll": false,
+	"source-fail": true, "source-heal": true, "source-lie": true, "source-stale": true,
 }
 
 // Parse reads and checks a scenario.
@@ -142,6 +144,10 @@
 		}
 		or(&b.FallFor, time.Second)
 	}
+	for i := range s.Sources {
+		or(&s.Sources[i].Every, 2*time.Second)
+		or(&s.Sources[i].Stale, 72*time.Hour)
+	}
 	for i := range s.Classes {
 		if s.Classes[i].Points == 0 {
 			s.Classes[i].Points = 1
@@ -195,10 +201,25 @@
 			fault(path, "name, part, work, aim and a deadline not below the aim are needed")
 		}
 	}
+	names := map[string]bool{}
+	for i, src := range s.Sources {
+		path := fmt.Sprintf("source.%d", i)
+		if src.Name == "" || names[src.Name] {
+			fault(path+".name", "%q is missing or stands twice: give each source a name", src.Name)
+		}
+		names[src.Name] = true
+	}
 	for i, e := range s.Events {
 		path := fmt.Sprintf("event.%d", i)
 		needs, ok := verbs[e.Do]
 		switch {
+		case strings.HasPrefix(e.Do, "source-") && ok:
+			if !names[e.Who] {
+				fault(path+".who", "no source has the name %q", e.Who)
+			}
+			if e.Do == "source-lie" && !(e.By > 0 && e.By <= 1) {
+				fault(path+".by", "not above 0 and up to 1: the part of the boxes that its list leaves out")
+			}
 		case !ok:
 			var all []string
 			for v := range verbs {
--- /dev/null
+++ b/lab/sources.go
@@ -0,0 +1,189 @@
+package lab
+
+import (
+	"log/slog"
+	"sort"
+	"time"
+
+	"glencart/balance"
+	"glencart/internal/engine"
+	"glencart/internal/members/follow"
+	"glencart/members"
+	"glencart/merge"
+)
+
+// Source is one of several that tell the list, each as it knows it.
+type Source struct {
+	Name      string   `toml:"name"`
+	Every     Duration `toml:"every"`     // how often it tells a node, a tenth more or less; 0: 2s
+	Lag       Duration `toml:"lag"`       // how old what it tells is
+	Life      Duration `toml:"life"`      // of its word; 0: until it fails
+	Stale     Duration `toml:"stale"`     // how long its word counts after that; 0: 72h
+	Addresses bool     `toml:"addresses"` // it knows addresses only, as DNS does: no drains, no starts
+	Must      bool     `toml:"must"`      // a box that it does not list is gone
+}
+
+// sourceState is what is wrong with a source.
+type sourceState struct {
+	down   bool
+	lies   float64       // the part of the boxes that its list leaves out
+	frozen time.Duration // it goes on telling what it knew then; 0: it does not
+}
+
+// view is the list as it was true from some time on.
+type view struct {
+	at    time.Duration
+	boxes []boxView
+}
+
+type boxView struct {
+	state    state
+	launched time.Duration
+}
+
+// look notes what is true from now on.
+func (w *world) look() {
+	if len(w.s.Sources) == 0 {
+		return
+	}
+	v := view{at: w.now}
+	for _, b := range w.boxes {
+		v.boxes = append(v.boxes, boxView{b.state, b.launched})
+	}
+	w.views = append(w.views, v)
+}
+
+// actSource has an event happen to a source.
+func (w *world) actSource(e Event) {
+	for i := range w.s.Sources {
+		s := &w.sources[i]
+		if w.s.Sources[i].Name != e.Who {
+			continue
+		}
+		switch e.Do {
+		case "source-fail":
+			s.down = true
+		case "source-heal":
+			*s = sourceState{}
+		case "source-lie":
+			s.lies = e.By
+		case "source-stale":
+			s.frozen = w.now
+		}
+	}
+}
+
+// tells is what a source says now, as an event of a Merge whose clock says clock.
+func (w *world) tells(i int, clock time.Duration) merge.Event {
+	src, is := &w.s.Sources[i], &w.sources[i]
+	if is.down {
+		return merge.Event{Kind: merge.Failed, Source: i}
+	}
+	at := w.now - time.Duration(src.Lag)
+	if is.frozen > 0 {
+		at = min(at, is.frozen)
+	}
+	n := sort.Search(len(w.views), func(k int) bool { return w.views[k].at > at })
+	v := w.views[max(n-1, 0)]
+	ev := merge.Event{Kind: merge.Listed, Source: i, Complete: true}
+	if src.Life > 0 {
+		ev.Until = clock + time.Duration(src.Life)
+	}
+	ev.Entries = make([]merge.Entry, 0, len(v.boxes))
+	for k := int(is.lies*float64(len(v.boxes)) + 0.5); k < len(v.boxes); k++ {
+		b, x := w.boxes[k], v.boxes[k]
+		if x.state == gone {
+			continue
+		}
+		e := merge.Entry{Name: b.id, Knows: merge.Existence | merge.Address, Line: members.Line{Addr: "at " + b.id, Member: balance.Member{Weight: 1}}}
+		if !src.Addresses {
+			e.Knows, e.Line.ID, e.Line.Zone = merge.AllFacts, b.id, b.zone
+			if x.state == draining {
+				e.Line.Phase = balance.Draining
+			}
+			if x.launched >= 0 {
+				e.Launched = time.Duration(epoch.UnixNano()) + x.launched
+			}
+		}
+		ev.Entries = append(ev.Entries, e)
+	}
+	return ev
+}
+
+// merged is a shipped node that learns its list from several sources, through the shipped merge.
+type merged struct {
+	*shipped
+	most   int // so many of the sources
+	member *follow.Membership
+	learnt []time.Duration // by box: when this node learned that it wants nothing more; -1: it has not
+	lives  int             // of the process
+}
+
+func newMerged(n *shipped, most int) (*merged, error) {
+	m := &merged{shipped: n, most: most}
+	n.merged = m
+	return m, m.begin()
+}
+
+func (m *merged) begin() error {
+	if err := m.shipped.begin(); err != nil {
+		return err
+	}
+	cfg := follow.Defaults()
+	for _, s := range m.w.s.Sources[:m.most] {
+		cfg.Sources = append(cfg.Sources, merge.SourceConfig{Name: s.Name, Must: s.Must, Keep: time.Duration(s.Stale)})
+	}
+	m.member = follow.Of(cfg, slog.New(slog.DiscardHandler), m.e.Clock())
+	m.member.Begin(m.e.Clock())
+	m.learnt = make([]time.Duration, len(m.w.boxes))
+	for i := range m.learnt {
+		m.learnt[i] = -1
+	}
+	m.lives++
+	m.e.TakeList(balance.MembersAll, engine.List{Complete: true})
+	for i := range m.most {
+		m.hear(i, m.lives)
+	}
+	return nil
+}
+
+// list does nothing: the sources tell.
+func (m *merged) list() {}
+
+// restart has the process end and begin anew.
+func (m *merged) restart() {
+	m.shipped.restart()
+	if err := m.begin(); err != nil {
+		panic(err) // it began once with the same
+	}
+}
+
+// hear takes in what a source says, and will say.
+func (m *merged) hear(i, life int) {
+	if life != m.lives {
+		return
+	}
+	boxes, _ := m.member.Pass(m.e.Clock())
+	boxes = append(boxes, m.member.Hear(m.e.Clock(), m.w.tells(i, m.e.Clock()))...)
+	list := engine.List{}
+	for _, b := range boxes {
+		line := b.Line
+		line.Addr = line.ID
+		list.Members = append(list.Members, line)
+		at := &m.learnt[m.w.byID[line.ID].n]
+		switch {
+		case line.Phase == balance.Ready:
+			*at = -1
+		case *at < 0:
+			*at = m.w.now
+		}
+	}
+	if len(list.Members) > 0 {
+		m.e.TakeList(balance.MembersChanged, list)
+	}
+	wait := float64(m.w.s.Sources[i].Every) * (0.9 + 0.2*m.rng.Float64())
+	m.w.after(time.Duration(wait), evFunc, 0, func() { m.hear(i, life); m.run() })
+}
+
+// toldAt is when this node learned that a box wants nothing more, by the first source that told; -1: it has not.
+func (m *merged) toldAt(b *box) time.Duration { return m.learnt[b.n] }
--- a/lab/world.go
+++ b/lab/world.go
@@ -45,6 +45,8 @@
 	members   []engine.Member // the list as it was told last
 	membersAt time.Duration
 	byID      map[string]*box
+	sources   []sourceState
+	views     []view // what was true, from when on
 	res       *Result
 }
 
@@ -158,6 +160,8 @@
 			w.byID[w.boxes[len(w.boxes)-1].id] = w.boxes[len(w.boxes)-1]
 		}
 	}
+	w.sources = make([]sourceState, len(s.Sources))
+	w.look()
 	for i := range s.Nodes {
 		n, err := p.make(w, i, rand.New(rand.NewPCG(seed, 1000+uint64(i))))
 		if err != nil {
@@ -419,7 +423,9 @@
 			b.lie = e.By
 		}
 	}
+	w.actSource(e)
 	if told {
+		w.look()
 		w.tell()
 	}
 }
