--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -48,6 +48,7 @@
 	Serve   serveCmd   `cmd:"" help:"Serve an installation: listeners, routes and pools of a file."`
 	Check   checkCmd   `cmd:"" help:"Check a file, and say what it has."`
 	Route   routeCmd   `cmd:"" help:"Tell where a request would go."`
+	Diff    diffCmd    `cmd:"" help:"Tell in words what another version of a file changes for traffic."`
 	Members membersCmd `cmd:"" help:"Show what the sources of each pool say of its boxes, and what is made of it."`
 	Demo    demoCmd    `cmd:"" help:"Show what glencart does, on this machine, in about 15 seconds."`
 	Lab     labCmd     `cmd:"" help:"Play fleets in virtual time: scenarios, policies, comparisons."`
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -66,6 +66,34 @@
 	}
 }
 
+// Two files are compared, and the exit code says whether anything is to be looked at.
+func TestDiff(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, pool string) string {
+		text := "[[listener]]\nname = \"web\"\naddress = \"127.0.0.1:0\"\n[[pool]]\nname = \"a\"\nboxes = [{ address = \"10.0.0.1:80\" }]\n" +
+			"[[pool]]\nname = \"b\"\nboxes = [{ address = \"10.0.0.2:80\" }]\n[[server]]\n[[server.location]]\npath = \"/\"\n[[server.location.route]]\n" + pool + "\n"
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	old := write("old.toml", `pool = "a"`)
+	for _, c := range []struct {
+		now, says string
+		code      int
+	}{
+		{old, "", 0}, {write("other.toml", `pool = "b"`), "pool a → pool b", ExitDifferences},
+		{write("none.toml", "methods = [\"GET\"]\npool = \"a\""), "[these requests are turned away]", ExitUnsafe},
+		{write("bad.toml", `pool = "c"`), "bad.toml:", ExitBadInput},
+	} {
+		var said bytes.Buffer
+		if code := Main([]string{"diff", old, c.now}, &said, &said); code != c.code || !strings.Contains(said.String(), c.says) {
+			t.Errorf("%s: exit %d, want %d: %s", c.now, code, c.code, said.String())
+		}
+	}
+}
+
 // The demo at five times its speed: no rule is broken, and every part of it shows.
 func TestDemo(t *testing.T) {
 	var said bytes.Buffer
