--- a/lab/glencart.go
+++ b/lab/glencart.go
@@ -238,5 +238,8 @@
 		res.Load = load(float64(c.held))
 	}
 	at.a.Done(res)
+	if n.merged != nil {
+		n.merged.met(c)
+	}
 	n.run()
 }
--- a/lab/sources.go
+++ b/lab/sources.go
@@ -117,6 +117,7 @@
 	member *follow.Membership
 	learnt []time.Duration // by box: when this node learned that it wants nothing more; -1: it has not
 	lives  int             // of the process
+	absent []bool          // by box: it took no connection, and has not answered since
 }
 
 func newMerged(n *shipped, most int) (*merged, error) {
@@ -139,6 +140,7 @@
 	for i := range m.learnt {
 		m.learnt[i] = -1
 	}
+	m.absent = make([]bool, len(m.w.boxes))
 	m.lives++
 	m.e.TakeList(balance.MembersAll, engine.List{Complete: true})
 	for i := range m.most {
@@ -185,5 +187,20 @@
 	m.w.after(time.Duration(wait), evFunc, 0, func() { m.hear(i, life); m.run() })
 }
 
+// met takes in how a call ended: a box that took no connection and answers is another process than before, whatever the sources
+// know of it yet (as the knocks of serve find out).
+func (m *merged) met(c *call) {
+	was := m.absent[c.box.n]
+	m.absent[c.box.n] = c.end == endNoConn || was && c.end != endServed && c.end != endError
+	if !was || m.absent[c.box.n] {
+		return
+	}
+	if now, listed := m.member.Restarted(m.e.Clock(), c.box.id); listed {
+		line := now.Line
+		line.Addr = line.ID
+		m.e.TakeList(balance.MembersChanged, engine.List{Members: []engine.Member{line}})
+	}
+}
+
 // toldAt is when this node learned that a box wants nothing more, by the first source that told; -1: it has not.
 func (m *merged) toldAt(b *box) time.Duration { return m.learnt[b.n] }
