--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -153,7 +153,7 @@
 		begun bool
 	}{
 		{"", 0, false}, {"PO", 0, true}, {"POST / HTTP/1.1\r\n", 0, true}, {whole[:len(whole)-1], 0, true}, {whole, 1, false},
-		{whole + whole, 2, false}, {whole + whole[:1], 1, true}, {"GET / HTTP/1.1\r\n\r\n" + whole, 2, false},
+		{"PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 0, true}, {whole + whole, 2, false}, {whole + whole[:1], 1, true}, {"GET / HTTP/1.1\r\n\r\n" + whole, 2, false},
 	} {
 		for _, piece := range []int{1, 5, 1 << 10} {
 			f := framing{length: -1}
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -60,7 +60,10 @@
 	if len(p) == 0 {
 		return
 	}
-	defer func() { f.begun.Store(f.rest > 0 || f.lines > 0 || len(f.line) > 0) }()
+	// Of what is not followed further nobody knows where it ends: some of it is under way until it has its answer.
+	defer func() {
+		f.begun.Store(f.rest > 0 || f.lines > 0 || len(f.line) > 0 || f.Unsure.Load() || f.Chunked.Load())
+	}()
 	for len(p) > 0 && !f.Unsure.Load() && !f.Chunked.Load() {
 		if f.rest > 0 {
 			n := min(f.rest, int64(len(p)))
@@ -243,6 +246,9 @@
 	if f.asked.Load() > 0 {
 		f.asked.Add(-1)
 	}
+	if f.Chunked.Load() {
+		f.begun.Store(false)
+	}
 }
 
 // unread tells whether something has come on the connection that has not been read.
--- a/internal/node/underway_test.go
+++ b/internal/node/underway_test.go
@@ -40,6 +40,14 @@
 			io.WriteString(c, text[30:])
 			answer(t, bufio.NewReader(c))
 		},
+		"an upload in chunks": func(t *testing.T, n *started, c net.Conn, told func()) {
+			io.WriteString(c, orderHead+"X-Trace-Id: chunks\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n")
+			eventually(t, "the head", func() bool { return n.front.table.Counts().Open == 1 })
+			told()
+			time.Sleep(1800 * time.Millisecond)
+			io.WriteString(c, "1\r\nc\r\n0\r\n\r\n")
+			answer(t, bufio.NewReader(c))
+		},
 		"a large upload": func(t *testing.T, n *started, c net.Conn, told func()) {
 			io.WriteString(c, post("up", large))
 			c.Write(make([]byte, large/2))
