follow: a kept list brings back no box that the file dropped, and no drain that is over

A review's finds. With a partial file list a box that the operator took out of the file while the process was down was served from the kept list for good, since nobody was left to lack it. A box kept as draining, by its source or (since checks) by a moment's failed check, drained for good after a start: the kept word is old and never taken back. Now boxes of the file alone are not taken from it, checks' drains are not kept, and once every source has told its list the kept one counts no more (internal/members/follow, New, Keep, Hear). Test: TestKept, over a real folder.

--- a/internal/members/follow/follow.go
+++ b/internal/members/follow/follow.go
@@ -55,12 +55,14 @@
 	pool    string
 	log     *slog.Logger
 
-	have    map[string]merge.Change
-	since   map[string]time.Duration // when a box began, as found out here
-	heard   map[int]bool             // sources that have told a list
-	from    time.Duration            // when all began
-	begun   bool                     // sources are running
-	changes []merge.Change
+	have     map[string]merge.Change
+	since    map[string]time.Duration // when a box began, as found out here
+	heard    map[int]bool             // sources that have told a list
+	from     time.Duration            // when all began
+	begun    bool                     // sources are running
+	kept     []merge.Entry            // what was kept from before, while it counts; its source is the last
+	complete map[int]bool             // sources that have told a whole list since the start
+	changes  []merge.Change
 }
 
 // Defaults are how a pool merges where its settings say nothing else.
@@ -71,7 +73,7 @@
 // Of returns a Membership without sources of its own: whoever has it calls Hear.
 func Of(cfg merge.Config, log *slog.Logger, now time.Duration) *Membership {
 	return &Membership{Merge: merge.NewMerge(cfg, now), log: log, from: now,
-		have: map[string]merge.Change{}, since: map[string]time.Duration{}, heard: map[int]bool{}}
+		have: map[string]merge.Change{}, since: map[string]time.Duration{}, heard: map[int]bool{}, complete: map[int]bool{}}
 }
 
 // New makes the sources of a pool. Nothing is asked yet.
@@ -116,7 +118,7 @@
 			add(c, discovery.New(src.Registry, names, log))
 		}
 	}
-	if m.folder != "" {
+	if m.folder != "" && len(p.Sources) > 0 { // what the file alone says is never unheard
 		if err := os.MkdirAll(m.folder, 0o700); err != nil {
 			return nil, fmt.Errorf("node.keep: %w", err)
 		}
@@ -126,7 +128,9 @@
 		}
 		if l != nil {
 			log.Info("begins with the list from before, as old word", "boxes", len(l.Boxes), "age", time.Since(l.At).Round(time.Second))
-			m.first = append(m.first, merge.Event{Kind: merge.Listed, Source: len(m.Names), Entries: l.Entries(now)})
+			l.Boxes = slices.DeleteFunc(l.Boxes, func(b kept.Box) bool { return onlySaidBy(site.StaticSource, l.Sources, b.Says) })
+			m.kept = l.Entries(now)
+			m.first = append(m.first, merge.Event{Kind: merge.Listed, Source: len(m.Names), Entries: m.kept})
 		}
 		add(merge.SourceConfig{Name: site.KeptSource, Keep: keepLong}, nil)
 	}
@@ -150,6 +154,24 @@
 	m.checker = checks.New(cfg)
 }
 
+// onlySaidBy tells whether one source alone spoke of a box, or had spoken of it: if it does not list it any more, nobody does.
+func onlySaidBy(source string, names, says []string) bool {
+	only := false
+	for i, word := range says {
+		if i >= len(names) {
+			break
+		}
+		switch word {
+		case merge.Has.String(), merge.Had.String(), merge.Drains.String(), merge.Drained.String():
+			if names[i] != source {
+				return false
+			}
+			only = true
+		}
+	}
+	return only
+}
+
 // Static words the boxes of the file as a list of the first source.
 func (m *Membership) Static(boxes []site.Box) merge.Event {
 	ev := merge.Event{Kind: merge.Listed, Complete: true, Decided: true} // the operator's own hand: the guard has no say
@@ -227,8 +249,28 @@
 	return kept
 }
 
-// Hear takes in one event and returns the boxes that have changed.
-func (m *Membership) Hear(now time.Duration, ev merge.Event) (out []Box) {
+// Hear takes in one event and returns the boxes that have changed. Once every source has told a whole list, what was kept from
+// before counts no more: a box that drained then may serve by now.
+func (m *Membership) Hear(now time.Duration, ev merge.Event) []Box {
+	out := m.hear(now, ev)
+	if ev.Kind != merge.Listed || !ev.Complete || len(m.kept) == 0 || ev.Source >= len(m.running) || m.running[ev.Source] == nil {
+		return out
+	}
+	m.complete[ev.Source] = true
+	for i, src := range m.running {
+		if src != nil && !m.complete[i] {
+			return out
+		}
+	}
+	gone := merge.Event{Kind: merge.Listed, Source: len(m.Names) - 1, Entries: m.kept}
+	for i := range gone.Entries {
+		gone.Entries[i].Line.Phase = balance.Gone
+	}
+	m.kept = nil
+	return latest(append(out, m.hear(now, gone)...))
+}
+
+func (m *Membership) hear(now time.Duration, ev merge.Event) (out []Box) {
 	m.changes = m.Merge.Handle(now, ev, m.changes[:0])
 	for _, line := range m.Merge.Log() {
 		m.log.Warn(line)
@@ -268,7 +310,7 @@
 		out = append(out, Box{Change: m.whole(c), Began: began})
 	}
 	for _, id := range moved { // what checks said was of what stood there before
-		out = append(out, m.Hear(now, merge.Event{Kind: merge.Checked, Box: id, Up: true})...)
+		out = append(out, m.hear(now, merge.Event{Kind: merge.Checked, Box: id, Up: true})...)
 	}
 	if len(moved) > 0 {
 		out = latest(out)
@@ -322,7 +364,8 @@
 		if v.Line.Phase == balance.Gone {
 			continue
 		}
-		b := kept.Box{ID: v.ID, Named: v.Named, Address: v.Addr, Draining: v.Line.Phase == balance.Draining, Tier: v.Tier, Weight: v.Line.Member.Weight,
+		drains := v.Line.Phase == balance.Draining && merge.Rules[v.Rule].Verdict != merge.Serves // what its checks say is of now alone
+		b := kept.Box{ID: v.ID, Named: v.Named, Address: v.Addr, Draining: drains, Tier: v.Tier, Weight: v.Line.Member.Weight,
 			Zone: v.Line.Zone, Cell: v.Cell, Kind: v.Kind, Launched: v.Launched, Rule: merge.Rules[v.Rule].Name, Note: v.Note, Differs: v.Disagree()}
 		for _, s := range v.Says {
 			b.Says = append(b.Says, s.Vote.String())
--- a/internal/members/follow/follow_test.go
+++ b/internal/members/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"glencart/balance"
 	"glencart/internal/settings"
 	"glencart/internal/site"
 	"glencart/members"
@@ -63,3 +64,51 @@
 		}
 	}
 }
+
+// What was kept from before: a box that the file alone knew, and knows no more, is gone; one that other sources knew serves while they
+// are not heard; one that drained serves once all that are asked list it so, and one whose checks failed at once.
+func TestKept(t *testing.T) {
+	dir, log, now := t.TempDir(), slog.New(slog.DiscardHandler), time.Hour
+	begin := func(boxes ...string) *Membership {
+		p := &site.Pool{Name: "p", Sources: []site.Source{{Name: "f", File: "none"}}}
+		for _, id := range boxes {
+			p.Boxes = append(p.Boxes, site.Box{ID: id, Address: "1.1.1." + id + ":1", Weight: 1, State: "ready"})
+		}
+		m, err := New(p, settings.Settings{}, dir, log, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.Begin(now)
+		return m
+	}
+	serving := func(m *Membership) (text string) {
+		for _, c := range m.All() {
+			if c.Line.Phase == balance.Ready {
+				text += c.ID
+			}
+		}
+		return text
+	}
+	m := begin("1", "2")
+	drains := list("3", "1.1.1.3:1", "4", "1.1.1.4:1", "5", "1.1.1.5:1")
+	drains.Source, drains.Entries[1].Knows, drains.Entries[1].Line.Phase = 1, merge.AllFacts, balance.Draining
+	m.Hear(now, drains)
+	m.Hear(now, merge.Event{Kind: merge.Checked, Box: "5", Up: false})
+	if got := serving(m); got != "123" {
+		t.Fatalf("serving %q", got)
+	}
+	m.Keep(m.Merge.Views())
+	m = begin("1")
+	if got := serving(m); got != "135" {
+		t.Errorf("after a start, nobody heard: %q", got)
+	}
+	now += time.Second
+	ready := list("3", "1.1.1.3:1", "4", "1.1.1.4:1")
+	ready.Source = 1
+	m.Hear(now, ready)
+	now += 10 * time.Minute // a drain outlasts its source by five
+	m.Pass(now)
+	if got := serving(m); got != "134" {
+		t.Errorf("heard: %q", got)
+	}
+}
