--- a/internal/clients/table.go
+++ b/internal/clients/table.go
@@ -19,6 +19,8 @@
 	// freshFor is how long nothing has to come on a connection before it can be missed: who has just connected, or writes on,
 	// is about to ask, and whoever finds no place waits to be let in.
 	freshFor = 30 * time.Millisecond
+	// opaqueQuiet is when what has come of a connection under TLS that has not asked yet is taken for the handshake alone.
+	opaqueQuiet = time.Second
 	// giveWayTries bounds how many connections are looked at for one that can be missed.
 	giveWayTries = 8
 	// RelieveEvery is how often Relieve is to be called.
@@ -95,6 +97,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c, e := range t.conns {
+		if w := Of(c); w != nil && w.opaque && e.state == waits && time.Since(t.moved(c)) > opaqueQuiet {
+			w.asked.Store(0) // a handshake, and nothing after it: a request would have come to its handler by now
+		}
 		if e.state != open && closeUnasked(c, half) {
 			t.remove(c)
 		}
--- a/internal/front/http/life_test.go
+++ b/internal/front/http/life_test.go
@@ -183,6 +183,22 @@
 	}
 }
 
+// A connection under TLS on which nobody has asked yet holds up no end: the handshake is no request.
+func TestHandshakeHoldsUpNoEnd(t *testing.T) {
+	l := startLeaving(t, "", true)
+	if err := l.dial().(*tls.Conn).Handshake(); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	l.stop()
+	if d := time.Since(began); d > standin.Patience/3 {
+		t.Errorf("the end took %v", d)
+	}
+	if err := l.Reload(l.gen.Load().site); err == nil {
+		t.Error("takes a file when it is about to end")
+	}
+}
+
 // Clients that ask on and on, on the connections that they have: each request that ran has its whole answer, also those that
 // cross the end.
 func TestServeEndsUnderLoad(t *testing.T) {
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -212,6 +212,9 @@
 // Reload has another version of the file take effect, whole or not at all. Listeners' addresses, limits of connections
 // and the access log's name hold until a restart. What is open goes on under the version that it came under.
 func (v *Server) Reload(s *site.Site) error {
+	if v.leaving.Load() { // its pools would know nothing of the end, and the old ones would end before their requests
+		return errors.New("the process is about to end: the file counts for the next one")
+	}
 	old := v.gen.Load()
 	for _, l := range s.Listeners {
 		if i := indexOf(old.site.Listeners, l.Name); i < 0 || old.site.Listeners[i].Address != l.Address ||
--- a/internal/living/living.go
+++ b/internal/living/living.go
@@ -97,10 +97,12 @@
 	switch at := l.posted.Load(); {
 	case at == 0:
 		l.posted.Store(now.UnixNano())
-		post(func() {
+		if !post(func() {
 			l.last.Store(int64(time.Since(now)))
 			l.posted.Store(0)
-		})
+		}) {
+			l.posted.Store(0) // the loop has ended: it is not late
+		}
 	case now.UnixNano()-at > l.last.Load():
 		l.last.Store(now.UnixNano() - at)
 	}
