--- a/glencartgrpc/sources.go
+++ b/glencartgrpc/sources.go
@@ -22,7 +22,7 @@
 			}
 		})
 	})
-	p.wait.Go(func() { p.pass(ctx) })
+	p.wait.Go(func() { p.member.Passing(ctx, p.engine.Post, p.engine.Clock, p.merged) })
 }
 
 // merged takes in backends that have changed. On the loop.
@@ -76,27 +76,3 @@
 	}
 	return m
 }
-
-// pass has what is due in the membership happen, until ctx ends.
-func (p *Plugin) pass(ctx context.Context) {
-	for {
-		next := make(chan time.Duration, 1)
-		if !p.engine.Post(func() {
-			boxes, wait := p.member.Pass(p.engine.Clock())
-			p.merged(boxes)
-			next <- wait
-		}) {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case wait := <-next:
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(wait):
-			}
-		}
-	}
-}
--- a/internal/front/http/sources.go
+++ b/internal/front/http/sources.go
@@ -24,7 +24,7 @@
 			}
 		})
 	})
-	q.wg.Go(q.pass)
+	q.wg.Go(func() { m.Passing(q.ctx, q.loop.Post, q.loop.Clock, q.changed) })
 }
 
 // changed takes in boxes that have changed. On the loop.
@@ -77,30 +77,6 @@
 	return m
 }
 
-// pass has what is due in the membership happen.
-func (q *pool) pass() {
-	for {
-		next := make(chan time.Duration, 1)
-		if !q.loop.Post(func() {
-			boxes, wait := q.member.Pass(q.loop.Clock())
-			q.changed(boxes)
-			next <- wait
-		}) {
-			return
-		}
-		select {
-		case <-q.ctx.Done():
-			return
-		case wait := <-next:
-			select {
-			case <-q.ctx.Done():
-				return
-			case <-time.After(wait):
-			}
-		}
-	}
-}
-
 // keepSoon has the list written down in a while. On the loop.
 func (q *pool) keepSoon() {
 	if !q.member.Keeps() || q.keeping {
--- a/internal/members/follow/follow.go
+++ b/internal/members/follow/follow.go
@@ -354,6 +354,28 @@
 	return out, wait
 }
 
+// Passing calls Pass on the loop that owns the Membership, whenever something is due, until ctx ends or post fails. changed takes
+// what it returns, on the loop; clock is the loop's.
+func (m *Membership) Passing(ctx context.Context, post func(func()) bool, clock func() time.Duration, changed func([]Box)) {
+	next := make(chan time.Duration, 1)
+	for post(func() {
+		boxes, wait := m.Pass(clock())
+		changed(boxes)
+		next <- wait
+	}) {
+		select {
+		case <-ctx.Done():
+			return
+		case wait := <-next:
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(wait):
+			}
+		}
+	}
+}
+
 // Keeps tells whether there is a folder for the last list.
 func (m *Membership) Keeps() bool { return m.folder != "" }
 
