--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -166,6 +166,9 @@
 				t.Errorf("%q by %d: asked %d, begun %t", c.text, piece, f.asked.Load(), f.begun.Load())
 			}
 			f.answered()
+			if f.Chunked.Load() && f.begun.Load() {
+				t.Errorf("%q by %d: begun after its answer", c.text, piece)
+			}
 			if f.asking() != (c.asked > 1) {
 				t.Errorf("%q by %d: asking after an answer: %t", c.text, piece, f.asking())
 			}
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -246,7 +246,7 @@
 	if f.asked.Load() > 0 {
 		f.asked.Add(-1)
 	}
-	if f.Chunked.Load() {
+	if f.Chunked.Load() || f.Unsure.Load() {
 		f.begun.Store(false)
 	}
 }
