Discovery: an agent is asked again each 125 ms of a silence, and a silent call has another beside it

What it has counts as told at once, and 500 ms later nothing new may go there. A call that hung held its place for 1 s (registry.go, callSlack), then came a wait of up to 1.5 s (Run, runAt: retryMost, wait/2 + rand); a watch that died was waited for 3 s (watchWait and callSlack). Ruled out: a slow loop (the list came late to the source itself, by the nodes' logs). Where lists are asked for, a silent call was given up in the very moment at which its news counts as told, and then the module waits up to tens of seconds before it asks again (balance/members.go, onMembers).

Package registry/pace decides, pure: when a call begins and which open one is given up, from the settings' drain grace. An agent (Near, which the platform's node says): watches of grace/2; one silent for grace/4 beyond that, and any other call silent for grace/4, is not given up but gets another beside it, four at most; the oldest has 1 s as before, so a node that is only slow loses nothing. After a failure the next comes within grace/4. Asked: one other call 1 s before the news counts as told, and one more when the silent one is given up; the source asks, not the module. Shared registries (serve, the plug-in) keep watches of 2 s and one call at a time. A revision from the past is turned down once in every case.

Answers that take up to 0.9 s are heard.

--- a/cmd/glencart/main.go
+++ b/cmd/glencart/main.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	golog "log"
 	"log/slog"
 	"math"
 	"os"
@@ -62,6 +63,8 @@
 	out := lograte.NewWriter(os.Stderr, logMost)
 	defer out.Close(logWithin)
 	log := slog.New(slog.NewTextHandler(out, nil))
+	golog.SetFlags(0)
+	golog.SetOutput(&lograte.Limited{Log: log})
 	if ctx.Err() != nil { // told to end before anybody could come
 		return nil
 	}
--- a/internal/lograte/lograte.go
+++ b/internal/lograte/lograte.go
@@ -3,6 +3,7 @@
 
 import (
 	"log/slog"
+	"strings"
 	"sync"
 	"time"
 )
@@ -33,3 +34,9 @@
 	l.mu.Unlock()
 	l.Log.Warn(msg, append(args, "skipped", skipped)...)
 }
+
+// Write takes a line of package log, where libraries complain, as net/http does of an answer that nobody asked for.
+func (l *Limited) Write(line []byte) (int, error) {
+	l.Warn("a library complains", "text", strings.TrimSpace(string(line)))
+	return len(line), nil
+}
--- /dev/null
+++ b/internal/members/registry/pace/pace_test.go
@@ -0,0 +1,80 @@
+package pace
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"glencart/balance"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever happens to calls, and when: no more are open than may be, each begins and ends once, time never asks for itself again
+// at once, and while an agent is silent two calls are no further apart than the drain grace allows.
+func TestCallsAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kind := rapid.IntRange(0, 2).Draw(t, "terms")
+		terms := []Terms{Near(500 * time.Millisecond), Shared(), Asked(500 * time.Millisecond)}[kind]
+		p := New(terms, rapid.Bool().Draw(t, "holds"), rand.New(rand.NewPCG(1, 2)))
+		var now, lastBegun time.Duration
+		open := map[int]bool{}
+		var ids []int
+		handle := func(ev Event) {
+			for _, a := range p.Handle(now, ev, nil) {
+				switch a.Kind {
+				case Begin:
+					if a.Call != len(ids)+1 {
+						t.Fatalf("call %d begins after %d", a.Call, len(ids))
+					}
+					if kind == 0 && now-lastBegun > 375*time.Millisecond {
+						t.Fatalf("%v without a call", now-lastBegun)
+					}
+					open[a.Call], lastBegun = true, now
+					ids = append(ids, a.Call)
+				case GiveUp:
+					if !open[a.Call] {
+						t.Fatalf("call %d is given up and not open", a.Call)
+					}
+					delete(open, a.Call)
+				}
+			}
+			for id := range open {
+				if !p.Open(id) {
+					t.Fatalf("call %d was forgotten", id)
+				}
+			}
+			if len(open) > terms.most {
+				t.Fatalf("%d calls are open", len(open))
+			}
+			if p.Wake() <= now {
+				t.Fatalf("at %v it wakes at %v", now, p.Wake())
+			}
+		}
+		handle(Event{Kind: Passed})
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			in := time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond
+			if at := p.Wake(); at != Never && now+in >= at {
+				now = at
+				handle(Event{Kind: Passed})
+				continue
+			}
+			now += in
+			call := rapid.IntRange(max(1, len(ids)-4), len(ids)+1).Draw(t, "call")
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				delete(open, call)
+				handle(Event{Kind: Good, Call: call, At: now})
+			case 1:
+				delete(open, call)
+				handle(Event{Kind: Failed, Call: call, TurnedAway: rapid.Bool().Draw(t, "turned away"), Past: rapid.Bool().Draw(t, "past")})
+			case 2:
+				handle(Event{Kind: Moved})
+			case 3:
+				if kind == 2 {
+					handle(Event{Kind: Wanted, Ask: rapid.SampledFrom([]balance.ActionKind{balance.Watch, balance.Unwatch, balance.Fetch}).Draw(t, "ask")})
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/members/registry/pace/terms.go
@@ -0,0 +1,83 @@
+package pace
+
+// This file has the terms on which registries are called, and where their figures come from.
+
+import "time"
+
+const (
+	// Never is a time that does not come.
+	Never = time.Duration(1<<63 - 1)
+	// watchWait is how long a watch asks a shared registry to wait. One that is cut off says nothing, so it is short: news is
+	// then late by no more than this and CallSlack. Where each call costs the registry work it is longWait.
+	watchWait, longWait = 2 * time.Second, 20 * time.Second
+	// CallSlack is how long an answer may take beyond that. Where calls are worked through in turn it is listPatience, or
+	// watchPatience beyond a watch's wait: by then the news counts as told.
+	CallSlack                   = time.Second
+	listPatience, watchPatience = 6 * time.Second, 2 * time.Second
+	// watchGap is the longest time between two calls of a watch for which nothing can have been missed; it
+	// stays below the 200 ms after which discovery ends one.
+	watchGap = 150 * time.Millisecond
+	// calmGap is the least time between the beginnings of a call that was answered and the next: a registry that does not wait, or
+	// answers twice, makes no busy loop, and a burst of changes comes in few answers. It stays below watchGap.
+	calmGap = watchGap / 2
+	// The mean wait after a failed call to a shared registry doubles from retryLeast to retryMost.
+	retryLeast, retryMost = 50 * time.Millisecond, time.Second
+	// usualGrace stands for a drain grace that the settings do not tell.
+	usualGrace = 500 * time.Millisecond
+	// stepLeast keeps a tiny grace from making a node busy with nothing but calls.
+	stepLeast = 25 * time.Millisecond
+	// NearMost calls to an agent are open at once: each is a descriptor, of those kept for all but clients and backends. Beside
+	// the oldest, three of them have three steps each, 375 ms where grace is 500.
+	NearMost = 4
+)
+
+// Terms say how a registry wants to be called.
+type Terms struct {
+	Wait time.Duration // that a watch asks for
+	// A call that is silent gets another beside it after so long, which reads the whole list; a watch beyond its wait.
+	besideList, besideWatch time.Duration
+	// and is given up after so long
+	overList, overWatch time.Duration
+	most                int // calls open at once
+	// Where a call costs nothing, rolls: each further step brings another call, for which the oldest but one is given up.
+	rolls bool
+	// The mean wait after a failed call doubles from least to longest. Nodes that lost a registry together must not come back to
+	// it in step: each waits half of it to one and a half times.
+	least, longest time.Duration
+	lostEvery      time.Duration // the least time between two words that calls fail
+	asked          bool          // calls begin on the module's behalf; a failure ends them until it asks again
+}
+
+// Near returns the terms of an agent on the node's own machine. What it has counts as told, whether or not a call is open, and
+// grace later nothing new may go to a backend that drains; a call costs nothing there. So the next call begins at the
+// latest a step after the agent can answer, and wait and a step after a watch has died: three quarters of grace.
+// What is left is for the answer, on a machine with little of a core. A call that is only slow goes on beside the newer
+// ones: the oldest has as long as it always had.
+func Near(grace time.Duration) Terms {
+	step := min(max(graceOr(grace)/4, stepLeast), watchWait/2)
+	over := max(CallSlack, 8*step)
+	return Terms{Wait: 2 * step, besideList: step, besideWatch: step, overList: over, overWatch: over, most: NearMost, rolls: true,
+		least: step * 2 / 3, longest: step * 2 / 3, lostEvery: CallSlack}
+}
+
+// Shared returns those of a registry that tells many, whose word is late anyway: one call at a time.
+func Shared() Terms {
+	return Terms{Wait: watchWait, overList: CallSlack, overWatch: CallSlack, most: 1, least: retryLeast, longest: retryMost}
+}
+
+// Asked returns those of a registry that each call costs work, and that works through calls in turn. One that is given up
+// while it waits there is worked through all the same, and another waits in its stead. What a silent call misses counts as
+// told listPatience after it began, or watchPatience after its wait, whether or not it came; grace later a drain is kept. So
+// just before that, and no sooner, one other call is made beside it, and one more when it is given up.
+func Asked(grace time.Duration) Terms {
+	ahead := min(2*graceOr(grace), watchPatience/2)
+	return Terms{Wait: longWait, besideList: listPatience - ahead, besideWatch: watchPatience - ahead,
+		overList: listPatience, overWatch: watchPatience, most: 2, asked: true}
+}
+
+func graceOr(grace time.Duration) time.Duration {
+	if grace <= 0 {
+		return usualGrace
+	}
+	return grace
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,7 @@
 			})
 		},
 		func() { n.loop.Post(func() { n.loop.Handle(balance.Event{Kind: balance.MembersRefused}) }) })
+	n.disco.Near()
 	n.loop.Ask, n.loop.Saw = n.disco.Ask, n.saw
 	if cfg.PeerListen != "" {
 		if n.peers, err = listenPeers(&cfg, n.bounds.tell, log); err != nil {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -148,11 +148,12 @@
 			io.WriteString(w, whole)
 			return
 		}
+		wait, _ := strconv.Atoi(hr.URL.Query().Get("wait_ms"))
 		select {
 		case text := <-r.Next:
 			io.WriteString(w, text)
 		case <-hr.Context().Done():
-		case <-time.After(500 * time.Millisecond):
+		case <-time.After(min(time.Duration(wait)*time.Millisecond, 500*time.Millisecond)):
 			after, _ := strconv.Atoi(hr.URL.Query().Get("after"))
 			io.WriteString(w, ListText(after, false))
 		}
