Lab: silent-agent, nodes that call an agent by the shipped rules

Change: network.agent puts an agent beside each node, which calls it as package pace decides; what it has counts as told, cut-list has it silent and ends open watches. glencart-rare-calls calls it as a shared registry, as all did before. Other scenarios play the same events as before.

Test: the rule holds under glencart, and is broken under glencart-rare-calls.

--- a/lab/baseline.go
+++ b/lab/baseline.go
@@ -86,7 +86,7 @@
 		return Policies(), nil
 	}
 	var out []Policy
-	known := append(Policies(), OneSource())
+	known := append(Policies(), OneSource(), RareCalls())
 	for name := range strings.SplitSeq(names, ",") {
 		i := slices.IndexFunc(known, func(p Policy) bool { return p.Name == strings.TrimSpace(name) })
 		if i < 0 {
--- a/lab/box.go
+++ b/lab/box.go
@@ -171,7 +171,7 @@
 	if n, ok := c.from.(*shipped); ok && n.merged != nil {
 		toldAt = n.merged.toldAt(b)
 	}
-	if toldAt >= 0 && w.now-toldAt > 500*time.Millisecond {
+	if toldAt >= 0 && w.now-toldAt > drainGrace {
 		w.res.AfterDrain++
 	}
 	c.work = w.draw(&w.s.Classes[c.q.class])
--- a/lab/glencart.go
+++ b/lab/glencart.go
@@ -8,8 +8,12 @@
 
 	"glencart/balance"
 	"glencart/internal/engine"
+	"glencart/internal/members/registry/pace"
 )
 
+// drainGrace after news of its drain nothing may begin at a box.
+const drainGrace = 500 * time.Millisecond
+
 // shipped is a node that runs the shipped decisions: package balance under the engine, as the daemon and the plug-in do.
 type shipped struct {
 	w     *world
@@ -33,16 +37,21 @@
 
 // Glencart is the shipped policy. change, if any, may alter what the module is told.
 func Glencart(change func(*balance.Config)) Policy {
-	return glencart("glencart", change, func(s *Scenario) int { return len(s.Sources) })
+	return glencart("glencart", change, pace.Near(drainGrace), func(s *Scenario) int { return len(s.Sources) })
 }
 
 // OneSource is the shipped policy with the first source of a scenario alone.
 func OneSource() Policy {
-	return glencart("glencart-one", nil, func(s *Scenario) int { return min(len(s.Sources), 1) })
+	return glencart("glencart-one", nil, pace.Near(drainGrace), func(s *Scenario) int { return min(len(s.Sources), 1) })
+}
+
+// RareCalls is the shipped policy calling its agent as it does a registry that many share, and as it did any before.
+func RareCalls() Policy {
+	return glencart("glencart-rare-calls", nil, pace.Shared(), func(s *Scenario) int { return len(s.Sources) })
 }
 
-// glencart is the shipped policy with so many of the sources.
-func glencart(name string, change func(*balance.Config), sources func(*Scenario) int) Policy {
+// glencart is the shipped policy with so many of the sources, or an agent that it calls on these terms.
+func glencart(name string, change func(*balance.Config), terms pace.Terms, sources func(*Scenario) int) Policy {
 	return Policy{Name: name, make: func(w *world, i int, rng *rand.Rand) (node, error) {
 		n := &shipped{w: w, i: i, zone: i % w.s.Zones, rng: rng, cfg: config(w.s, i), open: map[*ask]struct{}{}}
 		if change != nil {
@@ -51,6 +60,9 @@
 		if most := sources(w.s); most > 0 {
 			return newMerged(n, most)
 		}
+		if w.s.Network.Agent {
+			return newCalling(n, terms)
+		}
 		return n, n.begin()
 	}}
 }
@@ -63,7 +75,7 @@
 		Limits: balance.Limits{Cancelling: true, Probing: true, RetryAfter: true, MaxAttempts: 3, MaxRetryAfter: 2 * time.Second,
 			ConnectTimeout: time.Second},
 		Prices: balance.Prices{Probe: 0.02, CrossZone: 0.01},
-		Rules:  balance.Rules{DrainGrace: 500 * time.Millisecond},
+		Rules:  balance.Rules{DrainGrace: drainGrace},
 		Goal:   balance.Goal{Whole: 1},
 	}
 	for i := range s.Boxes { // the rules of cold boxes are told for all alike: the strictest
--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -79,6 +79,18 @@
 	}
 }
 
+// An agent that was silent and comes back with a drain is asked in time. Called as a registry that many share it is not: that is
+// the broken rule of herd+mass, seed 44, with 350 nodes.
+func TestSilentAgent(t *testing.T) {
+	s := *find(t, "silent-agent")
+	if r := play(t, &s, "glencart", 1); r.Broken() || r.Served < r.Requests*9/10 {
+		t.Errorf("after a drain %d, lost %d, served %d of %d", r.AfterDrain, r.Lost, r.Served, r.Requests)
+	}
+	if r := play(t, &s, "glencart-rare-calls", 1); r.AfterDrain == 0 {
+		t.Error("the scenario shows nothing: no call began after a drain with rare calls either")
+	}
+}
+
 // The same scenario, policy and seed give the same bytes, on one core or all, and for each policy; another seed does not.
 func TestSame(t *testing.T) {
 	s := *find(t, "zone-lost")
--- a/lab/scenario.go
+++ b/lab/scenario.go
@@ -90,6 +90,9 @@
 	Jitter Duration `toml:"jitter"` // exponential, beside it
 	Loss   float64  `toml:"loss"`   // a lost packet costs 200 ms
 	News   Duration `toml:"news"`   // of the list; 0: 50ms
+	// Agent: the list comes to an agent beside each node of ours, which has to call it; what it has counts as told. While the list
+	// is cut off it is silent, and calls that are open then are never answered.
+	Agent bool `toml:"agent"`
 }
 
 // Event is something that happens.
@@ -201,6 +204,9 @@
 			fault(path, "name, part, work, aim and a deadline not below the aim are needed")
 		}
 	}
+	if s.Network.Agent && len(s.Sources) > 0 {
+		fault("network.agent", "there are sources: give one or the other")
+	}
 	names := map[string]bool{}
 	for i, src := range s.Sources {
 		path := fmt.Sprintf("source.%d", i)
--- a/lab/world.go
+++ b/lab/world.go
@@ -38,6 +38,8 @@
 	nodes     []node
 	load      float64 // factor of the rate
 	cutList   bool
+	cuts      int             // how often the list was cut off
+	version   int             // of the list that agents have
 	parted    map[[2]int]bool // node zone, box zone
 	arrivals  int64
 	left      int             // requests that are open
@@ -150,7 +152,7 @@
 
 // Run plays a scenario under a policy with a seed.
 func Run(s *Scenario, p Policy, seed uint64) (*Result, error) {
-	w := &world{s: s, load: 1, parted: map[[2]int]bool{}, byID: map[string]*box{}, membersAt: -1}
+	w := &world{s: s, load: 1, parted: map[[2]int]bool{}, byID: map[string]*box{}, membersAt: -1, version: 1}
 	stream := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, n)) }
 	w.net, w.work, w.come, w.other = stream(1), stream(2), stream(3), stream(4)
 	w.res = newResult(s, p.Name, seed)
@@ -376,6 +378,7 @@
 		w.load = e.By
 	case "cut-list":
 		w.cutList = true
+		w.cuts++
 	case "heal-list":
 		w.cutList, told = false, true
 	case "roll": // every node restarts, one after the other
@@ -441,6 +444,7 @@
 				b.toldAt = w.now
 			}
 		}
+		w.version++
 		for _, n := range w.nodes {
 			n.list()
 			n.run()
