--- a/schema/book.go
+++ b/schema/book.go
@@ -179,3 +179,16 @@
 	}
 	return b.To(r, schema)
 }
+
+// Within is the record as it goes to one that reads no more than most, at schema `at` where there is a way to it; an error when
+// it cannot go at all. Levels.Link tells both.
+func (b *Book) Within(r Record, at, most uint16) (Record, error) {
+	out, err := b.Near(r, at)
+	if err == nil && out.Schema > most {
+		err = b.Way(r.Kind, r.Schema, most)
+	}
+	if err != nil {
+		return r, fmt.Errorf("schema: %s %q: not sent: %w", r.Kind, r.Key, err)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/schema/fleet_test.go
@@ -0,0 +1,576 @@
+package schema
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"testing"
+)
+
+var (
+	campaign = flag.Int("upgrades", 500, "how many seeded rolling upgrades and rollbacks TestFleets plays")
+	oneSeed  = flag.Uint64("upgrade", 0, "play this seed alone, with its script")
+)
+
+// Rounds of a fleet. A word takes some rounds to reach all: each process sends to two others a round.
+const (
+	forgetAfter = 30 // rounds of silence after which a process is forgotten
+	settleAfter = 3  // after it has heard somebody
+	levelWithin = 25 // rounds after the last fault within which the same is written at all
+	sameWithin  = 120
+)
+
+// fleetBook has three forms of use and of sessions with the changes that hurt: a field that is renamed and scaled, one that has no
+// step down, a register that old releases keep without knowing it.
+func fleetBook(oneway bool) *Book {
+	b := &Book{}
+	tells := func(nums map[string]uint32) func(Record) map[string]uint64 {
+		return func(r Record) map[string]uint64 {
+			out := map[string]uint64{}
+			for name, num := range nums {
+				out[name] = 0
+				for _, f := range r.All(num) {
+					out[name] += f.Int
+				}
+			}
+			return out
+		}
+	}
+	last := Step{What: "the last call stays, not known"}
+	if oneway {
+		last = Step{Loss: Impossible, What: "a release that does not know the last call would run it again"}
+	}
+	for _, f := range []Form{
+		{Kind: Use, Number: 1, Tells: tells(map[string]uint32{"requests": 1000})},
+		{Kind: Use, Number: 2, Tells: tells(map[string]uint32{"requests": 1000, "ms": 1001})},
+		{Kind: Use, Number: 3, Tells: func(r Record) map[string]uint64 {
+			m := tells(map[string]uint32{"requests": 1010, "ms": 1011})(r)
+			m["ms"] /= 1000
+			return m
+		}, Up: Step{Do: func(r Record) (Record, error) {
+			r, _ = rename(1000, 1010, same)(r)
+			return rename(1001, 1011, func(v uint64) uint64 { return v * 1000 })(r)
+		}}, Down: Step{Do: func(r Record) (Record, error) {
+			r, _ = rename(1010, 1000, same)(r)
+			return rename(1011, 1001, func(v uint64) uint64 { return v / 1000 })(r)
+		}, Loss: Named("whole milliseconds", 1011)}},
+		{Kind: Session, Number: 1},
+		{Kind: Session, Number: 2},
+		{Kind: Session, Number: 3, Down: last, Tells: tells(map[string]uint32{"call": 4000})},
+	} {
+		if err := b.Register(f); err != nil {
+			panic(err)
+		}
+	}
+	return b
+}
+
+// A proc is a process: what it keeps outlives it, as bytes.
+type proc struct {
+	id      ID
+	release uint16 // it reads 1 to this, of both kinds
+	book    *Book
+	levels  *Levels
+	shelf   map[Kind]*Table
+	sweep   map[Kind]*Sweep
+	unread  [][]byte // of a snapshot that this release cannot read: kept for a later one
+	seen    map[string]sight
+	view    []ID
+	born    int
+	heardAt int // when it first heard another; -1: not yet
+	asleep  int // until this round
+	cleared bool
+}
+
+type sight struct {
+	id ID
+	at int
+}
+
+type letter struct {
+	from, to ID
+	sent, at int
+	said     []Said
+	seen     map[string]sight
+	records  [][]byte
+}
+
+type fleet struct {
+	t       *testing.T
+	seed    uint64
+	rng     *rand.Rand
+	oneway  bool
+	round   int
+	procs   []*proc
+	letters []letter
+	loss    float64
+	cut     func(from, to int) bool
+	spent   map[string][2]uint64 // by key: requests, ms
+	marked  map[string]uint64    // by key: the last call that was marked at two
+	calls   map[string]uint64
+	script  []string
+	rose    int
+	told    int // unfit
+}
+
+func (f *fleet) note(format string, args ...any) {
+	f.script = append(f.script, fmt.Sprintf("%d: ", f.round)+fmt.Sprintf(format, args...))
+}
+
+func (f *fleet) fail(format string, args ...any) {
+	f.t.Helper()
+	for _, line := range f.script {
+		f.t.Log(line)
+	}
+	f.t.Fatalf("seed %d, round %d: %s", f.seed, f.round, fmt.Sprintf(format, args...))
+}
+
+// start puts a process in the place of one, with what that one kept.
+func (f *fleet) start(at int, release uint16) {
+	p := &proc{release: release, born: f.round, heardAt: -1, seen: map[string]sight{}, shelf: map[Kind]*Table{Use: {}, Session: {}}, sweep: map[Kind]*Sweep{}}
+	p.id = ID{Name: string(rune('a' + at)), Start: uint64(f.round)*10 + uint64(release)}
+	whole := fleetBook(f.oneway)
+	p.book = whole.Only(Use, 1, release).Only(Session, 1, release)
+	written := map[Kind]Level{}
+	if old := f.procs[at]; old != nil {
+		for _, s := range old.levels.Say().Stands {
+			written[s.Kind] = s.Written
+		}
+		wires := old.unread
+		for _, k := range Kinds {
+			old.shelf[k].After("", func(r Record) bool { wires = append(wires, AppendRecord(nil, r)); return true })
+		}
+		for _, w := range wires {
+			r, err := ParseRecord(w)
+			if err != nil {
+				f.fail("snapshot: %v", err)
+			}
+			if r.Schema > release {
+				p.unread = append(p.unread, w)
+				continue
+			}
+			f.take(p, r)
+		}
+	}
+	p.levels = NewLevels(p.id, p.book, written)
+	f.procs[at] = p
+	f.note("%s starts with release %d, %d records not read", p.id.Name, release, len(p.unread))
+}
+
+// take keeps a record at what is written.
+func (f *fleet) take(p *proc, r Record) {
+	var held *Record
+	if h, ok := p.shelf[r.Kind].Get(r.Key); ok {
+		held = &h
+	}
+	written := r.Schema
+	if p.levels != nil {
+		written = p.levels.Written(r.Kind)
+	}
+	kept, err := p.book.Keep(held, r, written)
+	if err != nil {
+		f.fail("%s: %v", p.id.Name, err)
+	}
+	p.shelf[r.Kind].Put(kept)
+}
+
+func (f *fleet) handle(p *proc, ev Event) {
+	for _, a := range p.levels.Handle(ev, nil) {
+		switch a.Kind {
+		case Rose, Fell:
+			f.rose++
+			if a.To.Turn == a.From.Turn && a.To.Schema < a.From.Schema {
+				f.fail("%s: fell by itself: %v", p.id.Name, a)
+			}
+		case TooOld:
+			f.told++
+		case Cleared:
+			p.cleared = true
+		}
+		if a.Kind != Tell {
+			f.note("%s: %s %s to %s: %s", p.id.Name, a.Kind, a.Of, a.To, a.Why)
+		}
+	}
+}
+
+func (f *fleet) at(id ID) *proc {
+	for _, p := range f.procs {
+		if p.id == id {
+			return p
+		}
+	}
+	return nil
+}
+
+// spend counts one request of a tenant, in the form that is written.
+func (f *fleet) spend(p *proc) {
+	key := fmt.Sprintf("t%d", f.rng.IntN(3))
+	r, ok := p.shelf[Use].Get(key)
+	if !ok {
+		r = Record{Kind: Use, Schema: p.levels.Written(Use), Key: key}
+	}
+	r, err := p.book.Near(r, p.levels.Written(Use))
+	if err != nil {
+		f.fail("%v", err)
+	}
+	r = r.Clone()
+	sub, ms := fmt.Sprintf("%s/%d", p.id.Name, p.id.Start), uint64(f.rng.IntN(20))
+	requests, work, unit := uint32(1000), uint32(1001), uint64(1)
+	if r.Schema == 3 {
+		requests, work, unit = 1010, 1011, 1000
+	}
+	r.Set(Field{Num: requests, Sub: sub, Int: r.Int(requests, sub) + 1})
+	s := f.spent[key]
+	s[0]++
+	if r.Schema > 1 {
+		r.Set(Field{Num: work, Sub: sub, Int: r.Int(work, sub) + ms*unit})
+		s[1] += ms
+	}
+	f.spent[key] = s
+	p.shelf[Use].Put(r)
+}
+
+// mark says at two owners that a session's call may have run.
+func (f *fleet) mark(p *proc) {
+	other := f.procs[f.rng.IntN(len(f.procs))]
+	at, most, ok := p.levels.Link(other.id, Session)
+	if other == p || !ok || p.levels.Written(Session) < 3 || other.asleep > f.round || f.cut(f.index(p), f.index(other)) {
+		return
+	}
+	key := fmt.Sprintf("s%d", f.rng.IntN(3))
+	f.calls[key]++
+	call := f.calls[key]
+	r := Record{Kind: Session, Schema: 3, Key: key, Fields: []Field{{Num: 4000, Int: call}, {Num: 4001, Int: 1}, {Num: 4002, Text: fmt.Appendf(nil, "%d", call)}}}
+	f.take(p, r)
+	sent, err := p.book.Within(r, at, most)
+	if err != nil || sent.Schema > other.release {
+		return // other cannot be told: the call is made without a mark there, and counted as such
+	}
+	f.take(other, sent)
+	f.marked[key] = max(f.marked[key], call)
+}
+
+func (f *fleet) index(p *proc) int { return slices.Index(f.procs, p) }
+
+// turn is one round of one process.
+func (f *fleet) turn(i int) {
+	p := f.procs[i]
+	if p.heardAt >= 0 && f.round >= p.heardAt+settleAfter || f.round > p.born+forgetAfter {
+		f.handle(p, Event{Kind: Settled})
+	}
+	var view []ID
+	for name, s := range p.seen {
+		if f.round-s.at > forgetAfter {
+			delete(p.seen, name)
+			continue
+		}
+		view = append(view, s.id)
+	}
+	slices.SortFunc(view, ID.compare)
+	if !slices.Equal(view, p.view) {
+		p.view = view
+		f.handle(p, Event{Kind: Members, Members: view})
+	}
+	for range f.rng.IntN(2) {
+		f.spend(p)
+		f.mark(p)
+	}
+	for _, k := range Kinds {
+		to := p.levels.Written(k)
+		if s := p.sweep[k]; s == nil || s.To != to {
+			p.sweep[k] = &Sweep{Kind: k, To: to}
+		}
+		s := *p.sweep[k] // a step that is broken off leaves the shelf half done and the position where it was
+		s.Step(p.book, p.shelf[k], Bound{Records: 2, Fields: 20})
+		if f.rng.IntN(4) > 0 {
+			p.sweep[k] = &s
+		}
+		if p.sweep[k].Done {
+			f.handle(p, Event{Kind: Swept, Of: k, At: p.sweep[k].Highest})
+		}
+	}
+	for range 2 {
+		j := f.rng.IntN(len(f.procs))
+		if j == i || f.cut(i, j) || f.rng.Float64() < f.loss {
+			continue
+		}
+		to := f.procs[j]
+		l := letter{from: p.id, to: to.id, sent: f.round, at: f.round + f.rng.IntN(3), said: []Said{p.levels.Say()}, seen: map[string]sight{}}
+		for said := range p.levels.Known {
+			l.said = append(l.said, said)
+		}
+		for name, s := range p.seen {
+			l.seen[name] = s
+		}
+		for _, k := range Kinds {
+			at, most, ok := p.levels.Link(to.id, k)
+			if !ok {
+				continue
+			}
+			p.shelf[k].After("", func(r Record) bool {
+				if sent, err := p.book.Within(r, at, most); err == nil && f.rng.IntN(2) == 0 {
+					l.records = append(l.records, AppendRecord(nil, sent))
+				}
+				return true
+			})
+		}
+		f.letters = append(f.letters, l)
+		if f.rng.IntN(10) == 0 { // once more, later
+			l.at += f.rng.IntN(40)
+			f.letters = append(f.letters, l)
+		}
+	}
+}
+
+func (f *fleet) deliver(l letter) {
+	p := f.at(l.to)
+	if p == nil {
+		return // another process has its address now
+	}
+	p.saw(sight{l.from, l.sent})
+	for _, s := range l.seen {
+		p.saw(s)
+	}
+	if p.heardAt < 0 {
+		p.heardAt = f.round
+	}
+	for _, said := range l.said {
+		f.handle(p, Event{Kind: Heard, Said: said})
+	}
+	for _, w := range l.records {
+		r, err := ParseRecord(w)
+		if err != nil {
+			f.fail("%v", err)
+		}
+		if r.Schema > p.release {
+			f.fail("%s reads %d and gets %v from %s", p.id.Name, p.release, r, l.from.Name)
+		}
+		f.take(p, r)
+	}
+}
+
+// saw keeps the later start of a name, and the later sight of it.
+func (p *proc) saw(s sight) {
+	have, ok := p.seen[s.id.Name]
+	if s.id.Name == p.id.Name || ok && (s.id.Start < have.id.Start || s.id == have.id && s.at <= have.at) {
+		return
+	}
+	p.seen[s.id.Name] = s
+}
+
+func (f *fleet) run(rounds int) {
+	for range rounds {
+		f.round++
+		for _, i := range f.rng.Perm(len(f.procs)) {
+			if p := f.procs[i]; p.asleep <= f.round {
+				f.turn(i)
+			}
+		}
+		f.rng.Shuffle(len(f.letters), func(i, j int) { f.letters[i], f.letters[j] = f.letters[j], f.letters[i] })
+		late := f.letters[:0:0]
+		for _, l := range f.letters {
+			if p := f.at(l.to); l.at > f.round || p != nil && p.asleep > f.round {
+				late = append(late, l)
+				continue
+			}
+			f.deliver(l)
+		}
+		f.letters = late
+	}
+}
+
+// trouble changes what is broken.
+func (f *fleet) trouble() {
+	n := len(f.procs)
+	f.cut = func(int, int) bool { return false }
+	switch f.rng.IntN(6) {
+	case 0:
+		side := f.rng.Uint64()
+		f.cut = func(i, j int) bool { return (side>>i)&1 != (side>>j)&1 }
+		f.note("a partition: %b", side&(1<<n-1))
+	case 1:
+		a := f.rng.IntN(n)
+		f.cut = func(i, _ int) bool { return i == a }
+		f.note("nobody hears %c", 'a'+a)
+	case 2:
+		p := f.procs[f.rng.IntN(n)]
+		long := 5 + f.rng.IntN(2*forgetAfter)
+		p.asleep = f.round + long
+		for name, s := range p.seen { // it knows that it was stopped
+			s.at += long
+			p.seen[name] = s
+		}
+		f.note("%s sleeps for %d", p.id.Name, long)
+	}
+	f.loss = f.rng.Float64() * 0.4
+}
+
+// top is the highest schema that is written of any kind.
+func (l *Levels) top() uint16 {
+	top := uint16(0)
+	for _, s := range l.self.Stands {
+		top = max(top, s.Written.Schema)
+	}
+	return top
+}
+
+func (f *fleet) hold(at uint16) {
+	for _, p := range f.procs {
+		f.handle(p, Event{Kind: Held, Of: Use, At: at})
+		f.handle(p, Event{Kind: Held, Of: Session, At: at})
+	}
+}
+
+// settle heals everything and waits until the same is written at all. It tells how many rounds that took.
+func (f *fleet) settle(want uint16) int {
+	f.cut, f.loss = func(int, int) bool { return false }, 0.2
+	for _, p := range f.procs {
+		p.asleep = 0
+	}
+	for n := range sameWithin {
+		if !slices.ContainsFunc(f.procs, func(p *proc) bool {
+			mine, first := p.levels.Say().Stands, f.procs[0].levels.Say().Stands
+			return mine[0].Written != first[0].Written || mine[1].Written != first[1].Written ||
+				mine[0].Written.Schema != want || mine[1].Written.Schema != want || !p.levels.Fit()
+		}) {
+			return n
+		}
+		f.run(1)
+	}
+	f.fail("schema %d is not written at all after %d rounds", want, sameWithin)
+	return 0
+}
+
+// play is one seeded upgrade: to release 2 or 3, perhaps with a rollback half-way, perhaps taken back whole, and up again.
+func (f *fleet) play() (longest int) {
+	n := 3 + f.rng.IntN(5)
+	f.procs = make([]*proc, n)
+	f.cut = func(int, int) bool { return false }
+	for i := range n {
+		f.start(i, 1)
+	}
+	f.run(10)
+	roll := func(release uint16, count int) {
+		for _, i := range f.rng.Perm(n)[:count] {
+			f.start(i, release)
+			f.run(f.rng.IntN(12))
+			f.trouble()
+		}
+	}
+	first := uint16(2 + f.rng.IntN(2))
+	roll(first, n)
+	if f.rng.IntN(2) == 0 { // rolled back half-way through the next; whoever is too old by then serves alone
+		roll(3, f.rng.IntN(n))
+		roll(first, n)
+	}
+	if highest := slices.MaxFunc(f.procs, func(p, q *proc) int { return int(p.levels.top()) - int(q.levels.top()) }).levels.top(); highest > first {
+		f.note("written is %d already: the operator goes on", highest) // whoever slept was forgotten, and all others read it
+		first = 3
+		roll(first, n)
+	}
+	longest = f.settle(first)
+	if f.rng.IntN(2) == 0 && !(f.oneway && first == 3) { // taken back, swept, replaced by release 1
+		f.hold(1)
+		longest = max(longest, f.settle(1))
+		for k := 0; !slices.ContainsFunc(f.procs, func(p *proc) bool { return p.cleared }); k++ {
+			if k > sameWithin {
+				f.fail("taken back, and never cleared")
+			}
+			f.run(1)
+		}
+		for i := range n {
+			f.start(i, 1)
+			if len(f.procs[i].unread) > 0 {
+				f.fail("cleared, and %s cannot read %d records", f.procs[i].id.Name, len(f.procs[i].unread))
+			}
+		}
+		f.run(10)
+	}
+	roll(3, n)
+	f.hold(0)
+	longest = max(longest, f.settle(3))
+	for k := 0; ; k++ {
+		why := f.wrong()
+		if why == "" {
+			return longest
+		}
+		if k == sameWithin {
+			f.fail("%s", why)
+		}
+		f.run(1)
+	}
+}
+
+// wrong says what a process does not know of what was spent and marked.
+func (f *fleet) wrong() string {
+	for _, p := range f.procs {
+		for key, s := range f.spent {
+			r, _ := p.shelf[Use].Get(key)
+			tells := p.book.Tells(r)
+			if tells["requests"] > s[0] || tells["ms"] > s[1] {
+				f.fail("%s: %s: %v is more than was spent, %v", p.id.Name, key, tells, s)
+			}
+			if r.Schema != 3 || tells["requests"] != s[0] || tells["ms"] != s[1] {
+				return fmt.Sprintf("%s: %s: %v at schema %d, spent %v", p.id.Name, key, tells, r.Schema, s)
+			}
+		}
+		for key, call := range f.marked {
+			r, _ := p.shelf[Session].Get(key)
+			if r.Int(4000, "") < call || r.Schema != 3 {
+				return fmt.Sprintf("%s: %s: call %d at schema %d, %d was marked", p.id.Name, key, r.Int(4000, ""), r.Schema, call)
+			}
+			text, _ := r.Get(4002, "")
+			if string(text.Text) != fmt.Sprint(r.Int(4000, "")) {
+				f.fail("%s: %s: call %d has the answer of call %s", p.id.Name, key, r.Int(4000, ""), text.Text)
+			}
+		}
+	}
+	return ""
+}
+
+// Rolling upgrades and rollbacks with loss, partitions, sleepers and broken-off sweeps: no count lost or doubled, no mark lost, nobody
+// gets what it cannot read, and the same is written at all within the time that is stated.
+func TestFleets(t *testing.T) {
+	var longest, rose, told, marks atomic.Int64
+	play := func(t *testing.T, seed uint64) {
+		f := &fleet{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 42)), oneway: seed%2 == 0,
+			spent: map[string][2]uint64{}, marked: map[string]uint64{}, calls: map[string]uint64{}}
+		took := f.play()
+		if *oneSeed != 0 {
+			for _, line := range f.script {
+				t.Log(line)
+			}
+		}
+		for was := longest.Load(); int64(took) > was && !longest.CompareAndSwap(was, int64(took)); was = longest.Load() {
+		}
+		rose.Add(int64(f.rose))
+		told.Add(int64(f.told))
+		for _, c := range f.marked {
+			marks.Add(int64(c))
+		}
+		if took > levelWithin {
+			f.fail("the same was written at all after %d rounds, stated are %d", took, levelWithin)
+		}
+	}
+	if *oneSeed != 0 {
+		play(t, *oneSeed)
+		return
+	}
+	t.Run("seeds", func(t *testing.T) {
+		for shard := range 8 {
+			t.Run(fmt.Sprint(shard), func(t *testing.T) {
+				t.Parallel()
+				for seed := shard + 1; seed <= *campaign; seed += 8 {
+					play(t, uint64(seed))
+				}
+			})
+		}
+	})
+	t.Logf("%d fleets: levels changed %d times, %d times a process was too old, %d calls marked; the same written at all after %d rounds at most",
+		*campaign, rose.Load(), told.Load(), marks.Load(), longest.Load())
+	if *campaign >= 500 && (rose.Load() == 0 || told.Load() == 0 || marks.Load() == 0) {
+		t.Error("the fleets did not try what they are to try")
+	}
+}
--- /dev/null
+++ b/schema/law.go
@@ -0,0 +1,233 @@
+// The law of forms, as a check that the tests of every form call with records of their own.
+package schema
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+)
+
+// strangers are fields that no form knows: one of each join. A step and a merge keep them.
+var strangers = []Field{
+	{Num: MaxNum - 1, Sub: "strange", Int: 7, Text: []byte("x"), Rest: []byte{0x28, 1}},
+	{Num: MinNum - 1, Sub: "strange", Int: 8},
+	{Num: OrNum - 1, Sub: "strange", Int: 9},
+	{Num: RegisterNum - 1, Sub: "strange", Int: 10},
+	{Num: afterNum - 2, Sub: "strange", Int: 11},
+	{Num: afterNum - 1, Sub: "strange", Text: []byte("y")},
+}
+
+// Law checks two records of one kind and key against all that forms promise. It is nil, or says which law they break:
+//
+//   - a merge is commutative and idempotent, and keeps what it was given;
+//   - up(merge(x, y)) = merge(up x, up y), for each step and all of them;
+//   - down then up, and up then down, change only Nums that are declared lost;
+//   - what a form does not know passes through it unchanged;
+//   - what Tells tells falls by no migration, rises by none without loss, and a record that meets itself come back from another
+//     form tells what it told;
+//   - no step changes the record that it was given.
+//
+// The two need not be of one schema. Draw them as a fleet could hold them: of one writer's counter, say, one is the later.
+func (b *Book) Law(x, y Record) error {
+	at := max(x.Schema, y.Schema)
+	var err error
+	if x, err = b.To(x, at); err != nil {
+		return err
+	}
+	if y, err = b.To(y, at); err != nil {
+		return err
+	}
+	if err := b.lawOfMerge(x, y); err != nil {
+		return err
+	}
+	if err := b.lawOfUp(x, y); err != nil {
+		return err
+	}
+	for _, r := range []Record{x, y} {
+		lo, hi := b.Reads(r.Kind)
+		for s := lo; s <= hi; s++ {
+			if b.Way(r.Kind, at, s) != nil || s == at {
+				continue
+			}
+			if err := b.lawOfWay(r, s); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (b *Book) lawOfMerge(x, y Record) error {
+	xy, err := b.Merge(x, y)
+	if err != nil {
+		return err
+	}
+	yx, err := b.Merge(y, x)
+	if err != nil {
+		return err
+	}
+	if !Equal(xy, yx) {
+		return broken("merge is commutative", xy, yx, x, y)
+	}
+	for _, r := range []Record{x, y} {
+		again, err := b.Merge(xy, r)
+		if err != nil {
+			return err
+		}
+		if !Equal(again, xy) {
+			return broken("merge is idempotent", again, xy, x, y)
+		}
+		if name, was, is, ok := b.fell(r, xy); !ok {
+			return fmt.Errorf("schema: law: no count falls by a merge: %q from %d to %d: %v", name, was, is, []Record{x, y})
+		}
+	}
+	return nil
+}
+
+func (b *Book) lawOfUp(x, y Record) error {
+	xy, err := b.Merge(x, y)
+	if err != nil {
+		return err
+	}
+	_, hi := b.Reads(x.Kind)
+	for s := x.Schema + 1; s <= hi; s++ {
+		up, err := b.To(xy, s)
+		if err != nil {
+			return err
+		}
+		ux, err := b.To(x, s)
+		if err != nil {
+			return err
+		}
+		uy, err := b.To(y, s)
+		if err != nil {
+			return err
+		}
+		ups, err := b.Merge(ux, uy)
+		if err != nil {
+			return err
+		}
+		if !Equal(up, ups) {
+			return broken(fmt.Sprintf("up to %d of a merge is the merge of ups", s), up, ups, x, y)
+		}
+	}
+	return nil
+}
+
+// lawOfWay checks one record's way to another schema and back.
+func (b *Book) lawOfWay(r Record, s uint16) error {
+	own := r.Clone()
+	for _, f := range strangers {
+		if _, known := own.Get(f.Num, f.Sub); !known {
+			own.Set(f)
+		}
+	}
+	sure := own.Clone()
+	for i := range sure.Fields {
+		sure.Fields[i].Text = bytes.Clone(sure.Fields[i].Text)
+	}
+	there, err := b.To(own, s)
+	if err != nil {
+		return err
+	}
+	if !Equal(own, sure) {
+		return broken("a step leaves what it was given as it is", own, sure, r)
+	}
+	back, err := b.To(there, r.Schema)
+	if b.Way(r.Kind, s, r.Schema) != nil {
+		back, err = there, nil // up a way that does not lead down again
+	}
+	if err != nil {
+		return err
+	}
+	for _, f := range strangers {
+		for _, o := range []Record{there, back} {
+			if have, ok := o.Get(f.Num, f.Sub); !ok || compareValue(&have, &f) != 0 {
+				return broken(fmt.Sprintf("what is not known (Num %d) passes through schema %d", f.Num, s), o, own, r)
+			}
+		}
+	}
+	lost := b.lost(r.Kind, r.Schema, s)
+	if name, was, is, ok := b.fell(own, there); !ok {
+		return fmt.Errorf("schema: law: nothing that is told falls from schema %d to %d: %q from %d to %d: %v", r.Schema, s, name, was, is, r)
+	}
+	if len(lost) == 0 {
+		if name, was, is, ok := b.fell(there, own); !ok {
+			return fmt.Errorf("schema: law: nothing that is told rises from schema %d to %d: %q from %d to %d: %v", r.Schema, s, name, is, was, r)
+		}
+	}
+	if back.Schema != r.Schema {
+		return nil
+	}
+	if a, c := without(own, lost), without(back, lost); !Equal(a, c) {
+		return broken(fmt.Sprintf("to schema %d and back changes only what is declared lost %v", s, lost), c, a, r)
+	}
+	// One member has moved the record there and back, another never has: they meet.
+	met, err := b.Merge(own, back)
+	if err != nil {
+		return err
+	}
+	for _, o := range [][2]Record{{own, met}, {met, own}} {
+		if name, was, is, ok := b.fell(o[0], o[1]); !ok {
+			return fmt.Errorf("schema: law: a record that meets itself back from schema %d tells the same: %q: %d and %d: %v", s, name, was, is, r)
+		}
+	}
+	return nil
+}
+
+// lost are the Nums that the steps between two schemas, there and back, declare lost.
+func (b *Book) lost(k Kind, s, t uint16) []uint32 {
+	var nums []uint32
+	for n := min(s, t) + 1; n <= max(s, t); n++ {
+		f := b.form(k, n)
+		nums = append(append(nums, f.Up.Loss.Of...), f.Down.Loss.Of...)
+	}
+	return nums
+}
+
+// Tells is what a record says by the form that it is in.
+func (b *Book) Tells(r Record) map[string]uint64 {
+	f := b.form(r.Kind, r.Schema)
+	if f == nil {
+		return nil
+	}
+	if f.Tells != nil {
+		return f.Tells(r)
+	}
+	out := map[string]uint64{}
+	for _, d := range f.Fields {
+		if d.Join == Max {
+			for _, v := range r.All(d.Num) {
+				out[d.Name] += v.Int
+			}
+		}
+	}
+	return out
+}
+
+// fell finds something that one record tells more of than the other, where both forms tell it.
+func (b *Book) fell(from, to Record) (name string, was, is uint64, ok bool) {
+	after := b.Tells(to)
+	for name, was := range b.Tells(from) {
+		if is, told := after[name]; (told || from.Schema == to.Schema) && is < was {
+			return name, was, is, false
+		}
+	}
+	return "", 0, 0, true
+}
+
+func without(r Record, nums []uint32) Record {
+	out := r.Clone()
+	out.Drop(nums...)
+	return out
+}
+
+// Equal tells whether two records are the same.
+func Equal(a, c Record) bool {
+	return a.Kind == c.Kind && a.Schema == c.Schema && a.Key == c.Key && bytes.Equal(a.Rest, c.Rest) &&
+		slices.EqualFunc(a.Fields, c.Fields, func(f, g Field) bool { return compareAt(f, g) == 0 && compareValue(&f, &g) == 0 })
+}
+
+func broken(law string, got, want Record, of ...Record) error {
+	return fmt.Errorf("schema: law: %s:\n got %v\nwant %v\n  of %v", law, got, want, of)
+}
--- /dev/null
+++ b/schema/law_test.go
@@ -0,0 +1,259 @@
+package schema
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// A chain is a random history of one kind: what a record of each form may hold.
+type chain struct {
+	book *Book
+	live [][]uint32 // by form, from 1 on
+}
+
+// rename moves all fields of one Num, joining what already stands there.
+func rename(from, to uint32, change func(uint64) uint64) func(Record) (Record, error) {
+	return func(r Record) (Record, error) {
+		for _, f := range append([]Field(nil), r.All(from)...) {
+			f.Num, f.Int = to, change(f.Int)
+			if have, ok := r.Get(to, f.Sub); ok {
+				f = joinField(have, f)
+			}
+			r.Set(f)
+		}
+		r.Drop(from)
+		return r, nil
+	}
+}
+
+func same(v uint64) uint64 { return v }
+
+// drawChain draws forms, each made of the one before by one of the changes that releases make.
+func drawChain(t *rapid.T) chain {
+	c := chain{book: &Book{}}
+	next := map[Join]uint32{Keep: 1, Max: MaxNum, Min: MinNum, Or: OrNum, Register: RegisterNum}
+	fresh := func(j Join) uint32 {
+		n := next[j]
+		next[j] = n + 1
+		return n
+	}
+	joins := []Join{Keep, Max, Min, Or, Register}
+	var live []uint32
+	for range 4 {
+		live = append(live, fresh(rapid.SampledFrom(joins).Draw(t, "join")))
+	}
+	for n := range rapid.IntRange(2, 5).Draw(t, "forms") {
+		f := Form{Kind: Use, Number: uint16(n + 1)}
+		if n > 0 {
+			switch rapid.SampledFrom([]string{"add", "least", "rename", "register", "scale", "forget", "oneway"}).Draw(t, "change") {
+			case "add":
+				live = append(live, fresh(rapid.SampledFrom(joins).Draw(t, "join")))
+			case "least": // a new field has the least value of its join
+				num := fresh(Max)
+				f.Up.Do = func(r Record) (Record, error) {
+					if _, ok := r.Get(num, ""); !ok {
+						r.Set(Field{Num: num})
+					}
+					return r, nil
+				}
+				f.Up.Loss = Named("nothing used", num)
+				live = append(live, num)
+			case "rename":
+				at := rapid.IntRange(0, len(live)-1).Draw(t, "which")
+				if j := JoinOf(live[at]); j != Register {
+					from, to := live[at], fresh(j)
+					f.Up.Do, f.Down.Do = rename(from, to, same), rename(to, from, same)
+					live = append(append([]uint32(nil), live[:at]...), live[at+1:]...)
+					live = append(live, to)
+				}
+			case "register": // a hundred of registers is moved as a whole
+				next[Register] = (next[Register]/RegisterSize + 1) * RegisterSize
+				delta := next[Register] - RegisterNum
+				move := func(from, to uint32) func(Record) (Record, error) {
+					return func(r Record) (Record, error) {
+						for i := range r.Fields {
+							if JoinOf(r.Fields[i].Num) == Register && r.Fields[i].Num-from < delta {
+								r.Fields[i].Num += to - from
+							}
+						}
+						return r, nil
+					}
+				}
+				var moved []uint32
+				for _, num := range live {
+					if JoinOf(num) == Register {
+						num += delta
+						next[Register] = max(next[Register], num+1)
+					}
+					moved = append(moved, num)
+				}
+				if 2*delta <= afterNum-RegisterNum-2*RegisterSize {
+					f.Up.Do, f.Down.Do = move(RegisterNum, RegisterNum+delta), move(RegisterNum+delta, RegisterNum)
+					live = moved
+				}
+			case "scale": // milliseconds become microseconds
+				at := rapid.IntRange(0, len(live)-1).Draw(t, "which")
+				if JoinOf(live[at]) == Max {
+					from, to := live[at], fresh(Max)
+					f.Up.Do = rename(from, to, func(v uint64) uint64 { return v * 1000 })
+					f.Down.Do = rename(to, from, func(v uint64) uint64 { return v / 1000 })
+					f.Down.Loss = Named("whole milliseconds", to)
+					live = append(append([]uint32(nil), live[:at]...), live[at+1:]...)
+					live = append(live, to)
+				}
+			case "forget":
+				at := rapid.IntRange(0, len(live)-1).Draw(t, "which")
+				if num := live[at]; len(live) > 2 && JoinOf(num) != Register {
+					f.Up = Step{Do: func(r Record) (Record, error) { r.Drop(num); return r, nil }, Loss: Named("not kept any more", num)}
+					live = append(append([]uint32(nil), live[:at]...), live[at+1:]...)
+				}
+			case "oneway":
+				live = append(live, fresh(Or))
+				f.Down = Step{Loss: Impossible, What: "the form before has no room for it"}
+			}
+		}
+		if err := c.book.Register(f); err != nil {
+			t.Fatal(err)
+		}
+		c.live = append(c.live, append([]uint32(nil), live...))
+	}
+	return c
+}
+
+func (c chain) draw(t *rapid.T, what string) Record {
+	s := rapid.IntRange(1, len(c.live)).Draw(t, "schema of "+what)
+	r := drawRecord(t, append([]uint32{997, 1997, 3997, 8001}, c.live[s-1]...), what) // some that no form knows
+	r.Schema = uint16(s)
+	return r
+}
+
+// The law holds over random histories of forms, and over each way between them.
+func TestLaw(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := drawChain(t)
+		if err := c.book.Law(c.draw(t, "x"), c.draw(t, "y")); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// The law sees the forms that are easily written wrong.
+func TestLawSees(t *testing.T) {
+	count := func(sub string, n uint64) Field { return Field{Num: 1000, Sub: sub, Int: n} }
+	// As a release does it that counts by class: it takes the total apart, and adds it up again on the way down.
+	apart := func(r Record) (Record, error) { return rename(1000, 1002, same)(r) }
+	addUp := func(r Record) (Record, error) {
+		var n uint64
+		for _, f := range r.All(1002) {
+			n += f.Int
+		}
+		r.Set(count("", n))
+		return r, nil
+	}
+	add := func(n uint64) func(Record) (Record, error) {
+		return func(r Record) (Record, error) {
+			if _, ok := r.Get(1001, ""); !ok {
+				r.Set(Field{Num: 1001, Int: n})
+			}
+			return r, nil
+		}
+	}
+	for name, c := range map[string]struct {
+		up, down Step
+		law      string
+	}{
+		"a default that is not the least": {up: Step{Do: add(5), Loss: Named("five", 1001)}, law: "up to 2 of a merge"},
+		"the unknown is dropped": {down: Step{Do: func(r Record) (Record, error) {
+			return Record{Fields: append([]Field(nil), r.All(1000)...)}, nil
+		}}, law: "is not known"},
+		"a loss that is not declared": {down: Step{Do: func(r Record) (Record, error) { r.Drop(1001); return r, nil }}, law: "only what is declared"},
+		"a count that falls":          {up: Step{Do: rename(1000, 1000, func(v uint64) uint64 { return v / 2 }), Loss: Named("half", 1000)}, law: "falls"},
+		"a count that rises":          {up: Step{Do: rename(1000, 1000, func(v uint64) uint64 { return v * 2 })}, law: "rises"},
+		"a total that is counted twice": {up: Step{Do: apart, Loss: Named("of no class", 1000, 1002)},
+			down: Step{Do: addUp, Loss: Named("of all classes", 1000, 1002)}, law: "tells the same"},
+		"a step that is not monotone": {up: Step{Do: rename(1000, 1000, func(v uint64) uint64 { return v ^ 1 }), Loss: Named("", 1000)}, law: "up to 2 of a merge"},
+		"a step that writes where it reads": {up: Step{Do: func(r Record) (Record, error) {
+			for _, f := range r.Fields {
+				if len(f.Text) > 0 {
+					f.Text[0]++
+				}
+			}
+			return r, nil
+		}}, law: "leaves what it was given"},
+	} {
+		b := &Book{}
+		tells := func(r Record) map[string]uint64 { // totals, by the form's own idea of them
+			var n uint64
+			for _, f := range r.Fields {
+				if f.Num == 1000 || f.Num == 1002 && name == "a total that is counted twice" {
+					n += f.Int
+				}
+			}
+			return map[string]uint64{"count": n}
+		}
+		b.Register(Form{Kind: Use, Number: 1, Tells: tells})
+		if err := b.Register(Form{Kind: Use, Number: 2, Tells: tells, Up: c.up, Down: c.down}); err != nil {
+			t.Fatal(err)
+		}
+		x := Record{Kind: Use, Schema: 1, Key: "k", Fields: []Field{count("", 8), count("a", 3), {Num: 1001, Sub: "", Int: 1, Text: []byte("x")}}}
+		y := Record{Kind: Use, Schema: 1, Key: "k", Fields: []Field{count("", 9), count("b", 4)}}
+		var seen []string
+		for _, at := range []uint16{1, 2} {
+			x, y := x.Clone(), y.Clone()
+			x.Fields[2].Text = []byte("x")
+			x.Schema, y.Schema = at, at
+			if err := b.Law(x, y); err != nil {
+				seen = append(seen, err.Error())
+			}
+		}
+		if !strings.Contains(strings.Join(seen, "\n"), c.law) {
+			t.Errorf("%s: it is to break %q: %q", name, c.law, seen)
+		}
+	}
+}
+
+// A step that is not there is named, by To, by Within, and at Register when it is one up.
+func TestOneWay(t *testing.T) {
+	b := &Book{}
+	for n := uint16(1); n <= 3; n++ {
+		f := Form{Kind: Session, Number: n, Name: fmt.Sprintf("form %d", n)}
+		if n == 2 {
+			f.Down = Step{Loss: Impossible, What: "form 1 has no end"}
+		}
+		if err := b.Register(f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r := Record{Kind: Session, Schema: 3, Key: "k"}
+	if _, err := b.To(r, 1); !errors.Is(err, ErrOneWay) || !strings.Contains(err.Error(), "session from schema 2 (form 2) to 1: form 1 has no end") {
+		t.Errorf("%v", err)
+	}
+	if got, err := b.Keep(nil, r, 1); err != nil || got.Schema != 2 {
+		t.Errorf("kept at %d, %v; it can go down to 2", got.Schema, err)
+	}
+	if got, err := b.Within(r, 1, 2); err != nil || got.Schema != 2 {
+		t.Errorf("sent at %d, %v", got.Schema, err)
+	}
+	if _, err := b.Within(r, 1, 1); !errors.Is(err, ErrOneWay) {
+		t.Errorf("sent to one that reads 1: %v", err)
+	}
+	old := b.Only(Session, 1, 2)
+	if _, err := old.Merge(Record{Kind: Session, Schema: 1, Key: "k"}, r); !errors.Is(err, ErrNoForm) || !strings.Contains(err.Error(), "reads 1 to 2") {
+		t.Errorf("%v", err)
+	}
+	for says, f := range map[string]Form{
+		"without a gap":      {Kind: Session, Number: 5},
+		"no step up":         {Kind: Session, Number: 4, Up: Step{Loss: Impossible}},
+		"not by min":         {Kind: Session, Number: 4, Fields: []FieldDef{{1000, "n", Min}}},
+		"by rising Num":      {Kind: Session, Number: 4, Fields: []FieldDef{{1001, "n", Max}, {1000, "m", Max}}},
+		"numbers begin with": {Kind: Session},
+	} {
+		if err := b.Register(f); err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("%v; it is to say %q", err, says)
+		}
+	}
+}
--- /dev/null
+++ b/schema/levels_test.go
@@ -0,0 +1,140 @@
+package schema
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// bookOf is a release that reads lo..hi of sessions; the steps down from `oneway` are not there.
+func bookOf(lo, hi, oneway uint16) *Book {
+	b := &Book{}
+	for n := lo; n <= hi; n++ {
+		f := Form{Kind: Session, Number: n, Name: "form " + strconv.Itoa(int(n))}
+		if n == oneway {
+			f.Down = Step{Loss: Impossible, What: "it would lose its marks"}
+		}
+		if err := b.Register(f); err != nil {
+			panic(err)
+		}
+	}
+	return b
+}
+
+// TestLevels runs scripts of members that hear each other:
+//
+//	start NAME START reads=LO..HI [oneway=N] [written=TURN.SCHEMA] [settled]
+//	members NAME: OTHER...      what NAME remembers, each by its last start
+//	hear NAME OTHER...          NAME hears what OTHER says now
+//	all NAME...                 each hears each until nobody has anything new to say
+//	hold NAME N / swept NAME N / settled NAME
+//	link NAME OTHER
+func TestLevels(t *testing.T) {
+	datadriven.Walk(t, "testdata/levels", func(t *testing.T, path string) {
+		levels := map[string]*Levels{}
+		var out strings.Builder
+		handle := func(name string, ev Event) bool {
+			told := false
+			for _, a := range levels[name].Handle(ev, nil) {
+				if a.Kind == Tell {
+					told = true
+					continue
+				}
+				fmt.Fprintf(&out, "%s: %s", name, a.Kind)
+				if a.From != (Level{}) {
+					fmt.Fprintf(&out, " from %s", a.From)
+				}
+				fmt.Fprintf(&out, " to %s: %s\n", a.To, a.Why)
+			}
+			return told
+		}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			out.Reset()
+			for _, line := range strings.Split(d.Input, "\n") {
+				w := strings.Fields(line)
+				if len(w) == 0 {
+					continue
+				}
+				name := strings.TrimSuffix(w[min(1, len(w)-1)], ":")
+				number := func(i int) uint64 {
+					n, err := strconv.ParseUint(w[i], 10, 64)
+					if err != nil {
+						t.Fatal(line, err)
+					}
+					return n
+				}
+				switch w[0] {
+				case "start":
+					var lo, hi, oneway uint16
+					written := map[Kind]Level{}
+					settled := false
+					for _, arg := range w[3:] {
+						var l Level
+						switch {
+						case arg == "settled":
+							settled = true
+						case strings.HasPrefix(arg, "reads="):
+							fmt.Sscanf(arg, "reads=%d..%d", &lo, &hi)
+						case strings.HasPrefix(arg, "oneway="):
+							fmt.Sscanf(arg, "oneway=%d", &oneway)
+						default:
+							fmt.Sscanf(arg, "written=%d.%d", &l.Turn, &l.Schema)
+							written[Session] = l
+						}
+					}
+					levels[name] = NewLevels(ID{name, number(2)}, bookOf(lo, hi, oneway), written)
+					if settled {
+						handle(name, Event{Kind: Settled})
+					}
+				case "members":
+					ev := Event{Kind: Members}
+					for _, o := range w[2:] {
+						ev.Members = append(ev.Members, levels[o].self.ID)
+					}
+					handle(name, ev)
+				case "hear":
+					for _, o := range w[2:] {
+						handle(name, Event{Kind: Heard, Said: levels[o].Say()})
+					}
+				case "all":
+					for again := true; again; {
+						again = false
+						for _, a := range w[1:] {
+							for _, o := range w[1:] {
+								again = handle(a, Event{Kind: Heard, Said: levels[o].Say()}) || again
+							}
+						}
+					}
+				case "hold":
+					handle(name, Event{Kind: Held, Of: Session, At: uint16(number(2))})
+				case "swept":
+					handle(name, Event{Kind: Swept, Of: Session, At: uint16(number(2))})
+				case "settled":
+					handle(name, Event{Kind: Settled})
+				case "link":
+					at, most, ok := levels[name].Link(levels[w[2]].self.ID, Session)
+					fmt.Fprintf(&out, "%s to %s: at %d, most %d, %t\n", name, w[2], at, most, ok)
+				default:
+					t.Fatalf("no such word: %q", line)
+				}
+			}
+			if d.Cmd == "state" {
+				names := make([]string, 0, len(levels))
+				for name := range levels {
+					names = append(names, name)
+				}
+				slices.Sort(names)
+				for _, name := range names {
+					s := levels[name].Say().stand(Session)
+					fmt.Fprintf(&out, "%s reads %d..%d, agreed %s, written %s, writes %d, fit %t\n",
+						name, s.Lo, s.Hi, s.Agreed, s.Written, levels[name].Written(Session), levels[name].Fit())
+				}
+			}
+			return out.String()
+		})
+	})
+}
--- /dev/null
+++ b/schema/record_test.go
@@ -0,0 +1,138 @@
+package schema
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"pgregory.net/rapid"
+)
+
+// drawRecord draws a record with fields of every join, known to no form: what is so kept is what an old release keeps.
+func drawRecord(t *rapid.T, nums []uint32, what string) Record {
+	r := Record{Kind: Use, Schema: 1, Key: "k"}
+	for range rapid.IntRange(0, 8).Draw(t, what) {
+		f := Field{Num: rapid.SampledFrom(nums).Draw(t, "num"), Sub: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "sub"),
+			Int: rapid.Uint64Range(0, 3).Draw(t, "int")}
+		if rapid.Bool().Draw(t, "text?") {
+			f.Text = []byte{rapid.ByteRange('x', 'z').Draw(t, "text")}
+		}
+		if rapid.IntRange(0, 4).Draw(t, "rest?") == 0 {
+			f.Rest = protowire.AppendVarint(protowire.AppendTag(nil, 9, protowire.VarintType), rapid.Uint64Range(0, 2).Draw(t, "rest"))
+		}
+		r.Set(f)
+	}
+	if rapid.IntRange(0, 4).Draw(t, "rest?") == 0 {
+		r.Rest = protowire.AppendVarint(protowire.AppendTag(nil, 9, protowire.VarintType), rapid.Uint64Range(0, 2).Draw(t, "rest"))
+	}
+	return r
+}
+
+var everyJoin = []uint32{1, 2, 999, 1000, 1001, 2000, 2001, 3000, 3001, 4000, 4001, 4099, 4100, 4102, 7999, 8000, 1 << 31}
+
+// A merge is the same in any order and however often, for fields of every join, and bytes give back what was written.
+func TestMerge(t *testing.T) {
+	b := &Book{}
+	if err := b.Register(Form{Kind: Use, Number: 1}); err != nil {
+		t.Fatal(err)
+	}
+	merge := func(t *rapid.T, x, y Record) Record {
+		r, err := b.Merge(x, y)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		x, y, z := drawRecord(t, everyJoin, "x"), drawRecord(t, everyJoin, "y"), drawRecord(t, everyJoin, "z")
+		if err := b.lawOfMerge(x, y); err != nil {
+			t.Fatal(err)
+		}
+		if l, r := merge(t, merge(t, x, y), z), merge(t, x, merge(t, y, z)); !Equal(l, r) {
+			t.Fatalf("not associative:\n%v\n%v", l, r)
+		}
+		wire := AppendRecord([]byte("head"), x)
+		got, err := ParseRecord(wire[4:])
+		if err != nil || !Equal(got, x) || x.Size() != len(wire)-4 {
+			t.Fatalf("%v, %v: %d bytes, said to be %d, came back as %v", err, x, len(wire)-4, x.Size(), got)
+		}
+		// A register comes from one side as a whole, by its lowest Nums first.
+		xy := merge(t, x, y)
+		for _, sub := range []string{"", "a", "b"} {
+			part := func(r Record) []Field {
+				return slices.DeleteFunc(slices.Clone(r.Fields), func(f Field) bool { return register(f.Num) != 4000 || f.Sub != sub })
+			}
+			same := func(f, g Field) bool { return compareAt(f, g) == 0 && compareValue(&f, &g) == 0 }
+			px, py, pxy := part(x), part(y), part(xy)
+			if !slices.EqualFunc(pxy, px, same) && !slices.EqualFunc(pxy, py, same) {
+				t.Fatalf("register %q of\n%v and\n%v is\n%v", sub, px, py, pxy)
+			}
+			if x, y := x.Int(4000, sub), y.Int(4000, sub); xy.Int(4000, sub) != max(x, y) {
+				t.Fatalf("register %q: stamps %d and %d, kept %d", sub, x, y, xy.Int(4000, sub))
+			}
+		}
+	})
+}
+
+// What cannot be a record says where and what to do.
+func TestParseErrors(t *testing.T) {
+	good := Record{Kind: Use, Schema: 1, Key: "k", Fields: []Field{{Num: 1, Int: 300}, {Num: 2}}}
+	for name, c := range map[string]struct {
+		wire []byte
+		says string
+	}{
+		"cut":          {AppendRecord(nil, good)[:10], "byte 7: part 4: unexpected EOF: it was cut short"},
+		"cut within":   {append(AppendRecord(nil, Record{Kind: 1, Schema: 1, Key: "k"}), 0x22, 2, 0x18, 0x80), "byte 9: part 3: unexpected EOF"},
+		"empty":        {nil, "each has to be there"},
+		"double":       {AppendRecord(nil, Record{Kind: 1, Schema: 1, Key: "k", Fields: []Field{{Num: 1}, {Num: 1}}}), "out of order, or double"},
+		"no Num":       {AppendRecord(nil, Record{Kind: 1, Schema: 1, Key: "k", Fields: []Field{{Int: 1}}}), "no Num"},
+		"type":         {[]byte{0x09, 0, 0, 0, 0, 0, 0, 0, 0}, "byte 0: part 1 has protobuf type 1"},
+		"key":          {AppendRecord(nil, Record{Kind: 1, Schema: 1, Key: strings.Repeat("k", MaxKey+1)}), "512 at most"},
+		"sub":          {AppendRecord(nil, Record{Kind: 1, Schema: 1, Key: "k", Fields: []Field{{Num: 1, Sub: strings.Repeat("s", MaxSub+1)}}}), "256 and"},
+		"text":         {AppendRecord(nil, Record{Kind: 1, Schema: 1, Key: "k", Fields: []Field{{Num: 1, Text: make([]byte, MaxText+1)}}}), "65536"},
+		"large":        {make([]byte, MaxRecord+1), "524288 at most"},
+		"fields":       {AppendRecord(nil, Record{Kind: 1, Schema: 1, Key: "k", Fields: make([]Field, MaxFields+1)}), "more than 16384 fields"},
+		"schema":       {[]byte{0x10, 0x80, 0x80, 0x04}, "65535 at most"},
+		"field's type": {[]byte{0x22, 5, 0x15, 0, 0, 0, 0}, "byte 2: field's part 2 has protobuf type 5"},
+	} {
+		if _, err := ParseRecord(c.wire); err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%s: %v; it is to say %q", name, err, c.says)
+		}
+	}
+	b := &Book{}
+	b.Register(Form{Kind: Use, Number: 1})
+	var large, other Record = good, good
+	large.Fields, other.Fields = nil, nil
+	for i := range MaxFields {
+		large.Fields = append(large.Fields, Field{Num: 1000, Sub: string([]byte{byte(i >> 8), byte(i)})})
+		other.Fields = append(other.Fields, Field{Num: 1001, Sub: string([]byte{byte(i >> 8), byte(i)})})
+	}
+	if kept, err := b.Merge(large, other); !errors.Is(err, ErrTooLarge) || !Equal(kept, large) {
+		t.Errorf("a merge over the bounds: %v", err)
+	}
+}
+
+func FuzzParseRecord(f *testing.F) {
+	f.Add(AppendRecord(nil, Record{Kind: Session, Schema: 3, Key: "k", Rest: []byte{0x48, 1},
+		Fields: []Field{{Num: 1, Sub: "s", Int: 1 << 40, Text: []byte("t"), Rest: []byte{0x48, 1}}, {Num: 4000}}}))
+	f.Add([]byte{0x08, 1, 0x10, 1, 0x1a, 1, 'k', 0x22, 2, 8, 1, 0x33, 0x34})
+	b := &Book{}
+	b.Register(Form{Kind: Use, Number: 1})
+	b.Register(Form{Kind: Session, Number: 1})
+	f.Fuzz(func(t *testing.T, wire []byte) {
+		r, err := ParseRecord(wire)
+		if err != nil {
+			return
+		}
+		out := AppendRecord(nil, r)
+		again, err := ParseRecord(out)
+		if err != nil || !Equal(r, again) || r.Size() != len(out) {
+			t.Fatalf("%v: %v came back as %v", err, r, again)
+		}
+		if m, err := b.Merge(r, again); err == nil && !Equal(m, r) {
+			t.Fatalf("%v with itself is %v", r, m)
+		}
+	})
+}
--- a/schema/types.go
+++ b/schema/types.go
@@ -140,7 +140,10 @@
 
 // Step turns a record of one form into one of its neighbour's. Do is pure. It gets a record whose Fields are its own (Texts are
 // shared and not to be changed), may change them in place and return them in any order; the Book sorts them and sets the Schema.
-// It keeps every Num that it does not know. A nil Do changes no field.
+// It keeps every Num that it does not know. A nil Do changes no field: that is all there is to do for a field that is new, as the
+// form before keeps it without knowing it. The law (see Book.Law) forbids more than it seems: a default has to be the least value
+// of its join, and a total that is taken apart on the way up, or added up on the way down, is counted twice when it meets itself.
+// So a total keeps one Num through all forms, and what it is made of stands beside it.
 type Step struct {
 	Do   func(Record) (Record, error)
 	Loss Loss
@@ -156,7 +159,8 @@
 	Fields   []FieldDef
 	Up, Down Step
 	// Tells says what of a record may not change with its form: counts and marks by name, the names alike in all forms that tell
-	// them. By no migration does one fall; by one without loss none rises. Nil: the sum of each Max field's Ints by its Num.
+	// them, each told by 0 when there is none. By no migration does one fall; by one without loss none rises. Nil: the sum of each
+	// Max field's Ints by its Name.
 	Tells func(Record) map[string]uint64
 }
 
