--- a/schema/law.go
+++ b/schema/law.go
@@ -21,7 +21,7 @@
 //
 //   - a merge is commutative and idempotent, and keeps what it was given;
 //   - up(merge(x, y)) = merge(up x, up y), for each step and all of them;
-//   - down then up, and up then down, change only Nums that are declared lost;
+//   - a step down then up, and up then down, change only Nums that are declared lost; over several without loss nothing changes;
 //   - what a form does not know passes through it unchanged;
 //   - what Tells tells falls by no migration, rises by none without loss, and a record that meets itself come back from another
 //     form tells what it told;
@@ -159,7 +159,8 @@
 	if back.Schema != r.Schema {
 		return nil
 	}
-	if a, c := without(own, lost), without(back, lost); !Equal(a, c) {
+	// Over several steps a lost Num may stand under another in between: what is lost is looked at step by step.
+	if a, c := without(own, lost), without(back, lost); !Equal(a, c) && (len(lost) == 0 || s+1 == r.Schema || s == r.Schema+1) {
 		return broken(fmt.Sprintf("to schema %d and back changes only what is declared lost %v", s, lost), c, a, r)
 	}
 	// One member has moved the record there and back, another never has: they meet.
--- a/schema/levels.go
+++ b/schema/levels.go
@@ -17,6 +17,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -133,7 +134,7 @@
 	members []ID // without this process
 	heard   map[ID]Said
 	settled bool
-	unfit   map[Kind]bool
+	unfit   map[Kind]bool   // and it was told
 	refused map[Kind]string // what was answered last
 	cleared map[Kind]Level
 	fell    map[Kind]bool // since the last rise: Cleared is due
@@ -229,7 +230,7 @@
 func (l *Levels) decide(s *Stand, out []Action) []Action {
 	out = l.adopt(s, out)
 	all, complete := l.counted(s)
-	if l.unfit[s.Kind] || !complete {
+	if !complete || !reads(s, s.Written) {
 		s.Agreed = s.Written
 		return out
 	}
@@ -264,7 +265,7 @@
 	kind := Rose
 	if to.Turn > s.Written.Turn && to.Schema < s.Written.Schema {
 		kind = Fell
-		if err := l.book.Way(s.Kind, s.Written.Schema, to.Schema); err != nil {
+		if err := l.book.Way(s.Kind, s.Written.Schema, to.Schema); errors.Is(err, ErrOneWay) {
 			why += "; records stay where they cannot be brought down: " + err.Error()
 		}
 	}
@@ -398,12 +399,7 @@
 
 // Fit tells whether this process takes part: it reads what is written, of each kind.
 func (l *Levels) Fit() bool {
-	for _, unfit := range l.unfit {
-		if unfit {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(l.self.Stands, func(s Stand) bool { return !reads(&s, s.Written) })
 }
 
 // Written is the schema at which this process writes records of its own. While none is written by the fleet it is the lowest that
@@ -413,7 +409,7 @@
 	switch {
 	case s == nil:
 		return 0
-	case l.unfit[k], s.Written.Schema == 0 && l.settled && len(l.members) == 0:
+	case !reads(s, s.Written), s.Written.Schema == 0 && l.settled && len(l.members) == 0:
 		if s.Held != 0 {
 			return max(s.Lo, min(s.Hi, s.Held))
 		}
@@ -431,7 +427,7 @@
 	s := l.self.stand(k)
 	said := l.heard[to]
 	o := said.stand(k)
-	if s == nil || o == nil || l.unfit[k] || !reads(o, s.Written) {
+	if s == nil || o == nil || !reads(s, s.Written) || !reads(o, s.Written) {
 		return 0, 0, false
 	}
 	if _, member := slices.BinarySearchFunc(l.members, to, ID.compare); !member {
