detect: who of a fleet's instances is there

Instances of serve know nothing of each other. detect asks them in turn, has others ask, holds who is silent for suspect before it is dead, lets it say that it lives, and passes on what it hears; joins from seeds, leaves, goes away and is back, exchanges all it knows by stream. Pauses, links that fail in one direction, sides that know each other as dead, and later processes of a name are events of its own. It is pure: a network in memory and in virtual time drives it in the tests, scripts tell what members come to hold.

--- /dev/null
+++ b/detect/faults_test.go
@@ -0,0 +1,266 @@
+package detect
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// watch checks what has to hold at each change, whatever befalls the fleet: a start never goes back, and no death is called of a process
+// that excused does not excuse.
+func (s *sim) watch(t *testing.T, excused func(at *simNode, of *simNode) bool) {
+	starts := map[*simNode]map[string]uint64{}
+	lives := map[*simNode]int{}
+	s.acted = func(at *simNode, a Action) {
+		if a.Kind == Send && a.Message.Kind != Pull && a.Message.bytes() > 1200 {
+			t.Errorf("seed %d, %s: a datagram of %d bytes", s.seed, s.now, a.Message.bytes())
+		}
+		if a.Kind != Changed {
+			return
+		}
+		if lives[at] != at.life || starts[at] == nil {
+			starts[at], lives[at] = map[string]uint64{}, at.life
+		}
+		if a.Word.State == Forgotten {
+			delete(starts[at], a.Word.Name)
+			return
+		}
+		if a.Word.Start < starts[at][a.Word.Name] {
+			t.Errorf("seed %d, %s: %s: an old start of %s takes the place of a later one", s.seed, s.now, at.name, a.Word.Name)
+		}
+		starts[at][a.Word.Name] = a.Word.Start
+		of := s.byAddr[a.Word.Addr]
+		if a.Word.State == Dead && of.up && of.d().Self().ID == a.Word.ID && !excused(at, of) {
+			t.Errorf("seed %d, %s: %s calls %s dead, which lives: %s", s.seed, s.now, at.name, of.name, a.Cause)
+		}
+	}
+}
+
+func nobody(*simNode, *simNode) bool { return false }
+
+// seeds runs f with seeds one after another, each in a subtest of its own.
+func seeds(t *testing.T, n uint64, f func(t *testing.T, seed uint64)) {
+	for seed := range n {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { t.Parallel(); f(t, seed) })
+	}
+}
+
+// Messages are lost, late, doubled and out of order, processes stand still for less than the suspicion lasts, links between two fail in
+// one direction, some are killed: those are found dead everywhere, and nobody else is.
+func TestNobodyThatLivesAndIsReachableIsCalledDead(t *testing.T) {
+	seeds(t, 24, func(t *testing.T, seed uint64) {
+		s := newSim(seed)
+		s.watch(t, nobody)
+		n := 5 + int(seed)%16
+		s.fleet(n, detects(nil))
+		if s.until(30*time.Second, time.Second, s.whole) < 0 {
+			t.Fatal("they do not find together")
+		}
+		s.loss, s.doubled, s.delay = float64(seed%4)*0.08, 0.02, time.Duration(1+seed%3*40)*time.Millisecond
+		s.run(s.now + 5*time.Second)
+		from, to := s.rng.IntN(n), s.rng.IntN(n)
+		for range 20 {
+			s.cut = map[link]bool{{s.nodes[from].name, s.nodes[to].name}: true}
+			if i := s.rng.IntN(n); s.nodes[i].up {
+				s.pause(s.nodes[i], time.Duration(s.rng.Int64N(int64(4*time.Second))))
+			}
+			s.run(s.now + time.Duration(s.rng.Int64N(int64(20*time.Second))))
+		}
+		killed := s.nodes[s.rng.IntN(n)]
+		s.crash(killed)
+		s.cut, s.loss = map[link]bool{}, s.loss/2
+		s.run(s.now + 40*time.Second)
+		for _, at := range s.nodes {
+			if at.up && at.d().members[killed.name].State != Dead {
+				t.Errorf("%s was killed 40 s ago, and %s holds it for %s", killed.name, at.name, at.d().members[killed.name].State)
+			}
+		}
+	})
+}
+
+// Sides of a cut, with restarts and deaths on each, find to one view with no help once it is mended, and no old start comes back.
+func TestPartitionHealsToOneView(t *testing.T) {
+	seeds(t, 24, func(t *testing.T, seed uint64) {
+		s := newSim(seed)
+		s.watch(t, func(*simNode, *simNode) bool { return s.cutFunc != nil })
+		n := 3 + int(seed)
+		s.fleet(n, detects(nil))
+		if s.until(30*time.Second, time.Second, s.whole) < 0 {
+			t.Fatal("they do not find together")
+		}
+		side := map[*simNode]int{}
+		for _, at := range s.nodes {
+			side[at] = s.rng.IntN(2 + int(seed%2))
+		}
+		s.cutFunc = func(a, b *simNode) bool { return side[a] != side[b] }
+		s.run(s.now + time.Duration(5+s.rng.IntN(300))*time.Second)
+		restarted := s.nodes[s.rng.IntN(n)]
+		s.crash(restarted)
+		s.start(restarted.name, detects(nil), "a", "b", "c")
+		if n > 5 {
+			s.crash(s.nodes[s.rng.IntN(n)])
+		}
+		s.run(s.now + time.Duration(s.rng.IntN(60))*time.Second)
+		s.cutFunc, s.loss = nil, float64(seed%3)*0.05
+		mended := s.now
+		s.watch(t, func(at, of *simNode) bool { return s.now-mended < 2*time.Minute })
+		took := s.until(2*time.Minute, time.Second, s.whole)
+		if took < 0 {
+			for _, at := range s.nodes {
+				t.Log(at.name, at.up, at.view())
+			}
+			t.Fatalf("seed %d: two minutes after, they do not hold the same", seed)
+		}
+		t.Logf("%d members: one view after %s", n, took)
+		s.loss = 0
+		s.run(s.now + 3*time.Minute)
+		if !s.whole() {
+			t.Error("it does not last")
+		}
+	})
+}
+
+// Three hundred at once, with three seeds: all know all within seconds, nobody is suspected, and no seed gets more than it can work.
+func TestThreeHundredJoinAtOnce(t *testing.T) {
+	s := newSim(1)
+	s.watch(t, nobody)
+	check := s.acted
+	got := map[string]int{}
+	streams := map[string]int{}
+	s.acted = func(at *simNode, a Action) {
+		check(at, a)
+		switch {
+		case a.Kind == Send && s.now < time.Second:
+			got[a.Addr]++
+		case a.Kind == Exchange && s.now < time.Second:
+			streams[a.Addr]++
+		case a.Kind == Changed && a.Word.State == Suspect:
+			t.Errorf("%s: %s suspects %s: %s", s.now, at.name, a.Word.Name, a.Cause)
+		}
+	}
+	s.fleet(300, detects(nil))
+	took := s.until(30*time.Second, 100*time.Millisecond, s.whole)
+	if took < 0 || took > 10*time.Second {
+		t.Errorf("all know all after %s", took)
+	}
+	most, mostStreams := 0, 0
+	for _, a := range sortedKeys(got) {
+		most = max(most, got[a])
+	}
+	for _, a := range sortedKeys(streams) {
+		mostStreams = max(mostStreams, streams[a])
+	}
+	t.Logf("all know all after %s; in the first second one gets at most %d messages and %d exchanges; %d bytes for each member", took, most, mostStreams,
+		s.bytes/300)
+	if most > 1500 || mostStreams > 60 {
+		t.Errorf("one gets %d messages and %d exchanges in the first second", most, mostStreams)
+	}
+	for _, n := range s.nodes {
+		if n.sized != 300 {
+			t.Errorf("%s counts %d", n.name, n.sized)
+		}
+	}
+}
+
+// Messages of the last minutes come again, from earlier processes too, in any order: nothing comes of them.
+func TestOldAndRepeatedMessagesAreHarmless(t *testing.T) {
+	seeds(t, 6, func(t *testing.T, seed uint64) {
+		s := newSim(seed)
+		s.watch(t, nobody)
+		check := s.acted
+		var kept []Action
+		s.acted = func(at *simNode, a Action) {
+			check(at, a)
+			if (a.Kind == Send || a.Kind == Exchange) && s.rng.IntN(4) == 0 {
+				kept = append(kept, a)
+			}
+		}
+		s.fleet(7, detects(nil))
+		s.run(20 * time.Second)
+		s.crash(s.nodes[6])
+		s.run(s.now + 20*time.Second)
+		s.start("g", detects(nil), "a", "b")
+		s.run(s.now + 20*time.Second)
+		s.crash(s.nodes[5])
+		s.run(s.now + 20*time.Second)
+		old := slices.Clone(kept)
+		for _, i := range s.rng.Perm(len(old)) {
+			a := old[i]
+			if to := s.byAddr[a.Addr]; to.up {
+				s.handle(to, Event{Kind: Got, From: s.nodes[s.rng.IntN(7)].addr, Message: a.Message})
+			}
+			if i%10 == 0 {
+				s.run(s.now + 10*time.Millisecond)
+			}
+		}
+		s.run(s.now + 15*time.Second)
+		if !s.whole() {
+			t.Error("they do not hold the same")
+		}
+		if w := s.nodes[0].d().members["f"]; w.State != Dead {
+			t.Errorf("old words have the dead one %s", w.State)
+		}
+	})
+}
+
+// The same events and seed give the same actions.
+func TestSameSeedSameActions(t *testing.T) {
+	sum := func() uint64 {
+		h := fnv.New64a()
+		s := newSim(5)
+		s.acted = func(at *simNode, a Action) { fmt.Fprint(h, s.now, at.name, a) }
+		s.loss = 0.2
+		s.fleet(12, detects(nil))
+		s.run(20 * time.Second)
+		s.cut = map[link]bool{{"a", "b"}: true, {"c", "a"}: true}
+		s.run(60 * time.Second)
+		s.crash(s.nodes[3])
+		s.pause(s.nodes[4], 8*time.Second)
+		s.run(120 * time.Second)
+		return h.Sum64()
+	}
+	if a, b := sum(), sum(); a != b {
+		t.Error("two runs with one seed differ")
+	}
+}
+
+// What a peer says without end leaves nothing that grows without end, and no panic.
+func TestMemoryIsBounded(t *testing.T) {
+	d := New(Config{Name: "self", Start: 1 << 40, Addr: "self:1", MembersMost: 200, LinksMost: 50})
+	now := time.Duration(0)
+	d.Handle(now, Event{Kind: Begin}, nil)
+	rng := rand.New(rand.NewPCG(1, 1))
+	word := func() Word {
+		return Word{ID: ID{fmt.Sprint("m", rng.IntN(400)), uint64(1 + rng.IntN(3))}, Inc: uint32(rng.IntN(4)), State: State(rng.IntN(7)),
+			Addr: fmt.Sprint("m:", rng.IntN(400)), By: fmt.Sprint("m", rng.IntN(400)), Until: time.Duration(rng.Int64N(int64(time.Hour)))}
+	}
+	var out []Action
+	for range 30_000 {
+		m := Message{Kind: Kind(rng.IntN(9)), Seq: uint32(rng.IntN(50)), From: word(), About: word().ID}
+		for range rng.IntN(5) {
+			m.News = append(m.News, word())
+			m.Links = append(m.Links, LinkWord{From: fmt.Sprint("m", rng.IntN(400)), To: fmt.Sprint("m", rng.IntN(400)), Num: rng.Uint32N(100), Deaf: rng.IntN(2) == 0})
+		}
+		now += time.Duration(rng.Int64N(int64(200 * time.Millisecond)))
+		out = d.Handle(now, Event{Kind: Got, From: "m:1", Message: m}, out[:0])
+		if len(d.members) > 200 || len(d.ring) != len(d.members) || len(d.links.held) > 50 || len(d.links.news) > 50 || len(d.relays) > relaysMost ||
+			len(d.doubts) > 400 || len(d.probes) > probesMost || len(d.news.all) > 200 || len(d.timed) > 200 {
+			t.Fatalf("it grows: %d members, %d link words, %d doubts, %d news", len(d.members), len(d.links.held), len(d.doubts), len(d.news.all))
+		}
+		there := 0
+		for i, m := range d.ring {
+			if m.place != i || d.members[m.Name] != m {
+				t.Fatal("the list and the table differ")
+			}
+			if m.State.there() {
+				there++
+			}
+		}
+		if there != d.there {
+			t.Fatalf("%d are there, and %d are counted", there, d.there)
+		}
+	}
+}
--- /dev/null
+++ b/detect/measure_test.go
@@ -0,0 +1,308 @@
+package detect
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+// This file has the measurements that the design note's table is from: go test ./detect -run Measure -v -measure
+
+var (
+	measure   = flag.Bool("measure", false, "run the measurements of the design note")
+	hours     = flag.Float64("measure.hours", 1, "hours of virtual time for each count of deaths")
+	sizeLimit = flag.Int("measure.most", 350, "the largest fleet whose deaths are counted")
+)
+
+// heartbeat is the plainest that there is, to compare with: each tells all each second, and who is silent for 5 s is dead.
+type heartbeat struct {
+	self  Word
+	all   []Word
+	heard []time.Duration
+	dead  []bool
+	next  time.Duration
+}
+
+func (h *heartbeat) Next() time.Duration { return h.next }
+
+func (h *heartbeat) Handle(now time.Duration, ev Event, out []Action) []Action {
+	if ev.Kind == Got {
+		i := int(ev.Message.Seq)
+		h.heard[i] = now
+		if h.dead[i] {
+			h.dead[i] = false
+			out = append(out, Action{Kind: Changed, Word: h.all[i], Old: Dead})
+		}
+		return out
+	}
+	if now < h.next && ev.Kind == Tick {
+		return out
+	}
+	h.next = now + time.Second
+	me := slices.IndexFunc(h.all, func(w Word) bool { return w.Name == h.self.Name })
+	for i, w := range h.all {
+		if i == me {
+			continue
+		}
+		out = append(out, Action{Kind: Send, Addr: w.Addr, Message: Message{Kind: Ask, Seq: uint32(me), From: h.self}})
+		if !h.dead[i] && now-h.heard[i] > 5*time.Second {
+			h.dead[i] = true
+			w.State = Dead
+			out = append(out, Action{Kind: Changed, Word: w, Old: Alive})
+		}
+	}
+	return out
+}
+
+// way is one way of detection that is measured.
+type way struct {
+	name string
+	make func(n int) func(*Config) node
+}
+
+var ways = []way{
+	{"detect", func(int) func(*Config) node { return detects(nil) }},
+	{"SWIM alone", func(int) func(*Config) node {
+		return detects(func(c *Config) {
+			c.plain, c.HealthMost, c.Accusers, c.Stretch, c.LateTick = true, -1, -1, 1, -1
+		})
+	}},
+	{"heartbeats", func(n int) func(*Config) node {
+		return func(c *Config) node {
+			h := &heartbeat{self: Word{ID: ID{c.Name, c.Start}, Addr: c.Addr}, heard: make([]time.Duration, n), dead: make([]bool, n)}
+			for i := range n {
+				h.all = append(h.all, Word{ID: ID{nameOf(i), 1}, Addr: nameOf(i) + ":7946"})
+			}
+			return h
+		}
+	}},
+}
+
+// joined is a fleet that has found together.
+func joined(seed uint64, n int, w way) *sim {
+	s := newSim(seed)
+	s.fleet(n, w.make(n))
+	s.run(30 * time.Second)
+	return s
+}
+
+func centile(of []time.Duration, p float64) time.Duration {
+	if len(of) == 0 {
+		return -1
+	}
+	slices.Sort(of)
+	return of[min(len(of)-1, int(p*float64(len(of))))].Round(100 * time.Millisecond)
+}
+
+func skipUnlessMeasured(t *testing.T) {
+	if !*measure {
+		t.Skip("runs with -measure")
+	}
+}
+
+// How long until the first, and until all, see a crash; what a calm fleet sends.
+func TestMeasureCrash(t *testing.T) {
+	skipUnlessMeasured(t)
+	for _, c := range []struct{ n, runs int }{{3, 100}, {30, 100}, {350, 24}, {1000, 8}} {
+		for _, w := range ways {
+			if w.name == "heartbeats" && c.n > 350 {
+				continue
+			}
+			runs := c.runs
+			if w.name == "heartbeats" {
+				runs = min(runs, 8)
+			}
+			var mu sync.Mutex
+			var first, every, all []time.Duration
+			bytes, missed := 0.0, 0
+			t.Run(fmt.Sprintf("%d/%s", c.n, w.name), func(t *testing.T) {
+				for seed := range uint64(runs) {
+					t.Run("", func(t *testing.T) {
+						t.Parallel()
+						s := joined(seed, c.n, w)
+						b, from := s.bytes, s.now
+						s.run(s.now + 20*time.Second)
+						each := float64(s.bytes-b) / float64(c.n) / (s.now - from).Seconds()
+						s.run(s.now + time.Duration(s.rng.Int64N(int64(time.Second))))
+						dead := s.nodes[s.rng.IntN(c.n)]
+						at := s.now
+						seen := map[string]time.Duration{}
+						s.changed = func(n *simNode, a Action) {
+							if a.Word.Name == dead.name && a.Word.State == Dead {
+								seen[n.name] = s.now - at
+							}
+						}
+						s.crash(dead)
+						s.until(3*time.Minute, time.Second, func() bool { return len(seen) == c.n-1 })
+						mu.Lock()
+						defer mu.Unlock()
+						var own []time.Duration
+						for _, name := range sortedKeys(seen) {
+							own = append(own, seen[name])
+						}
+						bytes += each / float64(runs)
+						missed += c.n - 1 - len(own)
+						every = append(every, own...)
+						if len(own) > 0 {
+							first = append(first, slices.Min(own))
+							all = append(all, slices.Max(own))
+						}
+					})
+				}
+			})
+			t.Logf("MEASURE crash | %d | %s | runs %d | a member sees it: median %s, 99th %s | first %s | all: median %s, worst %s | not seen %d | %.0f bytes/s and member", c.n, w.name, runs,
+				centile(every, .5), centile(every, .99), centile(first, .5), centile(all, .5), centile(all, 1), missed, bytes)
+		}
+	}
+}
+
+// faults is what befalls a fleet while its false deaths are counted.
+type faults struct {
+	name                string
+	loss                float64
+	pause, cuts, linger bool
+}
+
+// Living members that are called dead.
+func TestMeasureFalseDeaths(t *testing.T) {
+	skipUnlessMeasured(t)
+	for _, f := range []faults{{name: "calm"}, {name: "10 % lost", loss: .1}, {name: "30 % lost", loss: .3}, {name: "a tenth stands still for 5 s a minute", pause: true},
+		{name: "one way cut between a fifth as many pairs as members, others each minute", cuts: true}} {
+		for _, n := range []int{3, 30, 350, 1000} {
+			if n > *sizeLimit {
+				continue
+			}
+			for _, w := range ways {
+				if w.name == "heartbeats" && n > 30 {
+					continue
+				}
+				const runs = 4
+				var mu sync.Mutex
+				deaths, suspects, observed, cutOffs := 0, 0, 0, 0
+				var back []time.Duration
+				each := time.Duration(*hours * float64(time.Hour) / runs)
+				if n >= 350 {
+					each /= time.Duration(n / 100)
+				}
+				t.Run(fmt.Sprintf("%s/%d/%s", f.name, n, w.name), func(t *testing.T) {
+					for seed := range uint64(runs) {
+						t.Run("", func(t *testing.T) {
+							t.Parallel()
+							d, su, o, c, b := falseDeaths(seed, n, w, f, each)
+							mu.Lock()
+							defer mu.Unlock()
+							deaths, suspects, observed, cutOffs, back = deaths+d, suspects+su, observed+o, cutOffs+c, append(back, b...)
+						})
+					}
+				})
+				t.Logf("MEASURE deaths | %s | %d | %s | %s | called dead %d (by %d in all), suspected %d | taken back after: median %s, worst %s | cut off %d", f.name, n, w.name,
+					runs*each, deaths, observed, suspects, centile(back, .5), centile(back, 1), cutOffs)
+			}
+		}
+	}
+}
+
+func falseDeaths(seed uint64, n int, w way, f faults, each time.Duration) (deaths, suspects, observed, cutOffs int, back []time.Duration) {
+	s := joined(seed, n, w)
+	s.loss = f.loss
+	began := map[string]time.Duration{} // the deaths that are not taken back everywhere
+	holders := map[string]map[string]bool{}
+	s.changed = func(at *simNode, a Action) {
+		name := a.Word.Name
+		switch {
+		case a.Word.State == Dead:
+			if _, ok := began[name]; !ok {
+				deaths++
+				began[name] = s.now
+				holders[name] = map[string]bool{}
+			}
+			observed++
+			holders[name][at.name] = true
+		case a.Word.State == Suspect:
+			suspects++
+		}
+		if a.Old == Dead && a.Word.State != Dead && holders[name] != nil {
+			delete(holders[name], at.name)
+			if len(holders[name]) == 0 {
+				back = append(back, s.now-began[name])
+				delete(began, name)
+				delete(holders, name)
+			}
+		}
+	}
+	s.acted = func(_ *simNode, a Action) {
+		if a.Kind == CutOff && a.Is {
+			cutOffs++
+		}
+	}
+	for end := s.now + each; s.now < end; {
+		if f.pause {
+			for i := range max(1, n/10) {
+				s.after(time.Duration(s.rng.Int64N(int64(54*time.Second))), func() { s.pause(s.nodes[i], 5*time.Second) })
+			}
+		}
+		if f.cuts {
+			s.cut = map[link]bool{}
+			for range max(1, n/5) {
+				s.cut[link{s.nodes[s.rng.IntN(n)].name, s.nodes[s.rng.IntN(n)].name}] = true
+			}
+		}
+		s.run(s.now + time.Minute)
+	}
+	return
+}
+
+// How long two sides need to hold one view again, and what they send meanwhile.
+func TestMeasureHeal(t *testing.T) {
+	skipUnlessMeasured(t)
+	for _, c := range []struct{ n, runs int }{{3, 100}, {30, 40}, {350, 8}, {1000, 4}} {
+		for _, apart := range []time.Duration{time.Minute, 10 * time.Minute} {
+			if c.n == 1000 && apart > time.Minute {
+				continue
+			}
+			var mu sync.Mutex
+			var took []time.Duration
+			most := 0.0
+			t.Run(fmt.Sprintf("%d/%s", c.n, apart), func(t *testing.T) {
+				for seed := range uint64(c.runs) {
+					t.Run("", func(t *testing.T) {
+						t.Parallel()
+						s := joined(seed, c.n, ways[0])
+						half := map[*simNode]bool{}
+						for i, n := range s.nodes {
+							half[n] = i < c.n/2
+						}
+						s.cutFunc = func(a, b *simNode) bool { return half[a] != half[b] }
+						s.run(s.now + apart)
+						s.cutFunc = nil
+						b, from := s.bytes, s.now
+						d := s.until(5*time.Minute, time.Second, s.whole)
+						mu.Lock()
+						defer mu.Unlock()
+						if d < 0 {
+							t.Error("they do not find together")
+							return
+						}
+						took = append(took, d)
+						most = max(most, float64(s.bytes-b)/float64(c.n)/(s.now-from+1).Seconds())
+					})
+				}
+			})
+			t.Logf("MEASURE heal | %d | halves apart for %s | runs %d | one view after: median %s, worst %s | at most %.0f bytes/s and member meanwhile", c.n, apart, c.runs, centile(took, .5), centile(took, 1), most)
+		}
+	}
+}
+
+// How long a fleet that begins at once needs to hold one view, and what that costs.
+func TestMeasureJoin(t *testing.T) {
+	skipUnlessMeasured(t)
+	for _, n := range []int{3, 30, 350, 1000} {
+		s := newSim(1)
+		s.fleet(n, detects(nil))
+		took := s.until(2*time.Minute, 100*time.Millisecond, s.whole)
+		t.Logf("MEASURE join | %d at once | all know all after %s | %d bytes for each member", n, took, s.bytes/n)
+	}
+}
--- /dev/null
+++ b/detect/members.go
@@ -0,0 +1,443 @@
+package detect
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// This file has the members: how a word is taken in, suspicion and its end, those who are dead and those who are forgotten.
+
+// member is what is known of one other process.
+type member struct {
+	Word
+	place int // in ring
+	timer int // in timed; -1: in none
+	due   time.Duration
+
+	since    time.Duration // Suspect, Dead, Left: since when
+	extra    time.Duration // Suspect: what it lasts longer, as this process was stopped meanwhile
+	accusers []string      // Suspect
+	back     time.Duration // Away: until when
+	wait     time.Duration // Dead: between two questions
+	recent   bool          // Dead: it counts for Sized
+	silent   bool          // it was never known to be there: its end is not passed on
+	flaps    int           // times that it came back from the dead lately
+	flapAt   time.Duration
+
+	doubt   Word // a death of it that was told
+	checks  int  // how often it was asked for that
+	doubted bool // in doubts
+
+	news          entry
+	probed        bool // in probes
+	misses        int  // of its own answers, while others heard it
+	missAt        time.Duration
+	num           uint32
+	unheard, deaf bool
+	deafUntil     time.Duration
+}
+
+const (
+	// flapFor is how long a return from the dead is remembered, and flapsMost the most that count: suspicion lasts 1 + flaps times as long.
+	flapFor, flapsMost = 10 * time.Minute, 2
+	// enough is the part of the least suspicion that one has to have been suspect here for the word of its death to be believed.
+	enough = 0.75
+	// doubtEvery and doubtsAtOnce bound how fast deaths that were told are looked into: 40 a second; checksMost is how often each.
+	doubtEvery, doubtsAtOnce, checksMost = 100 * time.Millisecond, 4, 3
+)
+
+// told is the word as it is passed on now.
+func (m *member) told(now time.Duration) Word {
+	w := m.Word
+	if w.State == Away {
+		w.Until = max(0, m.back-now)
+	}
+	return w
+}
+
+// take takes in one word. first: it is of its sender.
+func (d *Detect) take(w Word, first bool) {
+	if !w.sound() {
+		return
+	}
+	if w.Name == d.self.Name {
+		d.ofSelf(w)
+		return
+	}
+	m := d.members[w.Name]
+	switch {
+	case m == nil:
+		d.add(w)
+	case w.Start > m.Start:
+		d.replace(m, w)
+	case w.Start < m.Start:
+	case w.State == Suspect && Compare(w, m.Word) == 0:
+		d.accuse(m, w.By)
+	case Compare(w, m.Word) <= 0:
+	case w.State == Dead && m.State.there() && !d.cfg.plain:
+		d.hearOfDeath(m, w)
+	default:
+		d.set(m, w, first)
+	}
+}
+
+// add takes in one that is not known.
+func (d *Detect) add(w Word) {
+	if len(d.members) >= d.cfg.MembersMost {
+		return
+	}
+	m := &member{Word: Word{ID: w.ID, State: Forgotten}, place: len(d.ring), timer: -1}
+	d.members[w.Name] = m
+	d.ring = append(d.ring, m)
+	if n := len(d.ring) - d.pos; n > 1 { // at a random place of what is still to be asked in this turn
+		d.swap(m.place, d.pos+d.rng.IntN(n))
+	}
+	if !w.State.there() { // it is the end of one that is forgotten, or was never met
+		m.silent = true
+		m.Word, m.since = w, d.now
+		m.By, m.Until = "", 0
+		m.wait = retry
+		d.arm(m)
+		return
+	}
+	d.set(m, w, false)
+}
+
+func (d *Detect) swap(i, j int) {
+	d.ring[i], d.ring[j] = d.ring[j], d.ring[i]
+	d.ring[i].place, d.ring[j].place = i, j
+}
+
+// replace takes in a later process of the name.
+func (d *Detect) replace(m *member, w Word) {
+	d.unlink(m)
+	m.accusers = nil
+	if m.silent && !w.State.there() {
+		m.Word, m.since = w, d.now
+		d.arm(m)
+		return
+	}
+	old := m.State
+	d.become(m, w, "a later process has its name")
+	if old == m.State {
+		d.changed(m, old, "a later process has its name")
+	}
+}
+
+// set takes in a word that holds over what is known.
+func (d *Detect) set(m *member, w Word, first bool) {
+	cause := "it was told of"
+	switch {
+	case first:
+		cause = "it said so"
+	case w.State == Suspect:
+		cause = "suspected by " + w.By
+	case m.State == Suspect || m.State == Dead:
+		cause = "it says that it lives"
+	}
+	if m.State == Suspect && w.State <= Away && slices.Contains(m.accusers, d.self.Name) {
+		d.worse(1) // the accuser was wrong
+	}
+	accusers := []string{}
+	if w.State == Suspect {
+		if w.By != "" {
+			accusers = append(accusers, w.By)
+		}
+		if m.State == Suspect {
+			cause = ""
+		}
+	}
+	m.accusers = accusers
+	d.become(m, w, cause)
+}
+
+// become gives a member a word, with all that follows from its state.
+func (d *Detect) become(m *member, w Word, cause string) {
+	old := m.State
+	if old == Dead && w.State <= Away {
+		if m.silent {
+			old = Forgotten
+		} else {
+			if d.now-m.flapAt > flapFor {
+				m.flaps = 0
+			}
+			m.flaps, m.flapAt = min(flapsMost, m.flaps+1), d.now
+		}
+		d.exchangeSoon(m)
+	}
+	if old.there() {
+		d.there--
+	}
+	if m.recent {
+		d.recent--
+		m.recent = false
+	}
+	m.Word = w
+	m.silent = false
+	if w.State.there() {
+		d.there++
+	}
+	if w.State == Dead {
+		d.recent++
+		m.recent = true
+	}
+	if w.State != old || w.State == Suspect {
+		m.since, m.extra = d.now, 0
+	}
+	m.back = d.now + min(max(0, w.Until), d.cfg.AwayMost)
+	m.wait = retry
+	m.doubt = Word{}
+	d.arm(m)
+	d.pass(m)
+	if w.State != old {
+		d.changed(m, old, cause)
+	}
+}
+
+func (d *Detect) changed(m *member, old State, cause string) {
+	d.act(Action{Kind: Changed, Word: m.told(d.now), Old: old, Cause: cause})
+}
+
+// arm sets the timer of a member by its state.
+func (d *Detect) arm(m *member) {
+	if m.State == Alive {
+		if m.timer >= 0 {
+			heap.Remove(&d.timed, m.timer)
+		}
+		return
+	}
+	switch m.State {
+	case Suspect:
+		m.due = d.deadline(m)
+	case Away:
+		m.due = m.back
+	case Dead, Left:
+		m.due = m.since + d.cfg.ForgetAfter
+		if m.recent {
+			m.due = min(m.due, m.since+d.cfg.SizedFor)
+		}
+		if m.State == Dead {
+			m.due = min(m.due, d.now+d.about(m.wait))
+		}
+	}
+	if m.timer >= 0 {
+		heap.Fix(&d.timed, m.timer)
+	} else {
+		heap.Push(&d.timed, m)
+	}
+}
+
+// least is the shortest suspicion of a member.
+func (d *Detect) least(m *member) time.Duration {
+	flaps := m.flaps
+	if d.now-m.flapAt > flapFor {
+		flaps = 0
+	}
+	return time.Duration(float64(d.cfg.Suspicion)*d.logs()) * time.Duration(1+flaps)
+}
+
+// deadline is when a suspicion ends in death: Stretch times the least with one accuser, and each further one shortens it, the first the
+// most (Lifeguard, 4.2).
+func (d *Detect) deadline(m *member) time.Duration {
+	least := d.least(m)
+	k := min(d.cfg.Accusers, d.there-1) // this process may be one, the accused is none
+	length := least
+	if c := max(0, len(m.accusers)-1); k > 0 && c < k {
+		most := least * time.Duration(d.cfg.Stretch)
+		length = most - time.Duration(float64(most-least)*math.Log(float64(c+1))/math.Log(float64(k+1)))
+	}
+	return max(m.since+length+m.extra, d.calm)
+}
+
+// accuse counts one more accuser of a suspect.
+func (d *Detect) accuse(m *member, by string) {
+	if by == "" || by == m.Name || slices.Contains(m.accusers, by) || len(m.accusers) > d.cfg.Accusers {
+		return
+	}
+	m.accusers = append(m.accusers, by)
+	m.By = by
+	d.arm(m)
+	d.pass(m)
+}
+
+// suspect has this process accuse one that does not answer.
+func (d *Detect) suspect(m *member, cause string) {
+	if m.State == Suspect {
+		d.accuse(m, d.self.Name)
+		return
+	}
+	w := m.Word
+	w.State, w.By, w.Until = Suspect, d.self.Name, 0
+	m.accusers = []string{d.self.Name}
+	d.become(m, w, cause)
+}
+
+// hearOfDeath works the word of the death of one who is there as far as this process knows. It is believed of one that has been suspect
+// for long enough to say that it lives. Else who tells it may have been cut off itself: the one that is told of is asked first.
+func (d *Detect) hearOfDeath(m *member, w Word) {
+	if m.State == Suspect && m.Inc == w.Inc && float64(d.now-m.since-m.extra) >= enough*float64(d.least(m)) && d.now >= d.calm {
+		d.become(m, w, "others found it dead")
+		return
+	}
+	if m.doubt.Name != "" && Compare(w, m.doubt) <= 0 {
+		return
+	}
+	m.doubt, m.checks = w, 0
+	if !m.doubted {
+		m.doubted = true
+		if d.doubts = append(d.doubts, m); len(d.doubts) == 1 {
+			d.doubtAt = d.now
+		}
+	}
+}
+
+// check asks those of whose death was told.
+func (d *Detect) check() {
+	for range min(doubtsAtOnce, len(d.doubts)) {
+		m := d.doubts[0]
+		d.doubts = d.doubts[1:]
+		m.doubted = false
+		if m.doubt.Name == "" || d.members[m.Name] != m || !m.State.there() || Compare(m.Word, m.doubt) > 0 {
+			m.doubt = Word{}
+			continue
+		}
+		if m.checks >= checksMost {
+			w := m.doubt
+			m.doubt = Word{}
+			if m.State != Away && d.now >= d.calm {
+				w.State, w.By = Suspect, d.self.Name
+				if m.State == Suspect && Compare(w, m.Word) <= 0 {
+					d.accuse(m, w.By)
+				} else {
+					m.accusers = []string{w.By}
+					d.become(m, w, "others found it dead, and it does not answer")
+				}
+			}
+			continue
+		}
+		m.checks++
+		d.send(m.Addr, Message{Kind: Ask, Seq: d.seqNext(), About: m.ID, News: []Word{m.doubt}}, m)
+		m.doubted = true
+		d.doubts = append(d.doubts, m)
+	}
+	d.doubtAt = d.now + doubtEvery
+	if n := len(d.doubts); n > 0 && n <= doubtsAtOnce { // each has time to answer
+		d.doubtAt = d.now + d.cfg.AnswerWithin
+	}
+}
+
+// timeUp works the timer of a member.
+func (d *Detect) timeUp(m *member) {
+	switch m.State {
+	case Suspect:
+		if at := d.deadline(m); at > d.now {
+			m.due = at
+			heap.Fix(&d.timed, m.timer)
+			return
+		}
+		w := m.Word
+		w.State, w.By = Dead, ""
+		d.become(m, w, fmt.Sprintf("suspected by %d for %s, and it did not say that it lives", len(m.accusers),
+			(d.now-m.since).Round(100*time.Millisecond)))
+	case Away:
+		d.suspect(m, "it is not back within the time that it said")
+	default:
+		switch {
+		case d.now >= m.since+d.cfg.ForgetAfter:
+			d.forget(m, "its end is long ago")
+			return
+		case m.recent && d.now >= m.since+d.cfg.SizedFor:
+			m.recent = false
+			d.recent--
+		case m.State == Dead:
+			if d.deadAt > d.now {
+				m.due = d.deadAt + d.chance(d.cfg.Every)
+				heap.Fix(&d.timed, m.timer)
+				return
+			}
+			if d.self.State != Left && !d.cfg.plain {
+				d.deadAt = d.now + d.cfg.Every/2
+				d.tries++
+				d.send(m.Addr, Message{Kind: Ask, Seq: d.seqNext(), About: m.ID}, m)
+			}
+			m.wait = min(2*m.wait, d.cfg.DeadMost)
+		}
+		d.arm(m)
+	}
+}
+
+// forget drops all that is known of a process.
+func (d *Detect) forget(m *member, cause string) {
+	if m.State.there() {
+		d.there--
+	}
+	if m.recent {
+		d.recent--
+	}
+	if m.timer >= 0 {
+		heap.Remove(&d.timed, m.timer)
+	}
+	d.news.drop(m)
+	d.unlink(m)
+	last := len(d.ring) - 1
+	d.swap(m.place, last)
+	d.ring = d.ring[:last]
+	d.pos = min(d.pos, last)
+	delete(d.members, m.Name)
+	if old := m.State; !m.silent {
+		m.State = Forgotten
+		d.changed(m, old, cause)
+	}
+	m.doubt = Word{}
+}
+
+// ofSelf works a word of this process's own name.
+func (d *Detect) ofSelf(w Word) {
+	switch {
+	case w.Start > d.self.Start:
+		ended := w.State == Dead || w.State == Left
+		switch {
+		case w.Start == math.MaxUint64 || w.State == Suspect && d.pulled: // whether that one lives is not known yet
+		case !d.pulled || ended:
+			// A process that was there before this one began, or has ended: its clock was ahead.
+			d.self.Start, d.self.Inc = w.Start+1, 0
+			d.act(Action{Kind: Renamed, By: d.self.ID})
+		default:
+			d.over = true
+			d.act(Action{Kind: Superseded, By: w.ID})
+		}
+	case w.Start < d.self.Start || Compare(w, d.self) <= 0 || w.Inc == math.MaxUint32 || d.self.State == Left:
+	default: // it is suspected, or dead: it lives
+		d.self.Inc = w.Inc + 1
+		d.worse(1)
+	}
+	if w.Start == d.self.Start && w.State == Dead {
+		d.heldDead()
+	}
+}
+
+// timers is a heap by due.
+type timers []*member
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].due < t[j].due }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].timer, t[j].timer = i, j
+}
+func (t *timers) Push(x any) {
+	m := x.(*member)
+	m.timer = len(*t)
+	*t = append(*t, m)
+}
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	m := (*t)[last]
+	(*t)[last] = nil
+	*t = (*t)[:last]
+	m.timer = -1
+	return m
+}
--- /dev/null
+++ b/detect/sim_test.go
@@ -0,0 +1,345 @@
+package detect
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// This file has a network in memory and in virtual time: messages are lost, late, out of order and doubled, links and processes fail.
+
+// node is what runs in the network: a Detect, or what it is compared with.
+type node interface {
+	Handle(time.Duration, Event, []Action) []Action
+	Next() time.Duration
+}
+
+type simNode struct {
+	name, addr string
+	node       node
+	up, stood  bool // stood: stopped by a signal
+	offset     time.Duration
+	inbox      []Event
+	wake       time.Duration
+	life       int // of the process: what was for an earlier one is lost
+	cutOff     bool
+	over       bool
+	sized      int
+}
+
+func (n *simNode) d() *Detect { return n.node.(*Detect) }
+
+type simEvent struct {
+	at   time.Duration
+	seq  int
+	node *simNode
+	life int
+	ev   Event
+	tick bool
+	fn   func()
+}
+
+type sim struct {
+	now      time.Duration
+	seq      int
+	queue    []simEvent
+	nodes    []*simNode
+	byAddr   map[string]*simNode
+	rng      *rand.Rand
+	seed     uint64
+	loss     float64
+	doubled  float64
+	delay    time.Duration // messages take between a tenth of it and all
+	cut      map[link]bool // by name, one direction
+	cutFunc  func(from, to *simNode) bool
+	bytes    int
+	messages int
+	changed  func(at *simNode, a Action)
+	acted    func(at *simNode, a Action)
+	out      []Action
+}
+
+func newSim(seed uint64) *sim {
+	return &sim{rng: rand.New(rand.NewPCG(seed, 7)), seed: seed, byAddr: map[string]*simNode{}, delay: 2 * time.Millisecond, cut: map[link]bool{}}
+}
+
+// start adds a process, or one more of a name that has ended.
+func (s *sim) start(name string, make func(*Config) node, seeds ...string) *simNode {
+	addr := name + ":7946"
+	n := s.byAddr[addr]
+	if n == nil {
+		n = &simNode{name: name, addr: addr}
+		s.nodes = append(s.nodes, n)
+		s.byAddr[addr] = n
+	}
+	n.life++
+	n.up, n.stood, n.inbox, n.cutOff, n.over = true, false, nil, false, false
+	wall := time.Unix(1_800_000_000, 0).Add(s.now + n.offset)
+	cfg := Config{Name: name, Addr: addr, Start: FirstStart(wall, s.rng.Uint32()), Seed: s.rng.Uint64()}
+	for _, a := range seeds {
+		cfg.Seeds = append(cfg.Seeds, a+":7946")
+	}
+	n.wake = never
+	n.node = make(&cfg)
+	s.handle(n, Event{Kind: Begin})
+	return n
+}
+
+func detects(tweak func(*Config)) func(*Config) node {
+	return func(c *Config) node {
+		if tweak != nil {
+			tweak(c)
+		}
+		return New(*c)
+	}
+}
+
+func nameOf(i int) string {
+	if i < 26 {
+		return string(rune('a' + i))
+	}
+	return fmt.Sprintf("n%04d", i)
+}
+
+// fleet starts n processes that know the first three as seeds.
+func (s *sim) fleet(n int, make func(*Config) node) {
+	for i := range n {
+		s.start(nameOf(i), make, "a", "b", "c")
+	}
+}
+
+func (s *sim) push(e simEvent) {
+	s.seq++
+	e.seq = s.seq
+	q := append(s.queue, e)
+	for i := len(q) - 1; i > 0; {
+		p := (i - 1) / 2
+		if !q[i].before(&q[p]) {
+			break
+		}
+		q[i], q[p] = q[p], q[i]
+		i = p
+	}
+	s.queue = q
+}
+
+func (e *simEvent) before(o *simEvent) bool { return e.at < o.at || e.at == o.at && e.seq < o.seq }
+
+func (s *sim) pop() simEvent {
+	q := s.queue
+	top, last := q[0], len(q)-1
+	q[0] = q[last]
+	q[last] = simEvent{}
+	q = q[:last]
+	for i := 0; ; {
+		c := 2*i + 1
+		if c >= last {
+			break
+		}
+		if c+1 < last && q[c+1].before(&q[c]) {
+			c++
+		}
+		if !q[c].before(&q[i]) {
+			break
+		}
+		q[i], q[c] = q[c], q[i]
+		i = c
+	}
+	s.queue = q
+	return top
+}
+
+// run goes on until a time.
+func (s *sim) run(until time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= until {
+		e := s.pop()
+		s.now = e.at
+		switch {
+		case e.fn != nil:
+			e.fn()
+		case !e.node.up || e.life != e.node.life:
+		case e.tick:
+			if e.at == e.node.wake && !e.node.stood {
+				e.node.wake = never
+				s.handle(e.node, Event{Kind: Tick})
+			}
+		case e.node.stood:
+			if len(e.node.inbox) < 200 { // of a socket
+				e.node.inbox = append(e.node.inbox, e.ev)
+			}
+		default:
+			s.handle(e.node, e.ev)
+		}
+	}
+	s.now = until
+}
+
+func (s *sim) after(d time.Duration, fn func()) { s.push(simEvent{at: s.now + d, fn: fn}) }
+
+func (s *sim) handle(n *simNode, ev Event) {
+	s.out = n.node.Handle(s.now, ev, s.out[:0])
+	for _, a := range s.out {
+		switch a.Kind {
+		case Send, Exchange:
+			s.transmit(n, a)
+		case Changed:
+			if s.changed != nil {
+				s.changed(n, a)
+			}
+		case CutOff:
+			n.cutOff = a.Is
+		case Superseded:
+			n.over = true
+		case Sized:
+			n.sized = a.N
+		}
+		if s.acted != nil {
+			s.acted(n, a)
+		}
+	}
+	if at := n.node.Next(); at < n.wake || n.wake < s.now {
+		n.wake = max(at, s.now)
+		if at != never {
+			s.push(simEvent{at: n.wake, node: n, life: n.life, tick: true})
+		}
+	} else if at > n.wake { // the tick that is under way comes too early, which is allowed
+		return
+	}
+}
+
+func (s *sim) open(from, to *simNode) bool {
+	return !s.cut[link{from.name, to.name}] && (s.cutFunc == nil || !s.cutFunc(from, to))
+}
+
+func (s *sim) took() time.Duration {
+	return s.delay/10 + time.Duration(s.rng.Int64N(int64(s.delay-s.delay/10)))
+}
+
+func (s *sim) transmit(n *simNode, a Action) {
+	s.messages++
+	s.bytes += a.Message.bytes() + 28 // IP and UDP
+	to := s.byAddr[a.Addr]
+	if to == nil || !to.up {
+		return
+	}
+	stream := a.Kind == Exchange || a.Message.Kind == Pull
+	if !s.open(n, to) || stream && !s.open(to, n) || !stream && s.rng.Float64() < s.loss {
+		return
+	}
+	e := simEvent{at: s.now + s.took(), node: to, life: to.life, ev: Event{Kind: Got, From: n.addr, Message: a.Message}}
+	s.push(e)
+	if s.doubled > 0 && !stream && s.rng.Float64() < s.doubled {
+		e.at += s.took() * 10
+		s.push(e)
+	}
+}
+
+// bytes is how much a message is on the wire, from above.
+func (m *Message) bytes() int {
+	n := messageSize + 40 + len(m.About.Name) + m.From.size()
+	for i := range m.News {
+		n += m.News[i].size()
+	}
+	for i := range m.Links {
+		n += m.Links[i].size()
+	}
+	return n
+}
+
+// crash ends a process, which says nothing.
+func (s *sim) crash(n *simNode) { n.up = false; n.life++ }
+
+// pause stops a process, and lets it go on after d: what has come meanwhile stands in its socket.
+func (s *sim) pause(n *simNode, d time.Duration) {
+	if !n.up || n.stood {
+		return
+	}
+	n.stood = true
+	life := n.life
+	s.after(d, func() {
+		if n.life != life {
+			return
+		}
+		n.stood = false
+		inbox := n.inbox
+		n.inbox = nil
+		for _, ev := range inbox {
+			s.handle(n, ev)
+		}
+		s.handle(n, Event{Kind: Tick})
+	})
+}
+
+// view is what a process holds of the others that are there.
+func (n *simNode) view() string {
+	var b strings.Builder
+	n.d().Members(func(w Word, l LinkState) bool {
+		if w.State == Left || w.State == Dead {
+			return true
+		}
+		fmt.Fprintf(&b, "%s %s", w.Name, w.State)
+		if l != Sound {
+			fmt.Fprintf(&b, " (%s)", l)
+		}
+		b.WriteString(", ")
+		return true
+	})
+	return strings.TrimSuffix(b.String(), ", ")
+}
+
+// whole tells whether each process that is up holds all of those that are up, and nobody else, for there.
+func (s *sim) whole() bool {
+	up := map[ID]bool{}
+	for _, n := range s.nodes {
+		if n.up && !n.over && n.d().Self().State != Left {
+			up[n.d().Self().ID] = true
+		}
+	}
+	for _, n := range s.nodes {
+		if !n.up || n.over || !up[n.d().Self().ID] {
+			continue
+		}
+		there := 0
+		for _, m := range n.d().ring {
+			if m.State == Suspect || m.State == Alive && !up[m.ID] {
+				return false
+			}
+			if m.State == Alive {
+				there++
+			}
+		}
+		if there != len(up)-1 {
+			return false
+		}
+	}
+	return true
+}
+
+// until runs on until it is so, looking each step, and tells how long that took; -1: it was not so within most.
+func (s *sim) until(most, step time.Duration, is func() bool) time.Duration {
+	from := s.now
+	for s.now < from+most {
+		if is() {
+			return s.now - from
+		}
+		s.run(s.now + step)
+	}
+	if is() {
+		return s.now - from
+	}
+	return -1
+}
+
+func (s *sim) named(name string) *simNode { return s.byAddr[name+":7946"] }
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/detect/types.go
+++ b/detect/types.go
@@ -180,6 +180,8 @@
 	LinksMost     int           // link words kept; 0: 1024
 	DatagramMost  int           // bytes; 0: 1200
 	Envelope      int           // bytes of it that the caller needs itself; 0: 40
+
+	plain bool // SWIM as published, to compare with: deaths are hearsay, the accused is not told first, the dead are not asked again
 }
 
 // FirstStart is the start of a process that begins at this wall clock and draws these bits: the only place where a wall clock counts.
