shed: levels by plan from each instance's pressure; plans in the site's file

Each instance counts by pool and priority, tells a bounded sum, and makes the same level from the same sums. The file's [[plan]] and tenant.plan are checked with place and remedy, kept in a round trip, and told by diff.

--- a/internal/site/diff/diff.go
+++ b/internal/site/diff/diff.go
@@ -41,7 +41,15 @@
 	}
 	d.pools(old, now)
 	d.classes(old, now)
-	named(d, "tenant", old.Tenants, now.Tenants, func(t site.Tenant) string { return t.Name }, nil)
+	named(d, "tenant", old.Tenants, now.Tenants, func(t site.Tenant) string { return t.Name }, func(field string) string {
+		if field == "plan" {
+			return "its requests are turned away earlier or later than they were when the cluster has too much"
+		}
+		return ""
+	})
+	named(d, "plan", old.Plans, now.Plans, func(p site.Plan) string { return p.Name }, func(field string) string {
+		return "who is turned away first when the cluster has too much changes; until all instances read this file, each goes by those that read the same"
+	})
 	named(d, "listener", old.Listeners, now.Listeners, func(l site.Listener) string { return l.Name }, func(field string) string {
 		if field == "address" {
 			return "needs a restart: SIGHUP turns the file down"
--- a/internal/site/load.go
+++ b/internal/site/load.go
@@ -169,6 +169,7 @@
 	c.named("pool", len(s.Pools), func(i int) string { return s.Pools[i].Name })
 	c.named("class", len(s.Classes), func(i int) string { return s.Classes[i].Name })
 	c.named("tenant", len(s.Tenants), func(i int) string { return s.Tenants[i].Name })
+	c.plans()
 	if len(s.Listeners) == 0 {
 		c.fault("listener", "none: add [[listener]] with name and address")
 	}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -21,6 +21,7 @@
 	Pools     []Pool     `toml:"pool,omitempty"`
 	Classes   []Class    `toml:"class,omitempty"`
 	Tenants   []Tenant   `toml:"tenant,omitempty"`
+	Plans     []Plan     `toml:"plan,omitempty"`
 	Servers   []Server   `toml:"server,omitempty"`
 
 	file string
@@ -148,6 +149,16 @@
 	Name  string  `toml:"name,omitempty"`
 	Quota float64 `toml:"quota,omitempty"` // requests a second over all instances that are within its share
 	Share float64 `toml:"share,omitempty"`
+	Plan  string  `toml:"plan,omitempty"` // none: the one of the highest rank number
+}
+
+// Plan is a tier of tenants: who is turned away first when the whole cluster has too much.
+type Plan struct {
+	Name   string  `toml:"name,omitempty"`
+	Rank   int     `toml:"rank,omitempty"`   // 1 is shed last
+	Share  float64 `toml:"share,omitempty"`  // part of what a pool can do now that is kept for it while it asks
+	Least  float64 `toml:"least,omitempty"`  // part of what it asks that is never shed, and of the pool at most
+	Borrow *bool   `toml:"borrow,omitempty"` // nil: true; false: beyond its share it takes only what no other plan wants
 }
 
 // Server is a virtual server.
--- a/shed/types.go
+++ b/shed/types.go
@@ -22,7 +22,7 @@
 //	s.Members(now, names, cutOff)                             // as it changes
 //	s.Hear(now, from, sum)                                    // as sums come
 //	if l, changed := s.Tick(now); changed { level.Store(l); log l.Cause }
-//	send(shed.AppendSum(nil, s.Sum(now)))
+//	send(shed.AppendSum(nil, s.Sum()))
 package shed
 
 import "time"
@@ -53,6 +53,7 @@
 // overload, and not for who is shed.
 type Config struct {
 	Name    string
+	Start   uint64 // of this process: a later one of the same name has a higher one
 	Zone    string
 	Plans   []Plan  // by rank, first the highest; at most RanksMost; none: nobody is ever shed
 	Classes []Class // to grade the worth of requests: up to 4 grades
@@ -127,9 +128,10 @@
 
 // Sum is what one instance tells the others. AppendSum words it in at most SumMost bytes.
 type Sum struct {
+	Start uint64        // of the sender's process
+	At    time.Duration // when it was made, on the sender's clock: it orders sums, and tells how late one came beside the others
 	Zone  string
 	Plans uint64 // hash of the plans that the sender was told
 	Alone bool   // the sender goes by its own view: it has just started, or is cut off
 	Pools []PoolSum
-	Age   time.Duration // how old it was when it was sent on; 0 when it comes from the sender itself
 }
