--- a/share/types.go
+++ b/share/types.go
@@ -13,6 +13,8 @@
 	"crypto/sha256"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"glencart/schema"
 )
 
@@ -33,6 +35,7 @@
 type Seen struct {
 	Member
 	Age time.Duration
+	Off time.Duration // its wall clock less this one's (see Ages.Off)
 }
 
 // View is the membership as use is reckoned from it. The caller makes a new one for each tick and hands it to every shard.
@@ -128,24 +131,14 @@
 	return [...]string{"unknown", "never ran", "may have run", "answered"}[s]
 }
 
-// Asked is what came of asking a session's owners.
-type Asked uint8
-
-// What came of asking.
-const (
-	NotAsked      Asked = iota
-	OwnersAnswered      // all of them, and each is sure of its answer
-	OwnersSilent        // the wait is over, and one has not answered, or was not sure
-)
-
 // Query is a call for which a decision is wanted.
 type Query struct {
 	Key    Key
 	Call   uint64 // which call of the session: a hash of its own key, or of what was sent (see CallOf)
 	Effect Effect
-	Repeat bool  // the client says, or it can be seen, that this is not its first try
-	Asked  Asked // NotAsked at first
-	Marked bool  // this instance has marked the call for the attempt that the question is about
+	Repeat bool          // the client says, or it can be seen, that this is not its first try
+	Group  string        // keyed: the group that the call would go to, and that then remembers it. "" if there is none
+	Keep   time.Duration // how long from now a mark of it matters: as long as clients repeat. MaxKeep at most; 0: a minute
 }
 
 // What is what to do with a call.
@@ -156,44 +149,69 @@
 	Go     What = iota // to any box, Box first if there is one
 	GoTo               // to Group and nowhere else
 	Known              // no attempt: Answer is the answer
-	Unsure             // no attempt: fail in words, nobody knows whether it ran
-	Ask                // Mark the call, send the record to Owners, Merge what they reply, ask again with Asked after Wait at the latest
+	Unsure             // no attempt: fail in words (see Why)
+	Ask                // Lookup only: send Tell, take in the replies (Merge, Replied), then call Decide: when Replied says so, or after Wait
+	whats
+)
+
+func (w What) String() string {
+	return [...]string{"go", "go to the group", "known answer", "in words", "ask"}[w]
+}
+
+// Cause says why a call is not simply sent on, or goes without protection.
+type Cause uint8
+
+// Causes.
+const (
+	NoCause      Cause = iota
+	ItMayHaveRun       // an attempt of this call may have run
+	ItRan              // it has run, and its answer is no longer known
+	UnderWay           // another request for the same call is at this point right now
+	OwnersSilent       // those who would know it have not answered in time, or are not sure
+	Minority           // this side of a partition has not more than half of the members: others may know more
+	Alone              // there is no other instance to tell
+	NotMarked          // no other owner has acknowledged the mark in time
+	NoRoom             // the table is full: the mark is kept nowhere
+	causes
 )
 
-func (w What) String() string { return [...]string{"go", "go to", "known", "unsure", "ask"}[w] }
+func (c Cause) String() string {
+	return [...]string{"", "it may have run", "it has run, and its answer is no longer known", "another request for the same call is under way",
+		"the instances that would know have not answered", "this instance is cut off from most others", "there is no other instance",
+		"no other instance has taken the mark", "no room for the mark"}[c]
+}
 
-// Decision is the answer to a Query.
+// Decision is what is to be done with a call.
 type Decision struct {
 	What        What
 	Why         Cause
 	Box, Group  string
-	Answer      []byte   // with Known. Not to be changed
-	Owners      []string // with Ask: names. Not to be changed
-	Wait        time.Duration
-	Mark        bool // the attempt is told to the owners when it has ended: Mark it
-	Unprotected bool // it goes though a repeat elsewhere could run it again; counted
+	Answer      string        // with Known
+	Wait        time.Duration // with Ask
+	Tell        Marked        // to be sent before anything else with Ask; with others whenever there is time
+	End         bool          // End has to be called once it is known how the attempt has ended
+	Unprotected bool          // it goes though a repeat elsewhere could run it again; counted
 }
 
-// Marked is a mark that is to be told to others.
+// Marked is a record that is to be told to others. The zero value tells nothing to nobody.
 type Marked struct {
 	Record schema.Record
-	To     []string // owners beside this instance. Not to be changed
+	To     []string // names of owners beside this instance. Not to be changed
 }
 
-// Mark is what an instance says of an attempt of its own.
-type Mark struct {
-	Key        Key
-	Call       uint64
-	State      State
-	Box, Group string
-	Keep       time.Duration // how long from now it is to be known, MaxKeep at most
-	Answer     []byte        // with Answered: up to MaxAnswer bytes; a longer one is not kept
+// Ended is how an attempt of this instance has ended, or what became known of it.
+type Ended struct {
+	Key    Key
+	Call   uint64
+	State  State  // NeverRan only when nothing of it was written to any box
+	Box    string // that has run it, or may have
+	Answer string // with Answered: one of more than MaxAnswer bytes is not kept
 }
 
 // Bounds of sessions.
 const (
-	MaxAnswer = 2 << 10       // bytes of an answer that is kept
-	MaxKeep   = 5 * time.Minute // of a mark; a session may be kept for longer
+	MaxAnswer = 2 << 10         // bytes of an answer that is kept
+	MaxKeep   = 5 * time.Minute // of a mark; a session may be held for longer
 	// Skew is how far apart two wall clocks may be. A mark counts as fresh no later than Skew before its end, and is kept until
 	// Skew after it, so that a clock that is off by this forgets nothing early and sends no repeat to a group that has forgotten.
 	Skew = 5 * time.Second
@@ -209,6 +227,10 @@
 	Leaves = 16
 )
 
+// CallOf hashes what tells one call of a session from another. Two of one session share a number with the probability of a collision
+// of 64 bits.
+func CallOf(b []byte) uint64 { return xxhash.Sum64(b) }
+
 // PartOf is the part of a key.
 func PartOf(k Key) Part { return Part(k[0])<<4 | Part(k[1])>>4 }
 
@@ -237,5 +259,4 @@
 	ForgottenEarly         uint64 // "may have run" that the cap has pushed out before its end
 	SessionsPushedOut      uint64 // sessions that the cap has pushed out before their end, without such a mark
 	Strange                uint64 // fields of records that are not what their form says
-	Refused                uint64 // marks and sessions not taken in, for the cap
 }
