--- /dev/null
+++ b/share/allowance.go
@@ -0,0 +1,230 @@
+// How much of a tenant's limit this instance may let in by itself.
+//
+// Each window all members reckon with the same numbers: what was asked of each of them in windows that are over for so long that
+// every word has had time to arrive. So their parts add up to 1 while words are no older than Fresh, whatever clients do meanwhile.
+// A member whose word is older is silent: as much is left to it as it would take by itself, its fair part 1/n, or the part that it
+// had, less from tick to tick, whichever is more. Members that are silent to each other end at their fair parts, which add up to 1
+// as well.
+package share
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// Fresh is how old a member's last word may be for it to count as heard. The numbers of a window were complete one window
+	// before they are used, and are told until then in each round.
+	Fresh = 2 * Window
+	// Silent is how old the word of a member is once no more than its fair part is left to it.
+	Silent = 5 * Window
+	// catchUp is for how long a member has to be heard before it counts as heard: until all windows that are summed are from then.
+	// Sides of a partition that meet again, and members that are new, have their fair parts until then.
+	catchUp = (settle + smooth) * Window
+	// smooth is over how many windows demand is summed: over one, an instance with some requests a second would get now twice and
+	// now half of its part by chance; over many, it would follow its clients late.
+	smooth = 2
+	// settle is how many windows back the last of them lies: the one before this is still being told.
+	settle = 2
+	// spread is the least part of the limit that is given to all alike, so that clients who come to another instance are not refused
+	// until all have heard of them. Of what nobody asks for, half is as well; the other half goes to those who have clients.
+	spread = 0.05
+	// burst is for how long an allowance may be saved up; leastBurst and leastWork are what may be saved up at the least: a second's
+	// part may be less than one request.
+	burst      = time.Second
+	leastBurst = 2.0 // requests
+	leastWork  = 0.1 // seconds of box time
+)
+
+// view is a View with its members found.
+type view struct {
+	View
+	n       int
+	number  uint64    // rises when it says something else about parts
+	members []*member // parallel to Members
+	heard   []bool    // whose word counts
+}
+
+// View takes a new one. It costs what there are members; parts are reckoned anew at the next call for a tenant, if need be.
+func (u *Use) View(now Now, v View) {
+	old := u.view
+	for _, m := range old.members {
+		m.view = -1
+	}
+	u.view = view{View: v, number: old.number, n: max(v.N, len(v.Members)+1), members: old.members[:0], heard: old.heard[:0]}
+	same := old.n == u.view.n && old.CutOff == v.CutOff && len(old.Members) == len(v.Members)
+	for i, s := range v.Members {
+		m := u.members[s.Member]
+		if m == nil {
+			u.ids++
+			m = &member{Member: s.Member, id: u.ids}
+			u.members[s.Member] = m
+		}
+		m.view = int32(i)
+		if s.Age > Fresh || v.CutOff {
+			m.hears = false
+		} else if !m.hears {
+			m.hears, m.since = true, now.Own
+		}
+		heard := m.hears && now.Own-m.since >= catchUp
+		same = same && old.Members[i].Member == s.Member && heard == old.heard[i] && windowsOff(old.Members[i].Off) == windowsOff(s.Off)
+		u.view.members = append(u.view.members, m)
+		u.view.heard = append(u.view.heard, heard)
+	}
+	if !same {
+		u.view.number++
+	}
+	for who, m := range u.members {
+		if m.view < 0 && m.cells == 0 {
+			delete(u.members, who)
+		}
+	}
+}
+
+// Allowance is what this instance may let in of a tenant now.
+func (u *Use) Allowance(now Now, name string) Allowance {
+	t := u.tenants[name]
+	if t == nil {
+		return Allowance{Until: now.Own + Window}
+	}
+	u.reckon(now, t)
+	return t.allow
+}
+
+func (u *Use) reckon(now Now, t *tenant) {
+	w := int64(now.Wall / Window)
+	if t.window == w && t.view == u.view.number && now.Own < t.allow.Until {
+		return
+	}
+	t.window, t.view = w, u.view.number
+	a := Allowance{Limited: t.limit.Requests > 0 || t.limit.Work > 0, Until: now.Own + Window - now.Wall%Window}
+	a.Part, a.Heard, a.Of = u.part(t, w)
+	a.Rate, a.Work = t.limit.Requests*a.Part, t.limit.Work*a.Part
+	a.Burst = max(leastBurst, a.Rate*burst.Seconds())
+	if t.limit.Requests == 0 {
+		a.Rate, a.Burst = math.Inf(1), math.Inf(1)
+	}
+	a.WorkFree = t.limit.Work == 0
+	t.allow = a
+}
+
+// part is this instance's part of a tenant's limit in a window.
+func (u *Use) part(t *tenant, w int64) (part float64, heard, of int) {
+	n := max(u.view.n, 1)
+	fair := 1 / float64(n)
+	if n == 1 {
+		return 1, 1, 1
+	}
+	var own, all, silent float64
+	if t.own != nil {
+		own = t.own.demand(w, 0)
+	}
+	all, heard = own, 1
+	for _, h := range u.view.heard {
+		if h {
+			heard++
+		}
+	}
+	for _, c := range t.cells {
+		if c.m.view < 0 || c == t.own {
+			continue
+		}
+		s := &u.view.Members[c.m.view]
+		switch {
+		case u.view.heard[c.m.view]:
+			all += c.demand(w, windowsOff(s.Off))
+		case s.Age > Fresh: // what it had falls to nothing by Silent; its fair part is left to it all the same
+			silent += c.share * min(1, max(0, float64(Silent-s.Age)/float64(Silent-Fresh)))
+		}
+	}
+	left := 1 - max(silent, fair*float64(n-heard))
+	left = max(left, fair*spread) // shares that were reckoned at different times may add up to more than 1
+	alike := spread
+	if t.limit.Requests > 0 {
+		alike = max(spread, (1-all/(t.limit.Requests*left*smooth*Window.Seconds()))/2)
+	}
+	partOf := func(asked float64) float64 {
+		if all == 0 {
+			return left / float64(heard)
+		}
+		return left * ((1-alike)*asked/all + alike/float64(heard))
+	}
+	for _, c := range t.cells {
+		if c.m.view >= 0 && c != t.own && u.view.heard[c.m.view] {
+			c.share = partOf(c.demand(w, windowsOff(u.view.Members[c.m.view].Off)))
+		}
+	}
+	return partOf(own), heard, n
+}
+
+// windowsOff is by how many windows a member's clock is taken to be off: not at all while delays could be the cause.
+func windowsOff(off time.Duration) int64 {
+	if off > -Window*3/2 && off < Window*3/2 {
+		return 0
+	}
+	return int64(math.Round(float64(off) / float64(Window)))
+}
+
+// demand is what was asked of a member, summed over windows that all know by now.
+func (c *cell) demand(w, off int64) float64 {
+	var sum uint64
+	told := false
+	for i := range c.seconds {
+		s := &c.seconds[i]
+		if s.window == 0 {
+			continue
+		}
+		told = true
+		if last := w + off - settle; int64(s.window) <= last && int64(s.window) > last-smooth {
+			sum += uint64(s.asked)
+		}
+	}
+	if told {
+		return float64(sum)
+	}
+	// A release that counts by ten seconds only: its last whole window.
+	last := (w+off-settle+1)/10 - 1
+	for i := range c.tens {
+		if k := &c.tens[i]; k.class == "" && int64(k.window) == last {
+			return float64(k.requests) * smooth / 10
+		}
+	}
+	return 0
+}
+
+// Take takes one request, if there is one left. retryIn is when there will be, if nobody else takes it.
+func (b *Bucket) Take(own time.Duration, a Allowance) (ok bool, retryIn time.Duration) {
+	workBurst := max(leastWork, a.Work*burst.Seconds())
+	switch {
+	case !a.Limited:
+		return true, 0
+	case !b.begun:
+		*b = Bucket{at: own, begun: true, requests: a.Burst, work: workBurst}
+	case own > b.at:
+		passed := (own - b.at).Seconds()
+		b.requests += a.Rate * passed
+		b.work += a.Work * passed
+		b.at = own
+	}
+	b.requests = min(b.requests, a.Burst)
+	b.work = min(b.work, workBurst)
+	if a.WorkFree {
+		b.work = workBurst
+	}
+	if b.requests >= 1 && b.work > 0 {
+		b.requests--
+		return true, 0
+	}
+	wait := 0.001 // not in the same instant: rounding may leave a billionth of a request
+	if b.requests < 1 {
+		wait += (1 - b.requests) / a.Rate
+	}
+	if b.work <= 0 {
+		wait = max(wait, -b.work/a.Work+0.001)
+	}
+	return false, time.Duration(min(wait, 60) * float64(time.Second))
+}
+
+// Spend takes what a request has cost, in seconds of box time. It may leave less than nothing: then no request goes until that is
+// made up for.
+func (b *Bucket) Spend(work float64) { b.work -= work }
--- /dev/null
+++ b/share/calls_test.go
@@ -0,0 +1,509 @@
+package share
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"glencart/schema"
+)
+
+// callFleet is five instances before boxes that keep a ledger, clients that repeat at other instances, and faults, one after the
+// other: kills, planned restarts with another release, cuts, pauses. Discrete events, one seed, one course.
+type callFleet struct {
+	rng     *rand.Rand
+	now     time.Duration
+	events  callEvents
+	seq     int
+	loss    float64
+	mixed   bool // some restart as a release that knows no marks
+	book    *schema.Book
+	nodes   []*callNode
+	left    int // members that have left by plan
+	groups  [2]map[int]string
+	waits   []time.Duration
+	answers map[string]int // what clients got
+	calls   []*clientCall
+	log     []string
+}
+
+type callNode struct {
+	name    string
+	start   uint64
+	table   *Sessions
+	waiting map[callKey]func() // for owners
+	alive   bool
+	side    int
+	off     time.Duration
+	form    uint16
+	paused  time.Duration
+}
+
+type clientCall struct {
+	id     int
+	key    Key
+	effect Effect
+	tries  int
+	runs   int
+	done   bool
+	// What nobody promised: an attempt that was counted as unprotected, a repeat that did not say that it is one, a release that
+	// knows no marks.
+	unprotected, unflagged, old bool
+	log                         []string
+}
+
+type callEvent struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type callEvents []callEvent
+
+func (e callEvents) Len() int { return len(e) }
+func (e callEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e callEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *callEvents) Push(x any)   { *e = append(*e, x.(callEvent)) }
+func (e *callEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func (f *callFleet) after(d time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.events, callEvent{f.now + d, f.seq, do})
+}
+
+func (f *callFleet) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(f.rng.Int64N(int64(most-least)))
+}
+
+func (f *callFleet) at(n *callNode) Now {
+	now := at(f.now)
+	now.Wall += n.off
+	return now
+}
+
+// on runs at this process of a node, once it is not paused; never if the process is gone.
+func (f *callFleet) on(n *callNode, d time.Duration, do func()) {
+	start := n.start
+	f.after(d, func() {
+		if !n.alive || n.start != start {
+			return
+		}
+		if f.now < n.paused {
+			f.on(n, n.paused-f.now, do)
+			return
+		}
+		do()
+	})
+}
+
+// send is a message between two nodes: lost, late, or not at all across a cut.
+func (f *callFleet) send(from, to *callNode, do func()) {
+	if f.rng.Float64() < f.loss || from.side != to.side {
+		return
+	}
+	d := f.between(time.Millisecond, 5*time.Millisecond)
+	if f.rng.IntN(50) == 0 {
+		d += f.between(0, 300*time.Millisecond)
+	}
+	f.after(d, func() {
+		if to.alive && to.side == from.side {
+			f.on(to, 0, do)
+		}
+	})
+}
+
+// link is a record as it comes out of a link between two releases.
+func (f *callFleet) link(a, b *callNode, r schema.Record) schema.Record {
+	if r.Key == "" {
+		return r
+	}
+	out, err := f.book.To(r, min(a.form, b.form))
+	if err != nil {
+		panic(err)
+	}
+	return out
+}
+
+func (f *callFleet) node(name string) *callNode {
+	for _, n := range f.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+func (f *callFleet) begin(n *callNode, form uint16) {
+	n.start++
+	n.alive, n.form, n.paused, n.waiting = true, form, 0, map[callKey]func(){}
+	n.table = NewSessions(SessionsConfig{Self: Member{n.name, n.start}, Form: form})
+	f.on(n, time.Second, func() { f.tick(n) })
+	f.refresh(n)
+}
+
+// refresh is what a node's failure detector says now.
+func (f *callFleet) refresh(n *callNode) {
+	var m []Member
+	for _, o := range f.nodes {
+		if o.alive && o.side == n.side {
+			m = append(m, Member{o.name, o.start})
+		}
+	}
+	for _, t := range n.table.Members(f.at(n), NewRing(m, 2), 2*len(m) <= len(f.nodes)-f.left, nil) {
+		f.transfer(n, t, 6)
+	}
+}
+
+// transfer goes by a stream: whole, or it is tried again.
+func (f *callFleet) transfer(n *callNode, t Transfer, tries int) {
+	f.on(n, f.between(5*time.Millisecond, 50*time.Millisecond), func() {
+		to := f.node(t.To)
+		if !to.alive || to.side != n.side || f.now < to.paused {
+			if tries > 0 {
+				f.on(n, 500*time.Millisecond, func() { f.transfer(n, t, tries-1) })
+			}
+			return
+		}
+		for _, r := range n.table.Range(f.at(n), Range{Part: t.Part}, nil) {
+			to.table.Merge(f.at(to), f.link(n, to, r))
+		}
+		if t.Sure {
+			to.table.Took(f.at(to), t.Part)
+		}
+	})
+}
+
+// changed tells all others after a time.
+func (f *callFleet) changed(least, most time.Duration) {
+	for _, n := range f.nodes {
+		if n.alive {
+			f.on(n, f.between(least, most), func() { f.refresh(n) })
+		}
+	}
+}
+
+// tick is each second: what is over, marks that are sent again, one other that is compared with.
+func (f *callFleet) tick(n *callNode) {
+	n.table.Tick(f.at(n))
+	for _, m := range n.table.Unacked(f.at(n), nil) {
+		f.tell(n, m)
+	}
+	if o := f.nodes[f.rng.IntN(len(f.nodes))]; o != n && o.alive && o.side == n.side && f.now >= o.paused {
+		for _, p := range n.table.Shared(o.name, nil) {
+			if !o.table.ring.Owns(o.name, p) {
+				continue
+			}
+			if n.table.Digest(Range{Part: p}) != o.table.Digest(Range{Part: p}) {
+				for _, r := range n.table.Range(f.at(n), Range{Part: p}, nil) {
+					o.table.Merge(f.at(o), f.link(n, o, r))
+				}
+				for _, r := range o.table.Range(f.at(o), Range{Part: p}, nil) {
+					n.table.Merge(f.at(n), f.link(n, o, r))
+				}
+			}
+			ns, os := n.table.Sure(p), o.table.Sure(p)
+			if os {
+				n.table.Took(f.at(n), p)
+			}
+			if ns {
+				o.table.Took(f.at(o), p)
+			}
+		}
+	}
+	f.on(n, time.Second, func() { f.tick(n) })
+}
+
+// tell sends a mark to its owners, and takes in what they reply.
+func (f *callFleet) tell(n *callNode, m Marked) {
+	if m.Record.Key == "" {
+		return
+	}
+	key := Key([]byte(m.Record.Key))
+	for _, name := range m.To {
+		o := f.node(name)
+		f.send(n, o, func() {
+			o.table.Merge(f.at(o), f.link(n, o, m.Record))
+			r, as := o.table.Reply(key)
+			f.send(o, n, func() {
+				for _, c := range m.Record.All(sessCall) {
+					if id, by, ok := readCallSub(c.Sub); ok && by == n.table.cfg.Self {
+						if done, _ := n.table.Replied(f.at(n), key, id, name, f.link(o, n, r), as); done {
+							f.decide(n, callKey{key, id})
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+func (f *callFleet) decide(n *callNode, k callKey) {
+	if do := n.waiting[k]; do != nil {
+		delete(n.waiting, k)
+		do()
+	}
+}
+
+// try is a client's attempt at some instance.
+func (f *callFleet) try(c *clientCall) {
+	if c.done || c.tries == 5 {
+		return
+	}
+	n := f.nodes[f.rng.IntN(len(f.nodes))]
+	if !n.alive {
+		f.after(time.Millisecond, func() { f.try(c) })
+		return
+	}
+	c.tries++
+	repeat := c.tries > 1
+	if repeat && f.rng.IntN(20) == 0 {
+		repeat, c.unflagged = false, true
+	}
+	try := c.tries
+	f.after(500*time.Millisecond, func() {
+		if c.tries == try {
+			f.try(c)
+		}
+	})
+	f.on(n, time.Millisecond, func() { f.handle(n, c, repeat) })
+}
+
+// got is a client's answer.
+func (f *callFleet) got(c *clientCall, what string, again bool) {
+	if c.done {
+		return
+	}
+	f.answers[what]++
+	if !again {
+		c.done = true
+		return
+	}
+	try := c.tries
+	f.after(f.between(10*time.Millisecond, 2*time.Second), func() {
+		if c.tries == try {
+			f.try(c)
+		}
+	})
+}
+
+func (c *clientCall) say(f *callFleet, n *callNode, what string, args ...any) {
+	c.log = append(c.log, fmt.Sprintf("%8.3f %s/%d: %s", f.now.Seconds(), n.name, n.start, fmt.Sprintf(what, args...)))
+}
+
+func (f *callFleet) handle(n *callNode, c *clientCall, repeat bool) {
+	q := Query{Key: c.key, Call: uint64(c.id), Effect: c.effect, Repeat: repeat}
+	group := f.rng.IntN(2)
+	if c.effect == Keyed {
+		q.Group = fmt.Sprint("g", group)
+	}
+	asked := f.now
+	d := n.table.Lookup(f.at(n), q)
+	c.say(f, n, "repeat %v: %v %v to %v", repeat, d.What, d.Why, d.Tell.To)
+	if d.What != Ask {
+		if n.form < 3 {
+			c.old = true
+		}
+		f.proceed(n, c, d, group)
+		return
+	}
+	k := callKey{c.key, uint64(c.id)}
+	n.waiting[k] = func() {
+		f.waits = append(f.waits, f.now-asked)
+		d := n.table.Decide(f.at(n), c.key, uint64(c.id))
+		c.say(f, n, "decided: %v %v unprotected %v", d.What, d.Why, d.Unprotected)
+		f.tell(n, d.Tell)
+		f.proceed(n, c, d, group)
+	}
+	f.tell(n, d.Tell)
+	f.on(n, d.Wait, func() { f.decide(n, k) })
+}
+
+func (f *callFleet) proceed(n *callNode, c *clientCall, d Decision, group int) {
+	switch d.What {
+	case Known:
+		if d.Answer != fmt.Sprint("answer ", c.id) {
+			c.say(f, n, "WRONG ANSWER %q", d.Answer)
+			c.runs += 100
+		}
+		f.got(c, "the known answer", false)
+		return
+	case Unsure:
+		f.got(c, "in words: "+d.Why.String(), c.tries < 3)
+		return
+	case GoTo:
+		group = int(d.Group[1] - '0')
+	}
+	c.unprotected = c.unprotected || d.Unprotected
+	end := func(s State, answer string) {
+		if d.End {
+			f.tell(n, n.table.End(f.at(n), Ended{Key: c.key, Call: uint64(c.id), Attempt: d.Attempt, State: s, Answer: answer}))
+		}
+	}
+	f.on(n, f.between(time.Millisecond, 3*time.Millisecond), func() {
+		if f.rng.IntN(30) == 0 { // the box was not reached
+			end(NeverRan, "")
+			f.got(c, "no box was reached", true)
+			return
+		}
+		answer := fmt.Sprint("answer ", c.id)
+		if c.effect == Keyed && f.groups[group][c.id] != "" {
+			c.say(f, n, "dropped by group %d", group)
+		} else {
+			c.runs++
+			c.say(f, n, "ran")
+			f.groups[group][c.id] = answer
+		}
+		f.on(n, f.between(5*time.Millisecond, 100*time.Millisecond), func() {
+			if f.rng.IntN(20) == 0 { // the answer was cut off
+				end(MayHaveRun, "")
+				f.got(c, "the box's answer was lost", true)
+				return
+			}
+			end(Answered, answer)
+			f.got(c, "the box's answer", false)
+		})
+	})
+}
+
+// fault is one of the things that break. What it breaks is whole again before the next.
+func (f *callFleet) fault() {
+	n := f.nodes[f.rng.IntN(len(f.nodes))]
+	form := uint16(NewestSession)
+	if f.mixed && f.rng.IntN(3) == 0 {
+		form = 2
+	}
+	switch f.rng.IntN(5) {
+	case 0, 1: // killed
+		n.alive = false
+		back := f.between(100*time.Millisecond, 6*time.Second)
+		f.changed(3*time.Second, 5*time.Second)
+		f.after(back, func() {
+			f.begin(n, form)
+			f.changed(200*time.Millisecond, time.Second)
+		})
+	case 2: // planned
+		var m []Member
+		for _, o := range f.nodes {
+			if o.alive && o != n {
+				m = append(m, Member{o.name, o.start})
+			}
+		}
+		for _, t := range n.table.Leaving(f.at(n), NewRing(m, 2), nil) {
+			f.transfer(n, t, 0)
+		}
+		f.after(time.Second, func() {
+			n.alive = false
+			f.left++
+			f.changed(10*time.Millisecond, 300*time.Millisecond)
+		})
+		f.after(3*time.Second, func() {
+			f.left--
+			f.begin(n, form)
+			f.changed(200*time.Millisecond, time.Second)
+		})
+	case 3: // cut
+		for i, at := range f.rng.Perm(len(f.nodes)) {
+			f.nodes[at].side = i % 2
+		}
+		f.changed(3*time.Second, 5*time.Second)
+		f.after(f.between(time.Second, 8*time.Second), func() {
+			for _, o := range f.nodes {
+				o.side = 0
+			}
+			f.changed(200*time.Millisecond, 1500*time.Millisecond)
+		})
+	case 4: // paused, and taken for dead by some
+		n.paused = f.now + f.between(200*time.Millisecond, 6*time.Second)
+	}
+	f.after(f.between(12*time.Second, 18*time.Second), f.fault)
+}
+
+func playCalls(seed uint64, calls int, loss float64, mixed bool) *callFleet {
+	f := &callFleet{rng: rand.New(rand.NewPCG(seed, 7)), loss: loss, mixed: mixed, book: newBook(), answers: map[string]int{}}
+	f.groups = [2]map[int]string{{}, {}}
+	for i := range 5 {
+		n := &callNode{name: fmt.Sprint("m", i), off: f.between(-Skew/2, Skew/2)}
+		f.nodes = append(f.nodes, n)
+		n.alive = true
+	}
+	for _, n := range f.nodes {
+		f.begin(n, NewestSession)
+	}
+	f.changed(10*time.Millisecond, 100*time.Millisecond)
+	begin := 2 * time.Minute // when all are sure
+	f.after(begin, f.fault)
+	for i := range calls {
+		c := &clientCall{id: i + 1, effect: Unsafe, key: KeyOf("", fmt.Append(nil, f.rng.IntN(calls/2)))}
+		if i%5 == 0 {
+			c.effect = Keyed
+		}
+		f.calls = append(f.calls, c)
+		f.after(begin+time.Duration(i)*10*time.Millisecond, func() { f.try(c) })
+	}
+	for end := begin + time.Duration(calls)*10*time.Millisecond + 10*time.Second; f.now < end && len(f.events) > 0; {
+		e := heap.Pop(&f.events).(callEvent)
+		f.now = e.at
+		e.do()
+	}
+	return f
+}
+
+// Clients repeat their orders at other instances while instances are killed, restarted, cut off and paused. None runs twice but
+// those that nobody promised: these are counted.
+func TestCallsRunOnce(t *testing.T) {
+	seeds := max(1, *campaign)
+	for _, c := range []struct {
+		loss  float64
+		mixed bool
+	}{{0, false}, {0.01, false}, {0.1, false}, {0.01, true}} {
+		t.Run(fmt.Sprintf("%.0f%% loss, mixed %v", 100*c.loss, c.mixed), func(t *testing.T) {
+			for seed := range seeds {
+				f := playCalls(uint64(seed), 20_000, c.loss, c.mixed)
+				var twice, unprotected, unflagged, old, broken, done, times int
+				for _, call := range f.calls {
+					if call.done {
+						done++
+					}
+					if call.unprotected {
+						unprotected++
+					}
+					if call.runs < 2 {
+						continue
+					}
+					times++
+					switch {
+					case call.old:
+						old++
+					case call.unprotected:
+						twice++
+					case call.unflagged:
+						unflagged++
+					default:
+						if broken++; broken < 4 {
+							t.Errorf("seed %d: call %d (%v) ran %d times:\n%v", seed, call.id, call.effect, call.runs, call.log)
+						}
+					}
+				}
+				slices.Sort(f.waits)
+				t.Logf("seed %d: %d calls, %d answered; %d went unprotected; ran twice %d: promised %d, unprotected %d, repeat not marked %d, old release %d; wait of those that asked: median %v, 99th %v, most %v; %v",
+					seed, len(f.calls), done, unprotected, times, broken, twice, unflagged, old,
+					f.waits[len(f.waits)/2].Round(100*time.Microsecond), f.waits[len(f.waits)*99/100].Round(100*time.Microsecond), f.waits[len(f.waits)-1].Round(100*time.Microsecond), f.answers)
+				if done < len(f.calls)*9/10 {
+					t.Errorf("seed %d: %d of %d calls were answered", seed, done, len(f.calls))
+				}
+				if most := f.waits[len(f.waits)-1]; most > askFor+6*time.Second || f.waits[len(f.waits)*99/100] > askFor {
+					t.Errorf("seed %d: waits: most %v", seed, most)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/share/fleet_test.go
@@ -0,0 +1,297 @@
+package share
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"glencart/schema"
+)
+
+// useFleet is members that count one tenant's requests and tell each other, in rounds. Words are lost, late (by up to a second, so
+// out of order) and doubled; links are cut; clocks are off.
+type useFleet struct {
+	rng     *rand.Rand
+	round   time.Duration
+	loss    float64
+	members []*useMember
+	now     time.Duration // since the beginning
+	late    [16][]useWord // by the round in which they arrive
+	let     []float64     // by round
+	asked   []float64
+}
+
+type useMember struct {
+	use  *Use
+	ages *Ages
+	self Member
+	off  time.Duration
+	side int
+	dead bool
+	n    int // what this member takes for the size of the fleet
+}
+
+type useWord struct {
+	to   int
+	from int
+	recs []schema.Record
+}
+
+func newUseFleet(seed uint64, n int, round time.Duration, loss float64, l Limit) *useFleet {
+	f := &useFleet{rng: rand.New(rand.NewPCG(seed, 42)), round: round, loss: loss}
+	for i := range n {
+		self := Member{fmt.Sprintf("m%03d", i), uint64(i + 1)}
+		m := &useMember{use: NewUse(UseConfig{Self: self}), ages: NewAges(self), self: self, n: n}
+		m.use.SetLimit(at(0), "shop", l)
+		f.members = append(f.members, m)
+	}
+	return f
+}
+
+func (f *useFleet) at(m *useMember) Now {
+	now := at(f.now)
+	now.Wall += m.off
+	return now
+}
+
+func (f *useFleet) poisson(mean float64) int {
+	if mean > 30 {
+		return max(0, int(math.Round(mean+math.Sqrt(mean)*f.rng.NormFloat64())))
+	}
+	n, p := 0, f.rng.Float64()
+	for limit := math.Exp(-mean); p > limit; n++ {
+		p *= f.rng.Float64()
+	}
+	return n
+}
+
+// step is one round: what has arrived, a view, clients, words.
+func (f *useFleet) step(demand func(i int) float64) {
+	at := int(f.now / f.round)
+	for _, w := range f.late[at%len(f.late)] {
+		m := f.members[w.to]
+		if m.dead || m.side != f.members[w.from].side {
+			continue
+		}
+		for _, r := range w.recs {
+			if IsBeat(r) {
+				m.ages.Merge(f.at(m), r)
+			} else {
+				m.use.Merge(f.at(m), r)
+			}
+		}
+	}
+	f.late[at%len(f.late)] = f.late[at%len(f.late)][:0]
+	var let, asked float64
+	for i, m := range f.members {
+		if m.dead {
+			continue
+		}
+		now := f.at(m)
+		v := View{Self: m.self, N: m.n}
+		for j, o := range f.members {
+			if j != i {
+				v.Members = append(v.Members, m.ages.Seen(now, o.self))
+			}
+		}
+		m.use.View(now, v)
+		for range f.poisson(demand(i) * f.round.Seconds()) {
+			at := now
+			at.Own += time.Duration(f.rng.Int64N(int64(f.round)))
+			asked++
+			if ok, _ := m.use.Admit(Now{Own: max(at.Own, now.Own), Wall: now.Wall}, "shop", ""); ok {
+				let++
+			}
+		}
+		f.tell(i, m, at)
+	}
+	f.let, f.asked = append(f.let, let), append(f.asked, asked)
+	f.now += f.round
+}
+
+func (f *useFleet) tell(i int, m *useMember, at int) {
+	recs := m.use.Own(f.at(m), nil)
+	recs = append(recs, m.ages.Beat(f.at(m)))
+	for j, o := range f.members {
+		if j == i || o.dead || o.side != m.side {
+			continue
+		}
+		for range 1 + f.rng.IntN(20)/19 { // some come twice
+			if f.rng.Float64() < f.loss {
+				continue
+			}
+			in := 1
+			if f.rng.IntN(50) == 0 {
+				in = 1 + f.rng.IntN(int(time.Second/f.round))
+			}
+			f.late[(at+in)%len(f.late)] = append(f.late[(at+in)%len(f.late)], useWord{to: j, from: i, recs: recs})
+		}
+	}
+}
+
+// over is the most that was let in within any window of this length between two times, less the limit, as a part of it.
+func (f *useFleet) over(limit float64, window, from, to time.Duration) float64 {
+	k, most := int(window/f.round), 0.0
+	for end := int(from/f.round) + k; end <= int(to/f.round) && end <= len(f.let); end++ {
+		sum := 0.0
+		for _, n := range f.let[end-k : end] {
+			sum += n
+		}
+		most = max(most, sum)
+	}
+	return most/(limit*window.Seconds()) - 1
+}
+
+func (f *useFleet) part(of []float64, from, to time.Duration) (sum float64) {
+	for _, n := range of[from/f.round : to/f.round] {
+		sum += n
+	}
+	return sum
+}
+
+// useResult is one run's figures, each a part of the limit.
+type useResult struct {
+	refused                                       float64 // in calm, of what was asked
+	onset, flood, cut, parted, mend, h            float64 // beyond the limit: over ten seconds at a flood's beginning; in it; at a cut; while it lasts; when it ends; one member dead
+	moves                                         float64 // in a flood whose clients move to other instances
+	unused, unusedMoves, unusedParted, unusedDead float64
+}
+
+// worst is what may be let in within a window, as a part of the limit beyond it, by what happens in it. It was written down before
+// anything was measured: see the design note.
+func worst(limit float64, n int, window time.Duration, cuts int) float64 {
+	extra := limit*burst.Seconds() + leastBurst*float64(n)
+	extra += float64(cuts) * limit * (Fresh - Window + 300*time.Millisecond).Seconds()
+	return extra / (limit * window.Seconds())
+}
+
+const tenantLimit = 1000.0
+
+// play is calm, a flood whose clients move, a cut into halves with floods on both sides, the halves together again, and a member
+// that dies.
+func playUse(seed uint64, n int, loss float64, parted time.Duration) (r useResult) {
+	round := 100 * time.Millisecond
+	if n > 100 {
+		round = 200 * time.Millisecond
+	}
+	f := newUseFleet(seed, n, round, loss, Limit{Requests: tenantLimit})
+	// Clients are spread unevenly, and otherwise every ten seconds.
+	var weights []float64
+	moves := true
+	spread := func(total float64) func(int) float64 {
+		if weights == nil || moves && f.now%(10*time.Second) == 0 {
+			weights = make([]float64, n)
+			sum := 0.0
+			for i, at := range f.rng.Perm(n) {
+				weights[at] = 1 / float64(i+1)
+				sum += weights[at]
+			}
+			for i := range weights {
+				weights[i] /= sum
+			}
+		}
+		return func(i int) float64 { return total * weights[i] }
+	}
+	until := func(d time.Duration, total float64) (from, to time.Duration) {
+		from = f.now
+		for f.now < from+d {
+			f.step(spread(total))
+		}
+		return from, f.now
+	}
+	window := 10 * time.Second
+	until(8*time.Second, tenantLimit/2)
+	from, to := until(12*time.Second, tenantLimit/2)
+	r.refused = 1 - f.part(f.let, from, to)/f.part(f.asked, from, to)
+
+	moves = false
+	from, to = until(30*time.Second, 3*tenantLimit)
+	r.onset = f.over(tenantLimit, window, from-window, from+window)
+	r.flood = f.over(tenantLimit, window, from+2*time.Second, to)
+	r.unused = 1 - f.part(f.let, from+6*time.Second, to)/(tenantLimit*(to-from-6*time.Second).Seconds())
+	moves = true
+	from, to = until(20*time.Second, 3*tenantLimit)
+	r.moves = f.over(tenantLimit, window, from, to)
+	r.unusedMoves = 1 - f.part(f.let, from, to)/(tenantLimit*(to-from).Seconds())
+
+	for i, m := range f.members {
+		m.side = i % 2
+	}
+	from, to = until(parted, 10*tenantLimit)
+	r.cut = f.over(tenantLimit, window, from-window, from+window)
+	r.parted = f.over(tenantLimit, window, from+6*time.Second, to)
+	r.unusedParted = 1 - f.part(f.let, from+6*time.Second, to)/(tenantLimit*(to-from-6*time.Second).Seconds())
+
+	for _, m := range f.members {
+		m.side = 0
+	}
+	from, to = until(20*time.Second, 3*tenantLimit)
+	r.mend = f.over(tenantLimit, window, from-window, to)
+
+	f.members[0].dead = true
+	from, to = until(20*time.Second, 3*tenantLimit)
+	r.h = f.over(tenantLimit, window, from-window, to)
+	r.unusedDead = 1 - f.part(f.let, from+8*time.Second, to)/(tenantLimit*(to-from-8*time.Second).Seconds())
+	return r
+}
+
+// What a fleet lets in beyond a limit stays under what was stated before, for each seed; in the steady state at 1 % loss it is no
+// more than 2 %.
+func TestFleetKeepsALimit(t *testing.T) {
+	sizes, seeds, losses := []int{3, 30}, 1, []float64{0.01, 0.3}
+	if *campaign > 0 {
+		sizes, seeds, losses = []int{3, 30, 300}, *campaign, []float64{0, 0.01, 0.1, 0.3}
+	}
+	for _, n := range sizes {
+		for _, loss := range losses {
+			t.Run(fmt.Sprintf("%d members, %.0f%% loss", n, 100*loss), func(t *testing.T) {
+				t.Parallel()
+				parted := 60 * time.Second
+				var w useResult
+				for seed := range seeds {
+					r := playUse(uint64(seed), n, loss, parted)
+					for _, c := range []struct {
+						what string
+						got  float64
+						most float64
+						into *float64
+					}{
+						{"at a flood's beginning", r.onset, worst(tenantLimit, n, 10*time.Second, 0), &w.onset},
+						{"in a flood", r.flood, steadyMost(loss), &w.flood},
+						{"when clients move", r.moves, worst(tenantLimit, n, 10*time.Second, 0), &w.moves},
+						{"at a cut", r.cut, worst(tenantLimit, n, 10*time.Second, 1), &w.cut},
+						{"parted", r.parted, steadyMost(loss), &w.parted},
+						{"together again", r.mend, worst(tenantLimit, n, 10*time.Second, 0), &w.mend},
+						{"at a death", r.h, worst(tenantLimit, n, 10*time.Second, 0), &w.h},
+						{"refused in calm", r.refused, 0.1, &w.refused},
+						{"unused in a flood", r.unused, 0.05, &w.unused},
+						{"unused when clients move", r.unusedMoves, 0.2, &w.unusedMoves},
+						{"unused while parted", r.unusedParted, 0.6, &w.unusedParted},
+						{"unused with one dead", r.unusedDead, 0.05 + 1.5/float64(n), &w.unusedDead},
+					} {
+						if c.got > c.most {
+							t.Errorf("seed %d: %s: %.4f, %.4f at the most", seed, c.what, c.got, c.most)
+						}
+						if seed == 0 || c.got > *c.into {
+							*c.into = c.got
+						}
+					}
+				}
+				t.Logf("| %d | %.0f %% | %+.1f %% | %+.1f %% | %+.1f %% | %+.1f %% | %+.1f %% | %+.1f %% | %.1f %% | %.1f %% | %.1f %% | %.1f %% | %.1f %% | most %+.1f %%, at a cut %+.1f %%", n, 100*loss,
+					100*w.onset, 100*w.flood, 100*w.cut, 100*w.parted, 100*w.mend, 100*w.moves, 100*w.refused, 100*w.unused, 100*w.unusedMoves, 100*w.unusedParted, 100*w.unusedDead,
+					100*worst(tenantLimit, n, 10*time.Second, 0), 100*worst(tenantLimit, n, 10*time.Second, 1))
+			})
+		}
+	}
+}
+
+// steadyMost is what a flood may let in beyond the limit once it has lasted for a burst: nothing but what lost words make members
+// disagree.
+func steadyMost(loss float64) float64 {
+	if loss <= 0.01 {
+		return 0.02
+	}
+	return 0.05
+}
--- /dev/null
+++ b/share/forms.go
@@ -0,0 +1,259 @@
+// The shipped forms of use and sessions, each as it was released, and the steps between them.
+package share
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"strconv"
+	"strings"
+
+	"glencart/schema"
+)
+
+// Numbers of use's fields. Counters are joined by maximum: each has one writer, the member in its Sub, which only ever raises it.
+const (
+	usePlan       = 1    // Int: which load of the file; Text: the plan
+	useOldTotal   = 1000 // form 1: requests, by a Sub in words (see oldSub)
+	useRequests   = 1001 // requests by member, ten seconds and class; class "" is all of them together
+	useWork       = 1002 // the same in microseconds of box time
+	useAsked      = 1003 // requests with those refused, by member and second
+	useLet        = 1004 // requests without, by member and second
+	useLetWork    = 1005 // microseconds of box time, by member and second
+	useBeat       = 1006 // in the record beatKey: a member's last word, in wall milliseconds that only rise
+	beatKey       = "\x00beat"
+	NewestUse     = 3
+	sessBox       = 1    // form 1: Int: when it was said, in wall milliseconds; Text: the box
+	sessCall      = 2    // what is known of a call, by call and member (see callSub): Int: attempt and rank; Text: see body
+	sessStamp     = 4000 // a register: when the rest was said, in wall milliseconds
+	sessHeld      = 4001 // the box
+	sessGroup     = 4002
+	sessEnd       = 4003 // in wall milliseconds
+	NewestSession = 3
+)
+
+// Forms are the forms of use and of sessions, oldest first.
+func Forms() []schema.Form {
+	return []schema.Form{
+		{Kind: schema.Use, Number: 1, Name: "fixed windows by tenant", Tells: useTells, Fields: []schema.FieldDef{
+			{Num: useOldTotal, Name: "requests", Join: schema.Max}, {Num: useBeat, Name: "beat", Join: schema.Max}}},
+		{Kind: schema.Use, Number: 2, Name: "by tenant and class, with work", Tells: useTells, Fields: []schema.FieldDef{
+			{Num: useRequests, Name: "requests", Join: schema.Max}, {Num: useWork, Name: "work", Join: schema.Max},
+			{Num: useBeat, Name: "beat", Join: schema.Max}},
+			Up:   schema.Step{Do: useOneTwo, What: "requests are those of all classes together"},
+			Down: schema.Step{Do: useTwoOne, What: "classes and work are kept, unread"}},
+		{Kind: schema.Use, Number: 3, Name: "sliding windows, with plan", Tells: useTells, Fields: []schema.FieldDef{
+			{Num: usePlan, Name: "plan", Join: schema.Keep},
+			{Num: useRequests, Name: "requests", Join: schema.Max}, {Num: useWork, Name: "work", Join: schema.Max},
+			{Num: useAsked, Name: "asked by the second", Join: schema.Max}, {Num: useLet, Name: "requests by the second", Join: schema.Max},
+			{Num: useLetWork, Name: "work by the second", Join: schema.Max}, {Num: useBeat, Name: "beat", Join: schema.Max}},
+			Up: schema.Step{What: "seconds and plan are not known"},
+			// An older release would keep each second's count for as long as the tenant is there: it can't tell that it is over.
+			Down: schema.Step{Do: useThreeTwo, What: "seconds and plan are left out",
+				Loss: schema.Named("ten seconds' counts stand for those of their seconds; no plan", usePlan, useAsked, useLet, useLetWork)}},
+
+		{Kind: schema.Session, Number: 1, Name: "key and box", Tells: sessTells, Fields: []schema.FieldDef{
+			{Num: sessBox, Name: "box", Join: schema.Keep}}},
+		{Kind: schema.Session, Number: 2, Name: "with group and end", Tells: sessTells, Fields: []schema.FieldDef{
+			{Num: sessStamp, Name: "said at", Join: schema.Register}, {Num: sessHeld, Name: "box", Join: schema.Register},
+			{Num: sessGroup, Name: "group", Join: schema.Register}, {Num: sessEnd, Name: "end", Join: schema.Register}},
+			Up: schema.Step{Do: sessOneTwo, What: "no group; it ends as it did before, some time after it was said"},
+			Down: schema.Step{Do: sessTwoOne, What: "group and end are left out: apart from their box they would be joined with another's",
+				Loss: schema.Named("no group; ends a quarter of an hour after it was said", sessGroup, sessEnd)}},
+		{Kind: schema.Session, Number: 3, Name: "with the last unsafe calls", Tells: sessTells, Fields: []schema.FieldDef{
+			{Num: sessCall, Name: "call", Join: schema.Keep},
+			{Num: sessStamp, Name: "said at", Join: schema.Register}, {Num: sessHeld, Name: "box", Join: schema.Register},
+			{Num: sessGroup, Name: "group", Join: schema.Register}, {Num: sessEnd, Name: "end", Join: schema.Register}},
+			Up:   schema.Step{What: "no call is known"},
+			Down: schema.Step{What: "calls are kept, unread: a mark outlives a release that does not know it"}},
+	}
+}
+
+// Register puts them into a book.
+func Register(b *schema.Book) error {
+	for _, f := range Forms() {
+		if err := b.Register(f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func newBook() *schema.Book {
+	b := &schema.Book{}
+	if err := Register(b); err != nil {
+		panic(err) // a mistake in Forms: every test meets it
+	}
+	return b
+}
+
+// countSub is the Sub of a count: window, start, name, class.
+func countSub(window uint64, m Member, class string) string {
+	b := make([]byte, 0, 17+len(m.Name)+len(class))
+	b = binary.BigEndian.AppendUint64(b, window)
+	b = binary.BigEndian.AppendUint64(b, m.Start)
+	b = append(append(b, byte(len(m.Name))), m.Name...)
+	return string(append(b, class...))
+}
+
+func readCountSub(s string) (window uint64, m Member, class string, ok bool) {
+	if len(s) < 17 || len(s) < 17+int(s[16]) || s[16] == 0 {
+		return 0, Member{}, "", false
+	}
+	name := 17 + int(s[16])
+	return be64(s), Member{Name: s[17:name], Start: be64(s[8:])}, s[name:], true
+}
+
+func be64(s string) uint64 {
+	var v uint64
+	for i := range 8 {
+		v = v<<8 | uint64(s[i])
+	}
+	return v
+}
+
+// oldSub is how form 1 wrote a member and a window of ten seconds: "name#start#window", the name last so that it may hold a '#'.
+func oldSub(window uint64, m Member) string {
+	return strconv.FormatUint(window, 10) + "#" + strconv.FormatUint(m.Start, 16) + "#" + m.Name
+}
+
+// readOldSub takes exactly what oldSub writes, so that the way there and back changes nothing.
+func readOldSub(s string) (window uint64, m Member, ok bool) {
+	w, rest, _ := strings.Cut(s, "#")
+	start, name, _ := strings.Cut(rest, "#")
+	window, err := strconv.ParseUint(w, 10, 64)
+	if err != nil {
+		return 0, Member{}, false
+	}
+	if m.Start, err = strconv.ParseUint(start, 16, 64); err != nil {
+		return 0, Member{}, false
+	}
+	m.Name = name
+	return window, m, 0 < len(name) && len(name) < 256 && oldSub(window, m) == s
+}
+
+// A Sub that is not what its form says stays as it is under its number, in both directions.
+
+func useOneTwo(r schema.Record) (schema.Record, error) {
+	return renumber(r, useOldTotal, func(f schema.Field) (schema.Field, bool) {
+		window, m, ok := readOldSub(f.Sub)
+		f.Num, f.Sub = useRequests, countSub(window, m, "")
+		return f, ok
+	}), nil
+}
+
+func useTwoOne(r schema.Record) (schema.Record, error) {
+	return renumber(r, useRequests, func(f schema.Field) (schema.Field, bool) {
+		window, m, class, ok := readCountSub(f.Sub)
+		f.Num, f.Sub = useOldTotal, oldSub(window, m)
+		return f, ok && class == "" && len(f.Sub) <= schema.MaxSub
+	}), nil
+}
+
+func useThreeTwo(r schema.Record) (schema.Record, error) {
+	r.Drop(usePlan, useAsked, useLet, useLetWork)
+	return r, nil
+}
+
+// renumber moves fields of one number to another. Where one stands there, it is joined with it as a merge would.
+func renumber(r schema.Record, num uint32, to func(schema.Field) (schema.Field, bool)) schema.Record {
+	var moved []schema.Field
+	kept := r.Fields[:0]
+	for _, f := range r.Fields {
+		if f.Num == num {
+			if g, ok := to(f); ok {
+				moved = append(moved, g)
+				continue
+			}
+		}
+		kept = append(kept, f)
+	}
+	r.Fields = kept
+	for _, f := range moved {
+		if have, ok := r.Get(f.Num, f.Sub); !ok || larger(f, have) {
+			r.Set(f)
+		}
+	}
+	return r
+}
+
+// larger is the order by which Keep and Max choose.
+func larger(a, b schema.Field) bool {
+	c := cmp.Compare(a.Int, b.Int)
+	if c == 0 {
+		c = strings.Compare(string(a.Text), string(b.Text))
+	}
+	if c == 0 {
+		c = strings.Compare(string(a.Rest), string(b.Rest))
+	}
+	return c > 0
+}
+
+func sessOneTwo(r schema.Record) (schema.Record, error) {
+	box, ok := r.Get(sessBox, "")
+	if !ok {
+		return r, nil
+	}
+	r.Fields = slices.DeleteFunc(r.Fields, func(f schema.Field) bool { return f.Num == sessBox && f.Sub == "" })
+	stamp, had := r.Get(sessStamp, "")
+	held, _ := r.Get(sessHeld, "")
+	if had && !(box.Int > stamp.Int || box.Int == stamp.Int && larger(schema.Field{Text: box.Text, Rest: box.Rest}, schema.Field{Text: held.Text, Rest: held.Rest})) {
+		return r, nil
+	}
+	dropRegister(&r)
+	r.Set(schema.Field{Num: sessStamp, Int: box.Int})
+	r.Set(schema.Field{Num: sessHeld, Text: box.Text, Rest: box.Rest})
+	return r, nil
+}
+
+func sessTwoOne(r schema.Record) (schema.Record, error) {
+	stamp, ok := r.Get(sessStamp, "")
+	if !ok {
+		return r, nil
+	}
+	held, _ := r.Get(sessHeld, "")
+	dropRegister(&r)
+	f := schema.Field{Num: sessBox, Int: stamp.Int, Text: held.Text, Rest: held.Rest}
+	if have, ok := r.Get(sessBox, ""); !ok || larger(f, have) {
+		r.Set(f)
+	}
+	return r, nil
+}
+
+// dropRegister takes out what is held, with what a later release may have added to it.
+func dropRegister(r *schema.Record) {
+	kept := r.Fields[:0]
+	for _, f := range r.Fields {
+		if f.Sub != "" || f.Num < sessStamp || f.Num >= sessStamp+schema.RegisterSize {
+			kept = append(kept, f)
+		}
+	}
+	r.Fields = kept
+}
+
+// useTells are the counts by member, window and class.
+func useTells(r schema.Record) map[string]uint64 {
+	out := map[string]uint64{}
+	for _, f := range r.Fields {
+		switch f.Num {
+		case useOldTotal:
+			if window, m, ok := readOldSub(f.Sub); ok {
+				out["requests "+countSub(window, m, "")] = max(f.Int, out["requests "+countSub(window, m, "")])
+			}
+		case useRequests:
+			out["requests "+f.Sub] = max(f.Int, out["requests "+f.Sub])
+		case useWork:
+			out["work "+f.Sub] = f.Int
+		}
+	}
+	return out
+}
+
+// sessTells are the marks by call and member: one that falls is one that is forgotten.
+func sessTells(r schema.Record) map[string]uint64 {
+	out := map[string]uint64{}
+	for _, f := range r.All(sessCall) {
+		out["call "+f.Sub] = f.Int
+	}
+	return out
+}
--- /dev/null
+++ b/share/move_test.go
@@ -0,0 +1,293 @@
+package share
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"glencart/schema"
+)
+
+// Owners are spread evenly, and one that comes or goes moves what it has to and no more.
+func TestRing(t *testing.T) {
+	var members []Member
+	for i := range 30 {
+		members = append(members, Member{fmt.Sprint("m", i), 1})
+	}
+	all, fewer := NewRing(members, 2), NewRing(members[1:], 2)
+	count, moved := map[string]int{}, 0
+	for p := range Part(Parts) {
+		a, b := all.Owners(p), fewer.Owners(p)
+		if a[0] == a[1] {
+			t.Fatalf("part %d: twice one owner", p)
+		}
+		for _, o := range a {
+			count[o]++
+			if o != "m0" && !slices.Contains(b, o) {
+				t.Fatalf("part %d was of %v, and is of %v", p, a, b)
+			}
+		}
+		if !slices.Equal(a, b) {
+			moved++
+		}
+	}
+	least, most := Parts, 0
+	for _, m := range members {
+		least, most = min(least, count[m.Name]), max(most, count[m.Name])
+	}
+	if mean := 2 * Parts / 30; least < mean*7/10 || most > mean*13/10 || moved > most {
+		t.Errorf("of a mean of %d: %d to %d; %d moved when one went", mean, least, most, moved)
+	}
+	if o := NewRing(members[:1], 2).Owners(3); len(o) != 1 {
+		t.Errorf("one member: %v", o)
+	}
+	if o := NewRing(nil, 2).Owners(3); o != nil {
+		t.Errorf("nobody: %v", o)
+	}
+	if r := NewRing([]Member{{"a", 1}, {"a", 2}}, 2); len(r.members) != 1 || r.members[0].Start != 2 {
+		t.Errorf("two processes of one name: %v", r.members)
+	}
+}
+
+// town is a fleet whose records are told at once, for what moves.
+type town struct {
+	t       *testing.T
+	now     Now
+	tables  map[string]*Sessions
+	starts  map[string]uint64
+	records int // sent in transfers
+}
+
+func newTown(t *testing.T, names ...string) *town {
+	w := &town{t: t, now: at(0), tables: map[string]*Sessions{}, starts: map[string]uint64{}}
+	for _, name := range names {
+		w.start(name)
+	}
+	w.members()
+	w.now = at(MaxKeep)
+	for _, s := range w.tables {
+		s.Tick(w.now)
+	}
+	return w
+}
+
+func (w *town) start(name string) {
+	w.starts[name]++
+	w.tables[name] = NewSessions(SessionsConfig{Self: Member{name, w.starts[name]}})
+}
+
+func (w *town) ring(without string) *Ring {
+	var m []Member
+	for name := range w.tables {
+		if name != without {
+			m = append(m, Member{name, w.starts[name]})
+		}
+	}
+	return NewRing(m, 2)
+}
+
+func (w *town) members() {
+	r := w.ring("")
+	moves := map[string][]Transfer{}
+	for name, s := range w.tables {
+		moves[name] = s.Members(w.now, r, false, nil)
+	}
+	for name, list := range moves {
+		w.send(name, list)
+	}
+}
+
+func (w *town) send(from string, list []Transfer) {
+	for _, m := range list {
+		to := w.tables[m.To]
+		for _, r := range w.tables[from].Range(w.now, Range{Part: m.Part}, nil) {
+			w.records++
+			to.Merge(w.now, r)
+		}
+		if m.Sure {
+			to.Took(w.now, m.Part)
+		}
+	}
+}
+
+func (w *town) tell(m Marked) {
+	for _, o := range m.To {
+		if s := w.tables[o]; s != nil {
+			s.Merge(w.now, m.Record)
+		}
+	}
+}
+
+// missing counts sessions that some owner does not have, or is not sure of.
+func (w *town) missing(keys []Key) (n, unsure int) {
+	r := w.ring("")
+	for _, k := range keys {
+		for _, o := range r.Owners(PartOf(k)) {
+			if w.tables[o].find(k) == nil {
+				n++
+			}
+			if !w.tables[o].Sure(PartOf(k)) {
+				unsure++
+			}
+		}
+	}
+	return n, unsure
+}
+
+// A planned end, a crash, a start under the old name and one of a new member lose no session and no mark while one owner of two
+// lives; two crashes at once lose what only those had, and nobody then takes it for unknown.
+func TestSessionsMove(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	for _, c := range []struct {
+		name         string
+		change       func(w *town)
+		lost, unsure bool
+	}{
+		{"planned end", func(w *town) {
+			w.send("a", w.tables["a"].Leaving(w.now, w.ring("a"), nil))
+			delete(w.tables, "a")
+			if n, _ := w.missing(w.keys(1)); n != 0 {
+				t.Errorf("%d are missing before anybody was told", n)
+			}
+			w.members()
+		}, false, false},
+		{"crash", func(w *town) { delete(w.tables, "a"); w.members() }, false, false},
+		{"crash, then another", func(w *town) { delete(w.tables, "a"); w.members(); delete(w.tables, "b"); w.members() }, false, false},
+		{"killed and started again", func(w *town) { w.start("a"); w.members() }, false, false},
+		{"a new one", func(w *town) { w.start("f"); w.members() }, false, false},
+		{"two crash at once", func(w *town) { delete(w.tables, "a"); delete(w.tables, "b"); w.members() }, true, true},
+		{"all start again", func(w *town) {
+			for _, n := range names {
+				w.start(n)
+			}
+			w.members()
+		}, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newTown(t, names...)
+			keys := w.keys(5000)
+			for i, k := range keys {
+				w.tell(w.tables[names[i%5]].Hold(w.now, k, "box", "", time.Hour))
+			}
+			if n, unsure := w.missing(keys); n+unsure != 0 {
+				t.Fatalf("before: %d missing, %d unsure", n, unsure)
+			}
+			c.change(w)
+			n, unsure := w.missing(keys)
+			if (n > 0) != c.lost || (unsure > 0) != c.unsure {
+				t.Errorf("%d missing, %d unsure of %d", n, unsure, 2*len(keys))
+			}
+			t.Logf("%s: %d records sent, %d missing, %d unsure of %d", c.name, w.records, n, unsure, 2*len(keys))
+			for _, s := range w.tables {
+				s.Tick(at(3 * MaxKeep))
+			}
+			if _, unsure := w.missing(keys); unsure != 0 {
+				t.Errorf("%d unsure for ever", unsure)
+			}
+		})
+	}
+}
+
+func (w *town) keys(n int) (keys []Key) {
+	for i := range n {
+		keys = append(keys, KeyOf("", fmt.Append(nil, i)))
+	}
+	return keys
+}
+
+// Two owners that differ in some sessions find them by digests, and send those ranges alone.
+func TestRepairByDigests(t *testing.T) {
+	a, b := NewSessions(SessionsConfig{Self: Member{"a", 1}, Sessions: 1 << 20}), NewSessions(SessionsConfig{Self: Member{"b", 1}, Sessions: 1 << 20})
+	ring := NewRing([]Member{{"a", 1}, {"b", 1}, {"c", 1}}, 2)
+	now := at(0)
+	a.Members(now, ring, false, nil)
+	b.Members(now, ring, false, nil)
+	shared := a.Shared("b", nil)
+	if !slices.Equal(shared, b.Shared("a", nil)) {
+		t.Fatal("they do not agree on what they share")
+	}
+	const total, differ = 50_000, 100
+	rng := rand.New(rand.NewPCG(1, 2))
+	held, all, whole := 0, 0, 0
+	for held < total {
+		var k Key
+		for i := range k {
+			k[i] = byte(rng.Uint32())
+		}
+		if _, ok := slices.BinarySearch(shared, PartOf(k)); !ok {
+			continue
+		}
+		m := a.Hold(now, k, "box-in-rack-7", "group", time.Hour)
+		all += m.Record.Size()
+		whole++
+		if held++; held%(total/differ) != 0 {
+			b.Merge(now, m.Record)
+		}
+	}
+	digests, records, bytes := 0, 0, 0
+	for _, p := range shared {
+		digests++
+		if a.Digest(Range{Part: p}) == b.Digest(Range{Part: p}) {
+			continue
+		}
+		la, lb := a.Leaves(p), b.Leaves(p)
+		digests += Leaves
+		for i := range la {
+			if la[i] == lb[i] {
+				continue
+			}
+			for _, r := range a.Range(now, Range{Part: p, Leaf: uint8(i), One: true}, nil) {
+				records++
+				bytes += r.Size()
+				b.Merge(now, r)
+			}
+		}
+	}
+	for _, p := range shared {
+		if a.Digest(Range{Part: p}) != b.Digest(Range{Part: p}) {
+			t.Fatal("they still differ")
+		}
+	}
+	t.Logf("%d sessions, %d differ: %d records, %d bytes and %d digests of 8 bytes; all would be %d records, %d bytes", total, differ, records, bytes, digests, whole, all)
+	if records > 20*differ || records < differ {
+		t.Errorf("%d records sent for %d that differ", records, differ)
+	}
+}
+
+// A digest says what is known and not how it came to be known, and each change of it shows.
+func TestDigest(t *testing.T) {
+	k := Key{9}
+	a, b := NewSessions(SessionsConfig{Self: Member{"a", 1}}), NewSessions(SessionsConfig{Self: Member{"b", 1}})
+	seen := map[uint64]bool{0: true}
+	var second uint64
+	steps := []func(){
+		func() { a.Hold(at(0), k, "box", "", time.Minute) },
+		func() { a.Lookup(at(0), Query{Key: k, Call: 1, Effect: Unsafe}) },
+		func() { second = a.Lookup(at(0), Query{Key: k, Call: 2, Effect: Unsafe}).Attempt },
+		func() { a.End(at(0), Ended{Key: k, Call: 1, State: Answered, Answer: "x"}) },
+		func() { a.End(at(0), Ended{Key: k, Call: 2, Attempt: second, State: NeverRan}) },
+		func() {
+			a.Merge(at(0), schema.Record{Kind: schema.Session, Schema: 3, Key: string(k[:]), Fields: []schema.Field{{Num: 77, Int: 1}}})
+		},
+	}
+	r := Range{Part: PartOf(k)}
+	for i, step := range steps {
+		step()
+		d := a.Digest(r)
+		if seen[d] {
+			t.Errorf("step %d does not show", i)
+		}
+		seen[d] = true
+		if leaves := a.Leaves(r.Part); leaves[LeafOf(k)] != d {
+			t.Errorf("leaf %x of part %x", leaves[LeafOf(k)], d)
+		}
+	}
+	for _, rec := range a.Range(at(0), r, nil) {
+		b.Merge(at(0), rec)
+	}
+	if a.Digest(r) != b.Digest(r) {
+		t.Error("the same is known, and the digests differ")
+	}
+}
--- /dev/null
+++ b/share/ring.go
@@ -0,0 +1,103 @@
+// Who owns which part of the sessions: rendezvous hashing (Thaler and Ravishankar, 1998).
+//
+// Not github.com/dgryski/go-rendezvous: it tells the first owner only, and its Remove reads beyond its slice. What is wanted is the R
+// highest of one loop.
+package share
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Owners is how many members hold a session, where the file says nothing else.
+const Owners = 2
+
+// Ring names the owners of each part. Owners go by names alone: a process that is started again owns what the one before did, and
+// has to be given it.
+type Ring struct {
+	members []Member // by name, the later start of each
+	r       int      // owners of a part: fewer than asked for where there are fewer members
+	owners  []string // r of each part, the first owner first
+}
+
+// NewRing reckons the owners of all parts: about 4096 hashes a member.
+func NewRing(members []Member, r int) *Ring {
+	g := &Ring{members: slices.Clone(members)}
+	slices.SortFunc(g.members, func(a, b Member) int { return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(b.Start, a.Start)) })
+	g.members = slices.CompactFunc(g.members, func(a, b Member) bool { return a.Name == b.Name })
+	g.r = min(max(r, 1), len(g.members))
+	if g.r == 0 {
+		return g
+	}
+	seeds := make([]uint64, len(g.members))
+	for i, m := range g.members {
+		seeds[i] = xxhash.Sum64String(m.Name)
+	}
+	type score struct {
+		score uint64
+		at    int
+	}
+	best := make([]score, g.r)
+	g.owners = make([]string, 0, Parts*g.r)
+	for p := range Parts {
+		part := mix(uint64(p) + 1)
+		n := 0
+		for i, seed := range seeds {
+			s := score{mix(seed ^ part), i}
+			if n == g.r && s.score <= best[n-1].score {
+				continue
+			}
+			if n < g.r {
+				n++
+			}
+			at := n - 1
+			for ; at > 0 && best[at-1].score < s.score; at-- {
+				best[at] = best[at-1]
+			}
+			best[at] = s
+		}
+		for _, s := range best {
+			g.owners = append(g.owners, g.members[s.at].Name)
+		}
+	}
+	return g
+}
+
+// mix is the finisher of splitmix64: neighbours in, nothing alike out.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Owners are those of a part, the first one first. Not to be changed.
+func (g *Ring) Owners(p Part) []string {
+	if g == nil || g.r == 0 {
+		return nil
+	}
+	return g.owners[int(p)*g.r : (int(p)+1)*g.r : (int(p)+1)*g.r]
+}
+
+// Owns tells whether a member is among them.
+func (g *Ring) Owns(name string, p Part) bool { return slices.Contains(g.Owners(p), name) }
+
+// start finds a member's process.
+func (g *Ring) start(name string) (uint64, bool) {
+	if g == nil {
+		return 0, false
+	}
+	at, found := slices.BinarySearchFunc(g.members, name, func(m Member, n string) int { return cmp.Compare(m.Name, n) })
+	if !found {
+		return 0, false
+	}
+	return g.members[at].Start, true
+}
+
+// without is the ring as it was before a process was there.
+func (g *Ring) without(name string) *Ring {
+	return NewRing(slices.DeleteFunc(slices.Clone(g.members), func(m Member) bool { return m.Name == name }), max(g.r, 1))
+}
--- /dev/null
+++ b/share/session.go
@@ -0,0 +1,453 @@
+// The table of sessions, and the way of a call through it: looked up, marked, decided, ended.
+package share
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"glencart/schema"
+)
+
+const (
+	// MarkFor is how long a mark matters where a Query says nothing else: as long as clients of such calls repeat.
+	MarkFor = time.Minute
+	// OldFor is how long a call or session is kept past its end, so that a late repeat is failed in words.
+	OldFor = time.Minute
+	// HoldFor is when a session ends whose end is not told (form 1), after it was said.
+	HoldFor = 15 * time.Minute
+	// askFor is the wait for owners where the configuration says nothing else: some round trips within a site.
+	askFor = 50 * time.Millisecond
+)
+
+// SessionsConfig says whose table it is, which shard, and its bounds.
+type SessionsConfig struct {
+	Self          Member
+	Shard, Shards int           // it has the keys of the parts p with p%Shards == Shard. 0, 0: all
+	Wait          time.Duration // for owners at the most. 0: 50 ms
+	MarkFor       time.Duration // the longest Query.Keep: an owner that has nobody to take marks over from is sure after it. 0: a minute
+	Sessions      int           // 100,000
+	Bytes         int           // of texts, answers among them: 64 MiB
+	Calls         int           // of one session: 16
+	Form          uint16        // the newest form that this release reads and writes: for trials. 0: the newest
+}
+
+// Sessions is one shard of the table.
+type Sessions struct {
+	cfg      SessionsConfig
+	book     *schema.Book
+	ring     *Ring
+	minority bool
+	parts    [Parts]*part
+	unsure   map[Part]time.Duration // parts that this instance owns and is not sure of, until when (own)
+	early    map[Part]time.Duration // parts that came whole before it knew that it owns them, and when (own)
+	makers   map[Member]*maker
+	pending  map[callKey]*pending
+	unacked  map[callKey]*unacked
+	ends     [2]endings        // without and with a call that may have run
+	names    map[string]string // of boxes and groups, each held once
+	stats    SessionStats
+}
+
+type callKey struct {
+	key  Key
+	call uint64
+}
+
+// maker is an instance that has made attempts.
+type maker struct {
+	Member
+	calls int
+}
+
+type session struct {
+	key        Key
+	held       held
+	calls      []call
+	strange    *schema.Record // what this release does not know, and passes on
+	strangeEnd int64
+	sum        uint64 // its share of its leaf's digest
+	due        int64  // when it is let go of, wall milliseconds
+	place      int    // in endings, by marked; -1: in none yet
+	marked     uint8  // 1: a call of it may have run
+}
+
+// held is a session that stays with its box.
+type held struct {
+	stamp      uint64 // wall milliseconds, when it was said; 0: none
+	box, group string
+	end        uint64 // wall milliseconds; 0: not told
+}
+
+// call is what one instance says of its attempts of one call. Only that instance changes it, and its stamp only rises.
+type call struct {
+	id    uint64
+	by    *maker
+	stamp uint64 // attempt<<2 | rank
+	body
+}
+
+// body is what is said with a stamp.
+type body struct {
+	end        int64 // wall milliseconds
+	box, group string
+	answer     string
+	kept       bool   // there is an answer, though it may be empty
+	extra      string // what a later release has added
+}
+
+// Ranks within an attempt: it is marked before it is made, and what then becomes known stands above the mark. So only the instance
+// that made an attempt can say that it never ran.
+const (
+	rankMay      = 1
+	rankNever    = 2
+	rankAnswered = 3
+)
+
+// state of a rank that this release does not know is the one that forbids most.
+func (c *call) state() State {
+	return [...]State{MayHaveRun, MayHaveRun, NeverRan, Answered}[c.stamp&3]
+}
+
+// pending is a call of this instance between Lookup and Decide.
+type pending struct {
+	q                    Query
+	to                   []string
+	replied, acked, sure uint32 // bits by place in to
+	attempt              uint64
+	since                time.Duration // own
+}
+
+// unacked is a mark of this instance that some owner has not acknowledged.
+type unacked struct {
+	acked []string
+	stamp uint64
+	sent  time.Duration // own
+}
+
+// NewSessions returns an empty table that knows no other member yet.
+func NewSessions(cfg SessionsConfig) *Sessions {
+	cfg.Shards = max(cfg.Shards, 1)
+	cfg.Wait = cmp.Or(cfg.Wait, askFor)
+	cfg.MarkFor = min(cmp.Or(cfg.MarkFor, MarkFor), MaxKeep)
+	cfg.Sessions = cmp.Or(cfg.Sessions, 100_000)
+	cfg.Bytes = cmp.Or(cfg.Bytes, 64<<20)
+	cfg.Calls = cmp.Or(cfg.Calls, 16)
+	cfg.Form = cmp.Or(cfg.Form, NewestSession)
+	return &Sessions{cfg: cfg, book: newBook(), unsure: map[Part]time.Duration{}, early: map[Part]time.Duration{}, makers: map[Member]*maker{}, pending: map[callKey]*pending{}, unacked: map[callKey]*unacked{}, names: map[string]string{}}
+}
+
+func wallMillis(now Now) int64 { return now.Wall.Milliseconds() }
+
+// Lookup is the first question about a call. What needs nothing is answered at once; a call that must not run twice is marked here
+// and Asked of its owners (Ask): see Decide.
+func (t *Sessions) Lookup(now Now, q Query) Decision {
+	s := t.find(q.Key)
+	d := Decision{Box: t.box(now, s)}
+	if q.Effect == Safe {
+		return d
+	}
+	if t.cfg.Form < 3 { // such a release knows of no calls
+		return t.unprotected(d, NotMarked)
+	}
+	k := callKey{q.Key, q.Call}
+	if p := t.pending[k]; p != nil {
+		if now.Own-p.since < t.cfg.Wait+time.Second {
+			t.stats.FailedInWords++
+			return Decision{What: Unsure, Why: UnderWay}
+		}
+		delete(t.pending, k) // given up without a word. Its mark stands: this instance can't say that it never ran
+	}
+	f := t.known(now, s, q.Call, nil)
+	own := t.ownCall(s, q.Call)
+	if f.know == knowAnswer || f.know == knowRan || f.know == knowMay && (t.owns(q.Key) || own != nil && own.state() == MayHaveRun) {
+		return t.answer(d, q, f, ownersSilent)
+	}
+	q.Keep = min(cmp.Or(q.Keep, t.cfg.MarkFor), t.cfg.MarkFor)
+	c := t.mark(now, k, rankMay, body{end: wallMillis(now) + q.Keep.Milliseconds(), group: q.Group})
+	if c == nil {
+		if d = t.answer(d, q, f, ownersSilent); d.What == Go {
+			return t.unprotected(d, NoRoom)
+		}
+		return d
+	}
+	p := &pending{q: q, to: t.others(q.Key), since: now.Own, attempt: c.stamp >> 2}
+	t.pending[k] = p
+	if len(p.to) == 0 {
+		return t.Decide(now, q.Key, q.Call)
+	}
+	d.What, d.Wait, d.Attempt = Ask, t.cfg.Wait, p.attempt
+	d.Tell = Marked{t.record(t.find(q.Key)), p.to}
+	return d
+}
+
+// Replied takes the reply of an owner to any mark (see Reply). done says that nobody is waited for any more before Decide.
+func (t *Sessions) Replied(now Now, key Key, id uint64, from string, r schema.Record, as Standing) (done bool, err error) {
+	k := callKey{key, id}
+	acked := false
+	if r.Key != "" {
+		if _, err = t.Merge(now, r); err != nil {
+			return false, err
+		}
+		acked = as != NotOwner && t.acked(k, from, r)
+	}
+	p := t.pending[k]
+	if p == nil {
+		return false, nil
+	}
+	at := slices.Index(p.to, from)
+	if at < 0 || at > 31 {
+		return false, nil
+	}
+	p.replied |= 1 << at
+	if acked {
+		p.acked |= 1 << at
+	}
+	if as == SureOwner {
+		p.sure |= 1 << at
+	}
+	return p.replied == 1<<len(p.to)-1, nil
+}
+
+// acked tells whether an owner's record has this instance's last word of a call.
+func (t *Sessions) acked(k callKey, from string, r schema.Record) bool {
+	u := t.unacked[k]
+	if u == nil || r.Int(sessCall, callSub(k.call, t.cfg.Self)) < u.stamp {
+		return false
+	}
+	if !slices.Contains(u.acked, from) {
+		u.acked = append(u.acked, from)
+	}
+	return true
+}
+
+// Decide says what is done with a call that was Asked. Where it does not go, its mark is taken back.
+func (t *Sessions) Decide(now Now, key Key, id uint64) Decision {
+	k := callKey{key, id}
+	p := t.pending[k]
+	if p == nil {
+		t.stats.FailedInWords++
+		return Decision{What: Unsure, Why: UnderWay}
+	}
+	delete(t.pending, k)
+	s := t.find(key)
+	own := t.ownCall(s, id)
+	o, why := ownersSure, NoCause
+	all := uint32(1)<<len(p.to) - 1
+	switch {
+	case t.minority:
+		o, why = ownersMinority, Minority
+	case p.sure != all || t.ring == nil || t.owns(key) && !t.Sure(PartOf(key)):
+		o, why = ownersSilent, OwnersSilent
+	}
+	f := t.known(now, s, id, own)
+	d := t.answer(Decision{Box: t.box(now, s)}, p.q, f, o)
+	if d.What != Go {
+		if own != nil { // else the cap has pushed it out
+			if c := t.mark(now, k, rankNever, body{end: own.end, group: d.Group}); c != nil {
+				d.Tell = Marked{t.record(t.find(key)), t.others(key)}
+			}
+		}
+		return d
+	}
+	d.End, d.Attempt = true, p.attempt
+	switch {
+	case o == ownersMinority: // the mark is of no use to the other side
+		d = t.unprotected(d, why)
+	case len(p.to) == 0:
+		d = t.unprotected(d, Alone)
+	case p.acked != all: // a cut or a crash may leave one of them alone
+		d = t.unprotected(d, NotMarked)
+	}
+	return d
+}
+
+func (t *Sessions) unprotected(d Decision, why Cause) Decision {
+	t.stats.Unprotected++
+	d.What, d.Why, d.Unprotected = Go, why, true
+	return d
+}
+
+// answer reads the table. A call that goes from here without Decide has no mark.
+func (t *Sessions) answer(d Decision, q Query, f facts, o owners) Decision {
+	d.What, d.Why = decide(situation{q.Effect, f.know, f.old, o, q.Repeat, f.group != ""})
+	switch d.What {
+	case Known:
+		d.Answer = f.answer
+		t.stats.KnownAnswers++
+	case GoTo:
+		d.Box, d.Group, d.End = f.box, f.group, true
+	case Unsure:
+		t.stats.FailedInWords++
+	}
+	return d
+}
+
+// End takes how an attempt has ended: the record goes to the owners when there is time, and again until all have it (Unacked).
+func (t *Sessions) End(now Now, e Ended) Marked {
+	if t.cfg.Form < 3 {
+		return Marked{}
+	}
+	k := callKey{e.Key, e.Call}
+	if p := t.pending[k]; p != nil && p.attempt == e.Attempt {
+		delete(t.pending, k)
+	}
+	s := t.find(e.Key)
+	own := t.ownCall(s, e.Call)
+	b := body{end: wallMillis(now) + t.cfg.MarkFor.Milliseconds(), box: e.Box}
+	if own != nil {
+		b.end, b.group = own.end, own.group
+	}
+	rank := uint64(rankMay)
+	switch e.State {
+	case Answered:
+		rank = rankAnswered
+		if len(e.Answer) <= MaxAnswer {
+			b.answer, b.kept = e.Answer, true
+		}
+	case NeverRan:
+		rank = rankNever
+	}
+	// How an attempt ended is said of its own mark alone. One that went to a group under an earlier mark says nothing of that one,
+	// but its answer is the call's.
+	if rank != rankAnswered && (own == nil || own.state() != MayHaveRun || own.stamp>>2 != e.Attempt) || own != nil && own.state() == Answered {
+		return Marked{}
+	}
+	if t.mark(now, k, rank, b) == nil {
+		return Marked{}
+	}
+	return Marked{t.record(t.find(e.Key)), t.others(e.Key)}
+}
+
+// mark writes this instance's own word of a call; nil when there is no room.
+func (t *Sessions) mark(now Now, k callKey, rank uint64, b body) *call {
+	s := t.make(now, k.key)
+	if s == nil {
+		return nil
+	}
+	c := t.ownCall(s, k.call)
+	if c == nil {
+		if c = t.addCall(now, s, k.call, t.cfg.Self); c == nil {
+			return nil
+		}
+		// Higher than any attempt of this process that may have been forgotten, here or elsewhere.
+		c.stamp = uint64(wallMillis(now)) << 2
+	}
+	attempt := c.stamp >> 2
+	if rank <= c.stamp&3 {
+		attempt++
+	}
+	t.setCall(now, s, c, attempt<<2|rank, b)
+	t.unacked[k] = &unacked{stamp: c.stamp, sent: now.Own}
+	return c
+}
+
+// Hold says that a session stays with a box. It is told again when half of its time is over: To is empty where there is no news.
+func (t *Sessions) Hold(now Now, key Key, box, group string, keep time.Duration) Marked {
+	s := t.make(now, key)
+	if s == nil {
+		return Marked{}
+	}
+	wall := uint64(wallMillis(now))
+	h := held{stamp: max(wall, s.held.stamp+1), box: box, group: group, end: wall + uint64(keep.Milliseconds())}
+	if t.cfg.Form < 2 {
+		h.group, h.end = "", 0
+	}
+	if s.held.box == box && s.held.group == h.group && s.held.until() > wall+uint64(keep.Milliseconds())/2 {
+		return Marked{}
+	}
+	t.setHeld(now, s, h)
+	return Marked{t.record(s), t.others(key)}
+}
+
+// until is when a session ends, in wall milliseconds.
+func (h *held) until() uint64 {
+	if h.end == 0 && h.stamp != 0 {
+		return h.stamp + uint64(HoldFor.Milliseconds())
+	}
+	return h.end
+}
+
+func (t *Sessions) box(now Now, s *session) string {
+	if s == nil || s.held.until() <= uint64(wallMillis(now)) {
+		return ""
+	}
+	return s.held.box
+}
+
+// facts are what all instances' words of a call come to.
+type facts struct {
+	know       knowledge
+	old        bool
+	box, group string // group: only when there is one
+	answer     string
+}
+
+// known reads them, without one's own (except).
+func (t *Sessions) known(now Now, s *session, id uint64, except *call) (f facts) {
+	if s == nil {
+		return f
+	}
+	fresh := wallMillis(now) + Skew.Milliseconds()
+	groups := 0
+	for i := range s.calls {
+		c := &s.calls[i]
+		if c.id != id || c == except {
+			continue
+		}
+		switch k := c.know(); {
+		case k < f.know:
+			continue
+		case k > f.know:
+			f = facts{know: k}
+			groups = 0
+		}
+		f.old = f.old || c.end <= fresh
+		f.answer = c.answer
+		if groups == 0 || c.group != f.group {
+			groups++
+		}
+		f.box, f.group = c.box, c.group
+	}
+	if groups != 1 {
+		f.box, f.group = "", ""
+	}
+	return f
+}
+
+func (c *call) know() knowledge {
+	switch c.state() {
+	case NeverRan:
+		return knowNever
+	case Answered:
+		if c.kept {
+			return knowAnswer
+		}
+		return knowRan
+	}
+	return knowMay
+}
+
+func (t *Sessions) ownCall(s *session, id uint64) *call {
+	if s == nil {
+		return nil
+	}
+	for i := range s.calls {
+		if c := &s.calls[i]; c.id == id && c.by.Member == t.cfg.Self {
+			return c
+		}
+	}
+	return nil
+}
+
+// others are the owners of a key beside this instance.
+func (t *Sessions) others(key Key) []string {
+	o := t.ring.Owners(PartOf(key))
+	at := slices.Index(o, t.cfg.Self.Name)
+	if at < 0 {
+		return o
+	}
+	return slices.Delete(slices.Clone(o), at, at+1)
+}
+
+func (t *Sessions) owns(key Key) bool { return t.ring.Owns(t.cfg.Self.Name, PartOf(key)) }
--- /dev/null
+++ b/share/session_test.go
@@ -0,0 +1,380 @@
+package share
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"glencart/schema"
+)
+
+// three are three instances that know each other, and a key that b and c own: a has to ask.
+func three(t testing.TB) (a, b, c *Sessions, key Key) {
+	ring := NewRing([]Member{{"a", 1}, {"b", 1}, {"c", 1}}, 2)
+	a, b, c = NewSessions(SessionsConfig{Self: Member{"a", 1}}), NewSessions(SessionsConfig{Self: Member{"b", 1}}), NewSessions(SessionsConfig{Self: Member{"c", 1}})
+	for _, s := range []*Sessions{a, b, c} {
+		s.Members(at(-2*MaxKeep), ring, false, nil)
+		s.Tick(at(0)) // for so long that they are sure
+	}
+	for i := 0; ; i++ {
+		key = KeyOf("", fmt.Append(nil, i))
+		if !ring.Owns("a", PartOf(key)) {
+			return a, b, c, key
+		}
+	}
+}
+
+// ask brings a call to its owners and back.
+func ask(t testing.TB, now Now, from *Sessions, q Query, owners ...*Sessions) Decision {
+	t.Helper()
+	d := from.Lookup(now, q)
+	if d.What != Ask {
+		return d
+	}
+	for _, o := range owners {
+		if _, err := o.Merge(now, d.Tell.Record); err != nil {
+			t.Fatal(err)
+		}
+		r, sure := o.Reply(q.Key)
+		if _, err := from.Replied(now, q.Key, q.Call, o.cfg.Self.Name, r, sure); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return from.Decide(now, q.Key, q.Call)
+}
+
+func tell(t testing.TB, now Now, m Marked, to ...*Sessions) {
+	t.Helper()
+	for _, o := range to {
+		if _, err := o.Merge(now, m.Record); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// A client's order is placed at one instance, which is killed; its repeat comes to another.
+func TestARepeatElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		effect Effect
+		state  State
+		ended  bool // the first instance told how it ended before it was killed
+		silent int  // owners that do not answer the repeat
+		group  string
+		after  time.Duration
+		want   string
+	}{
+		{"killed in the attempt", Unsafe, 0, false, 0, "", 0, "in words: it may have run"},
+		{"answered", Unsafe, Answered, true, 0, "", 0, "known answer 42"},
+		{"an answer too long to keep", Unsafe, Answered, true, 0, "long", 0, "in words: it has run, and its answer is no longer known"},
+		{"never written", Unsafe, NeverRan, true, 0, "", 0, "go"},
+		{"one owner silent, the other knows", Unsafe, 0, false, 1, "", 0, "in words: it may have run"},
+		{"both owners silent", Unsafe, 0, false, 2, "", 0, "in words: the instances that would know have not answered"},
+		{"keyed", Keyed, 0, false, 0, "g", 0, "go to the group g"},
+		{"keyed, its end near", Keyed, 0, false, 0, "g", MarkFor - Skew, "in words: it may have run"},
+		{"past its end", Unsafe, 0, false, 0, "", MarkFor + Skew + OldFor - time.Second, "in words: it may have run"},
+		{"long past its end", Unsafe, 0, false, 0, "", MarkFor + Skew + OldFor, "go"},
+		{"safe", Safe, 0, false, 2, "", 0, "go"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a, b, o, key := three(t)
+			x := NewSessions(SessionsConfig{Self: Member{"x", 1}}) // the first instance: neither owner nor a
+			x.Members(at(0), b.ring, false, nil)
+			q := Query{Key: key, Call: 1, Effect: c.effect, Group: c.group}
+			d := ask(t, at(0), x, q, b, o)
+			if d.What != Go || d.Unprotected || d.End != (c.effect != Safe) {
+				t.Fatalf("first try: %+v", d)
+			}
+			if c.ended {
+				answer := "42"
+				if c.group == "long" {
+					answer = strings.Repeat("4", MaxAnswer+1)
+				}
+				tell(t, at(0), x.End(at(0), Ended{Key: key, Call: 1, Attempt: d.Attempt, State: c.state, Answer: answer}), b, o)
+			}
+			now := at(c.after)
+			for _, s := range []*Sessions{a, b, o} {
+				s.Tick(now)
+			}
+			q.Repeat = true
+			d = ask(t, now, a, q, []*Sessions{b, o}[c.silent:]...)
+			got := d.What.String()
+			if d.Why != NoCause {
+				got += ": " + d.Why.String()
+			}
+			got = strings.TrimSpace(got + " " + d.Answer + d.Group)
+			if got != c.want {
+				t.Errorf("%s, want %s", got, c.want)
+			}
+			if d.Unprotected {
+				t.Error("unprotected")
+			}
+		})
+	}
+}
+
+// Two instances with one call at the same time: at most one of them goes, in whatever order their messages arrive.
+func TestTwoAtOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ring := NewRing([]Member{{"a", 1}, {"b", 1}}, 2)
+		var s [4]*Sessions
+		for i, name := range []string{"a", "b", "x", "y"} {
+			s[i] = NewSessions(SessionsConfig{Self: Member{name, 1}})
+			s[i].Members(at(-2*MaxKeep), ring, false, nil)
+			s[i].Tick(at(0))
+		}
+		q := Query{Key: Key{1}, Call: 7, Effect: Unsafe}
+		type message struct{ from, to int }
+		asked := map[int]Decision{2: s[2].Lookup(at(0), q), 3: s[3].Lookup(at(0), q)}
+		flight := []message{{2, 0}, {2, 1}, {3, 0}, {3, 1}}
+		ran := 0
+		for len(flight) > 0 {
+			i := rapid.IntRange(0, len(flight)-1).Draw(t, "message")
+			m := flight[i]
+			flight = append(flight[:i], flight[i+1:]...)
+			s[m.to].Merge(at(0), asked[m.from].Tell.Record)
+			r, sure := s[m.to].Reply(q.Key)
+			if done, _ := s[m.from].Replied(at(0), q.Key, q.Call, s[m.to].cfg.Self.Name, r, sure); done {
+				if d := s[m.from].Decide(at(0), q.Key, q.Call); d.What == Go {
+					ran++
+				} else {
+					s[0].Merge(at(0), d.Tell.Record)
+					s[1].Merge(at(0), d.Tell.Record)
+				}
+			}
+		}
+		if ran > 1 {
+			t.Fatalf("%d of two go", ran)
+		}
+		// And what has gone is still known to have: one more try fails in words, or goes if neither did.
+		if d := ask2(s[0], q, s[1]); (d.What == Go) != (ran == 0) {
+			t.Fatalf("%d went, and a third try: %v", ran, d.What)
+		}
+	})
+}
+
+func ask2(from *Sessions, q Query, owner *Sessions) Decision {
+	d := from.Lookup(at(0), q)
+	if d.What != Ask {
+		return d
+	}
+	owner.Merge(at(0), d.Tell.Record)
+	r, sure := owner.Reply(q.Key)
+	from.Replied(at(0), q.Key, q.Call, owner.cfg.Self.Name, r, sure)
+	return from.Decide(at(0), q.Key, q.Call)
+}
+
+// Two requests of one call at one instance: the second one is told so, and one that was given up without a word keeps its mark.
+func TestTwoAtOneInstance(t *testing.T) {
+	a, b, c, key := three(t)
+	q := Query{Key: key, Call: 1, Effect: Unsafe}
+	a.Lookup(at(0), q)
+	if d := a.Lookup(at(0), q); d.What != Unsure || d.Why != UnderWay {
+		t.Errorf("the second: %v, %v", d.What, d.Why)
+	}
+	if d := ask(t, at(10*time.Second), a, q, b, c); d.What != Unsure || d.Why != ItMayHaveRun {
+		t.Errorf("after one that was given up: %v, %v", d.What, d.Why)
+	}
+	q.Call = 2
+	given := a.Lookup(at(0), q)
+	a.End(at(0), Ended{Key: key, Call: 2, Attempt: given.Attempt, State: NeverRan})
+	if d := ask(t, at(0), a, q, b, c); d.What != Go || d.Unprotected {
+		t.Errorf("after one that said so: %v, %v", d.What, d.Why)
+	}
+}
+
+// What goes without a mark at another owner is counted, with its cause.
+func TestUnprotected(t *testing.T) {
+	q := Query{Key: Key{1}, Call: 1, Effect: Unsafe}
+	a, b, c, key := three(t)
+	q.Key = key
+	if d := ask(t, at(0), a, q); d.What != Go || !d.Unprotected || d.Why != NotMarked {
+		t.Errorf("no owner answers: %+v", d)
+	}
+	q.Call = 2
+	a.minority = true
+	if d := ask(t, at(0), a, q, b, c); d.What != Go || !d.Unprotected || d.Why != Minority {
+		t.Errorf("on the smaller side: %+v", d)
+	}
+	q.Call, q.Repeat = 3, true
+	if d := ask(t, at(0), a, q, b, c); d.What != Unsure || d.Why != Minority {
+		t.Errorf("a repeat on the smaller side: %+v", d)
+	}
+	alone := NewSessions(SessionsConfig{Self: Member{"a", 1}})
+	alone.Members(at(0), NewRing([]Member{{"a", 1}}, 2), false, nil)
+	if d := alone.Lookup(at(0), q); d.What != Unsure || d.Why != OwnersSilent {
+		t.Errorf("a repeat at one that has just begun: %+v", d)
+	}
+	q.Repeat = false
+	if d := alone.Lookup(at(0), q); d.What != Go || !d.Unprotected || d.Why != Alone {
+		t.Errorf("alone: %+v", d)
+	}
+	if n := a.Stats(); n.Unprotected != 2 || n.FailedInWords != 1 || alone.Stats().Unprotected != 1 {
+		t.Errorf("counted: %+v, %+v", n, alone.Stats())
+	}
+}
+
+// A mark that an owner has not taken is sent again until it has, also its end, and also to an owner that is new.
+func TestMarksAreSentAgain(t *testing.T) {
+	a, b, c, key := three(t)
+	q := Query{Key: key, Call: 1, Effect: Unsafe}
+	ask(t, at(0), a, q, b)
+	again := a.Unacked(at(time.Second), nil)
+	if len(again) != 1 || len(again[0].To) != 1 || again[0].To[0] != c.cfg.Self.Name {
+		t.Fatalf("again: %v", again)
+	}
+	tell(t, at(time.Second), again[0], c)
+	r, sure := c.Reply(key)
+	a.Replied(at(time.Second), key, 1, "c", r, sure)
+	if again := a.Unacked(at(time.Minute/2), nil); len(again) != 0 {
+		t.Errorf("both have it: %v", again)
+	}
+	m := a.End(at(2*time.Second), Ended{Key: key, Call: 1, State: Answered, Answer: "42"})
+	stale, _ := c.Reply(key)
+	a.Replied(at(2*time.Second), key, 1, "c", stale, SureOwner)
+	if again := a.Unacked(at(4*time.Second), nil); len(again) != 1 || len(again[0].To) != 2 {
+		t.Errorf("a reply to what was said before acknowledges nothing: %v", again)
+	}
+	tell(t, at(4*time.Second), m, b, c)
+	for _, o := range []*Sessions{b, c} {
+		r, sure := o.Reply(key)
+		a.Replied(at(4*time.Second), key, 1, o.cfg.Self.Name, r, sure)
+	}
+	if again := a.Unacked(at(6*time.Second), nil); len(again) != 0 {
+		t.Errorf("all have the end: %v", again)
+	}
+}
+
+// A session stays with the box that was said last, until its end, and is told again only when there is news.
+func TestHold(t *testing.T) {
+	a, b, _, key := three(t)
+	m := a.Hold(at(0), key, "box1", "g", time.Minute)
+	tell(t, at(0), m, b)
+	if again := a.Hold(at(time.Second), key, "box1", "g", time.Minute); len(again.To) != 0 {
+		t.Error("told again without news")
+	}
+	tell(t, at(2*time.Second), a.Hold(at(2*time.Second), key, "box2", "g", time.Minute), b)
+	tell(t, at(3*time.Second), m, b) // late
+	if d := b.Lookup(at(3*time.Second), Query{Key: key}); d.Box != "box2" {
+		t.Errorf("held by %q", d.Box)
+	}
+	if d := b.Lookup(at(2*time.Minute), Query{Key: key}); d.Box != "" {
+		t.Errorf("over, and held by %q", d.Box)
+	}
+}
+
+// Records of a session merge in any order, whole or at older forms: no mark is forgotten, and all who have all know the same.
+func TestSessionsMerge(t *testing.T) {
+	book := newBook()
+	rapid.Check(t, func(t *rapid.T) {
+		var all []schema.Record
+		stamps := map[string]uint64{}
+		for _, name := range []string{"x", "y"} {
+			s := NewSessions(SessionsConfig{Self: Member{name, 1}})
+			attempt := uint64(0)
+			for range rapid.IntRange(1, 6).Draw(t, "steps") {
+				call := uint64(rapid.IntRange(1, 2).Draw(t, "call"))
+				switch rapid.IntRange(0, 3).Draw(t, "step") {
+				case 0:
+					attempt = s.Lookup(at(0), Query{Key: Key{1}, Call: call, Effect: Keyed, Group: name}).Attempt
+				case 1:
+					s.End(at(0), Ended{Key: Key{1}, Call: call, State: Answered, Answer: name})
+				case 2:
+					s.End(at(0), Ended{Key: Key{1}, Call: call, Attempt: attempt, State: NeverRan})
+				case 3:
+					s.Hold(at(time.Duration(call)*time.Millisecond), Key{1}, name, "g", time.Minute)
+				}
+				if r, _ := s.Reply(Key{1}); r.Key != "" {
+					all = append(all, r)
+					for _, f := range r.All(sessCall) {
+						stamps[f.Sub] = max(stamps[f.Sub], f.Int)
+					}
+				}
+			}
+		}
+		if len(all) == 0 {
+			return
+		}
+		a, b := NewSessions(SessionsConfig{Self: Member{"a", 1}}), NewSessions(SessionsConfig{Self: Member{"b", 1}})
+		var joined schema.Record
+		for i, r := range all {
+			a.Merge(at(0), r)
+			if joined = r; i > 0 {
+				joined, _ = book.Merge(all[0], r)
+				all[0] = joined
+			}
+		}
+		order := make([]int, len(all))
+		for i := range order {
+			order[i] = i
+		}
+		for _, i := range rapid.Permutation(order).Draw(t, "order") {
+			r := all[i]
+			if rapid.Bool().Draw(t, "old") {
+				r, _ = book.To(r, 2) // keeps all that there is
+			}
+			b.Merge(at(0), r)
+			b.Merge(at(0), r)
+		}
+		ra, _ := a.Reply(Key{1})
+		rb, _ := b.Reply(Key{1})
+		if !schema.Equal(ra, rb) || !schema.Equal(ra, joined) || a.Digest(Range{Part: 16}) != b.Digest(Range{Part: 16}) {
+			t.Fatalf("in order %v\nin another %v\nas records %v", ra, rb, joined)
+		}
+		for sub, stamp := range stamps {
+			if ra.Int(sessCall, sub) < stamp {
+				t.Fatalf("mark %x: %d, was %d", sub, ra.Int(sessCall, sub), stamp)
+			}
+		}
+	})
+}
+
+// At the caps those go first that are over, then those without a mark; a mark that is forgotten before its end is counted.
+func TestSessionsAreBounded(t *testing.T) {
+	s := NewSessions(SessionsConfig{Self: Member{"a", 1}, Sessions: 100, Bytes: 10 << 10, Calls: 2})
+	s.Members(at(0), NewRing([]Member{{"a", 1}}, 2), false, nil)
+	key := func(i int) Key { return KeyOf("", fmt.Append(nil, i)) }
+	for i := range 50 {
+		s.Lookup(at(0), Query{Key: key(i), Call: 1, Effect: Unsafe, Keep: time.Second})
+	}
+	for i := range 50 {
+		s.Hold(at(0), key(100+i), "box", "", time.Second)
+	}
+	s.Tick(at(10 * time.Second)) // over, and kept as old
+	now := at(10 * time.Second)
+	for i := range 50 {
+		s.Hold(now, key(200+i), "box", "", time.Hour)
+	}
+	for i := range 100 {
+		s.Lookup(now, Query{Key: key(300 + i), Call: 1, Effect: Unsafe})
+	}
+	if n := s.Stats(); n.Sessions != 100 || n.ForgottenEarly != 0 || n.SessionsPushedOut != 50 {
+		t.Errorf("%+v", n)
+	}
+	for i := range 100 {
+		if d := s.Lookup(now, Query{Key: key(300 + i), Call: 1, Effect: Unsafe}); d.What != Unsure {
+			t.Fatalf("mark %d is forgotten: %v", i, d.What)
+		}
+	}
+	s.Lookup(now, Query{Key: key(500), Call: 1, Effect: Unsafe})
+	if n := s.Stats(); n.Sessions != 100 || n.ForgottenEarly != 1 {
+		t.Errorf("one more: %+v", n)
+	}
+	for i := range 5 {
+		s.Lookup(now, Query{Key: key(500), Call: uint64(i), Effect: Unsafe})
+		s.End(now, Ended{Key: key(500), Call: uint64(i), State: Answered, Answer: strings.Repeat("x", 1500)})
+	}
+	for i := range 20 {
+		s.End(now, Ended{Key: key(600 + i), Call: 1, State: Answered, Answer: strings.Repeat("x", 1500)})
+	}
+	if n := s.Stats(); n.Bytes > 10<<10 || len(s.find(key(619)).calls) > 2 {
+		t.Errorf("bytes: %+v", n)
+	}
+	s.Tick(at(time.Hour + Skew + OldFor + 11*time.Second))
+	if n := s.Stats(); n.Sessions != 0 || n.Calls != 0 || n.Bytes != 0 || len(s.ends[0])+len(s.ends[1]) != 0 || len(s.makers) != 0 || len(s.unacked) != 0 {
+		t.Errorf("when all is over: %+v, %d %d %d", n, len(s.ends[0])+len(s.ends[1]), len(s.makers), len(s.unacked))
+	}
+}
--- /dev/null
+++ b/share/sessrec.go
@@ -0,0 +1,468 @@
+// Sessions in their place, and as records.
+package share
+
+import (
+	"bytes"
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"glencart/schema"
+)
+
+// part has the sessions of a Part, by leaf.
+type part struct {
+	leaves [Leaves]leaf
+	n      int
+}
+
+// leaf is sorted by key. Keys stand apart from what they lead to: a search reads them alone.
+type leaf struct {
+	keys   []Key
+	of     []*session
+	digest uint64 // of all that is said in it, whatever the order in which it came
+}
+
+func compareKeys(a, b Key) int { return bytes.Compare(a[:], b[:]) }
+
+func (t *Sessions) find(key Key) *session {
+	p := t.parts[PartOf(key)]
+	if p == nil {
+		return nil
+	}
+	l := &p.leaves[LeafOf(key)]
+	lo, hi := 0, len(l.keys)
+	want := binary.BigEndian.Uint64(key[:])
+	for lo < hi {
+		mid := int(uint(lo+hi) >> 1)
+		if have := binary.BigEndian.Uint64(l.keys[mid][:]); have < want || have == want && compareKeys(l.keys[mid], key) < 0 {
+			lo = mid + 1
+		} else {
+			hi = mid
+		}
+	}
+	if lo < len(l.keys) && l.keys[lo] == key {
+		return l.of[lo]
+	}
+	return nil
+}
+
+// make finds or makes a session; nil when there is no room.
+func (t *Sessions) make(now Now, key Key) *session {
+	if s := t.find(key); s != nil {
+		return s
+	}
+	if t.stats.Sessions >= t.cfg.Sessions && !t.pushOut(now, nil) {
+		return nil
+	}
+	p := t.parts[PartOf(key)]
+	if p == nil {
+		p = &part{}
+		t.parts[PartOf(key)] = p
+	}
+	l := &p.leaves[LeafOf(key)]
+	at, _ := slices.BinarySearchFunc(l.keys, key, compareKeys)
+	s := &session{key: key, place: -1}
+	l.keys = slices.Insert(l.keys, at, key)
+	l.of = slices.Insert(l.of, at, s)
+	p.n++
+	t.stats.Sessions++
+	t.place(s)
+	return s
+}
+
+// drop takes a session out.
+func (t *Sessions) drop(s *session) {
+	p := t.parts[PartOf(s.key)]
+	l := &p.leaves[LeafOf(s.key)]
+	at, _ := slices.BinarySearchFunc(l.keys, s.key, compareKeys)
+	l.keys = slices.Delete(l.keys, at, at+1)
+	l.of = slices.Delete(l.of, at, at+1)
+	l.digest ^= s.sum
+	for i := range s.calls {
+		t.dropCall(s, &s.calls[i])
+	}
+	s.calls = nil
+	t.stats.Bytes -= strangeBytes(s.strange)
+	heap.Remove(&t.ends[s.marked], s.place)
+	t.stats.Sessions--
+	if p.n--; p.n == 0 {
+		t.parts[PartOf(s.key)] = nil
+	}
+}
+
+func (t *Sessions) dropCall(s *session, c *call) {
+	if c.by.calls--; c.by.calls == 0 {
+		delete(t.makers, c.by.Member)
+	}
+	t.stats.Calls--
+	t.stats.Bytes -= c.bytes()
+	if c.by.Member == t.cfg.Self {
+		delete(t.unacked, callKey{s.key, c.id})
+	}
+}
+
+func (b *body) bytes() int { return len(b.answer) + len(b.extra) }
+
+func strangeBytes(r *schema.Record) (n int) {
+	if r != nil {
+		for _, f := range r.Fields {
+			n += 64 + len(f.Sub) + len(f.Text) + len(f.Rest)
+		}
+	}
+	return n
+}
+
+// addCall makes room for an instance's word of a call; nil when there is none.
+func (t *Sessions) addCall(now Now, s *session, id uint64, by Member) *call {
+	if len(s.calls) >= t.cfg.Calls && !t.pushOutCall(now, s) {
+		return nil
+	}
+	m := t.makers[by]
+	if m == nil {
+		m = &maker{Member: by}
+		t.makers[by] = m
+	}
+	m.calls++
+	t.stats.Calls++
+	s.calls = append(s.calls, call{id: id, by: m})
+	return &s.calls[len(s.calls)-1]
+}
+
+func (t *Sessions) setCall(now Now, s *session, c *call, stamp uint64, b body) {
+	t.stats.Bytes += b.bytes() - c.bytes()
+	c.stamp, c.body = stamp, b
+	t.changed(now, s)
+	for t.stats.Bytes > t.cfg.Bytes && t.pushOut(now, s) {
+	}
+}
+
+func (t *Sessions) setHeld(now Now, s *session, h held) {
+	s.held = h
+	t.changed(now, s)
+}
+
+// changed reckons a session's share of its leaf's digest, and when it is looked at again.
+func (t *Sessions) changed(now Now, s *session) {
+	sum := s.digest()
+	t.parts[PartOf(s.key)].leaves[LeafOf(s.key)].digest ^= s.sum ^ sum
+	s.sum = sum
+	t.place(s)
+}
+
+// digest is the same at all members that know the same, in whatever order they came to know it.
+func (s *session) digest() uint64 {
+	var buf [256]byte
+	seed := append(buf[:0], s.key[:]...)
+	sum := uint64(0)
+	if h := s.held; h.stamp != 0 {
+		b := binary.BigEndian.AppendUint64(append(seed, 1), h.stamp)
+		b = binary.BigEndian.AppendUint64(b, h.end)
+		b = append(append(append(b, h.box...), 0), h.group...)
+		sum ^= xxhash.Sum64(b)
+	}
+	for i := range s.calls {
+		c := &s.calls[i]
+		b := binary.BigEndian.AppendUint64(append(seed, 2), c.id)
+		b = binary.BigEndian.AppendUint64(b, c.by.Start)
+		b = binary.BigEndian.AppendUint64(b, c.stamp)
+		sum ^= xxhash.Sum64(c.body.append(append(append(b, c.by.Name...), 0)))
+	}
+	if s.strange != nil {
+		for _, f := range s.strange.Fields {
+			b := binary.BigEndian.AppendUint32(append(seed, 3), f.Num)
+			b = binary.BigEndian.AppendUint64(b, f.Int)
+			b = append(append(append(append(append(b, f.Sub...), 0), f.Text...), 0), f.Rest...)
+			sum ^= xxhash.Sum64(b)
+		}
+	}
+	return sum
+}
+
+// end is when nothing of a session matters any more, in wall milliseconds.
+func (s *session) end() int64 {
+	end := s.strangeEnd
+	if u := s.held.until(); u < 1<<62 {
+		end = max(end, int64(u))
+	}
+	for i := range s.calls {
+		end = max(end, s.calls[i].end)
+	}
+	return end
+}
+
+// callSub is the Sub of what an instance says of a call.
+func callSub(id uint64, m Member) string {
+	b := binary.BigEndian.AppendUint64(make([]byte, 0, 16+len(m.Name)), id)
+	return string(append(binary.BigEndian.AppendUint64(b, m.Start), m.Name...))
+}
+
+func readCallSub(s string) (id uint64, m Member, ok bool) {
+	if len(s) < 17 || len(s) > 16+maxName {
+		return 0, Member{}, false
+	}
+	return be64(s), Member{Name: s[16:], Start: be64(s[8:])}, true
+}
+
+// Fields of a body, in protobuf's encoding:
+//
+//	message Body { uint64 end = 1; string box = 2; string group = 3; bytes answer = 4 (there only when it is kept); }
+func (b *body) append(dst []byte) []byte {
+	dst = protowire.AppendVarint(protowire.AppendTag(dst, 1, protowire.VarintType), uint64(b.end))
+	if b.box != "" {
+		dst = protowire.AppendString(protowire.AppendTag(dst, 2, protowire.BytesType), b.box)
+	}
+	if b.group != "" {
+		dst = protowire.AppendString(protowire.AppendTag(dst, 3, protowire.BytesType), b.group)
+	}
+	if b.kept {
+		dst = protowire.AppendString(protowire.AppendTag(dst, 4, protowire.BytesType), b.answer)
+	}
+	return append(dst, b.extra...)
+}
+
+func (t *Sessions) readBody(text []byte) (b body, ok bool) {
+	if len(text) > MaxAnswer+4*maxName+1024 {
+		return b, false
+	}
+	for len(text) > 0 {
+		num, typ, n := protowire.ConsumeTag(text)
+		if n < 0 {
+			return b, false
+		}
+		v := protowire.ConsumeFieldValue(num, typ, text[n:])
+		if v < 0 {
+			return b, false
+		}
+		value := text[n : n+v]
+		switch {
+		case num == 1 && typ == protowire.VarintType:
+			end, _ := protowire.ConsumeVarint(value)
+			b.end = int64(min(end, 1<<62))
+		case num >= 2 && num <= 4 && typ == protowire.BytesType:
+			in, _ := protowire.ConsumeBytes(value)
+			switch num {
+			case 2:
+				b.box = t.name(in)
+			case 3:
+				b.group = t.name(in)
+			case 4:
+				b.answer, b.kept = string(in), true
+			}
+		default:
+			b.extra += string(text[:n+v])
+		}
+		text = text[n+v:]
+	}
+	return b, b.end > 0
+}
+
+// record is a session as it is told.
+func (t *Sessions) record(s *session) schema.Record {
+	if s == nil {
+		return schema.Record{}
+	}
+	r := schema.Record{Kind: schema.Session, Schema: NewestSession, Key: string(s.key[:])}
+	r.Fields = make([]schema.Field, 0, len(s.calls)+4)
+	for i := range s.calls {
+		c := &s.calls[i]
+		r.Fields = append(r.Fields, schema.Field{Num: sessCall, Sub: callSub(c.id, c.by.Member), Int: c.stamp, Text: c.body.append(nil)})
+	}
+	slices.SortFunc(r.Fields, compareFields)
+	if h := s.held; h.stamp != 0 {
+		r.Fields = append(r.Fields, schema.Field{Num: sessStamp, Int: h.stamp}, schema.Field{Num: sessHeld, Text: []byte(h.box)})
+		if h.group != "" {
+			r.Fields = append(r.Fields, schema.Field{Num: sessGroup, Text: []byte(h.group)})
+		}
+		if h.end != 0 {
+			r.Fields = append(r.Fields, schema.Field{Num: sessEnd, Int: h.end})
+		}
+	}
+	if s.strange != nil {
+		if all, err := t.book.Merge(r, *s.strange); err == nil {
+			r = all
+		}
+	}
+	return r
+}
+
+// Reply is what an owner answers when it has merged a mark, or is asked for a session: what it knows, and as who.
+func (t *Sessions) Reply(key Key) (schema.Record, Standing) {
+	as := NotOwner
+	switch {
+	case !t.owns(key):
+	case t.Sure(PartOf(key)):
+		as = SureOwner
+	default:
+		as = UnsureOwner
+	}
+	return t.record(t.find(key)), as
+}
+
+// Merge takes in what others have told, whole or in part, in any order and any number of times. What is not what its form says, or
+// is over, is left out and counted. An error is of the record as a whole.
+func (t *Sessions) Merge(now Now, r schema.Record) (changed bool, err error) {
+	if r.Kind != schema.Session || len(r.Key) != len(Key{}) {
+		return false, fmt.Errorf("share: sessions: %s with a key of %d bytes: not a session", r.Kind, len(r.Key))
+	}
+	if r, err = t.book.To(r, NewestSession); err != nil {
+		return false, fmt.Errorf("share: sessions: %w", err)
+	}
+	if len(r.Fields) == 0 {
+		return false, nil
+	}
+	key := Key([]byte(r.Key))
+	s := t.find(key)
+	var strange []schema.Field
+	var h held
+	odd := false // the register has something of a later release: it is kept whole beside what is read of it
+	for i := range r.Fields {
+		f := &r.Fields[i]
+		register := f.Sub == "" && f.Num >= sessStamp && f.Num < sessStamp+schema.RegisterSize
+		switch {
+		case f.Num == sessCall && t.cfg.Form >= 3:
+			if len(f.Rest) > 0 {
+				strange = append(strange, *f)
+			}
+			s, changed = t.mergeCall(now, key, s, f, changed)
+		case register && f.Num == sessStamp:
+			h.stamp, odd = f.Int, odd || len(f.Text) > 0
+		case register && f.Num == sessHeld:
+			h.box, odd = t.name(f.Text), odd || f.Int != 0
+		case register && f.Num == sessGroup && t.cfg.Form >= 2:
+			h.group, odd = t.name(f.Text), odd || f.Int != 0
+		case register && f.Num == sessEnd && t.cfg.Form >= 2:
+			h.end, odd = f.Int, odd || len(f.Text) > 0
+		case register:
+			odd = true
+		default:
+			strange = append(strange, *f)
+		}
+		odd = odd || register && len(f.Rest) > 0
+	}
+	if odd {
+		for _, f := range r.Fields {
+			if f.Sub == "" && f.Num >= sessStamp && f.Num < sessStamp+schema.RegisterSize {
+				strange = append(strange, f)
+			}
+		}
+		slices.SortFunc(strange, compareFields)
+	}
+	late := uint64(wallMillis(now) - Skew.Milliseconds() - OldFor.Milliseconds())
+	switch {
+	case h.stamp == 0 || h.until() <= late:
+	case h.until() > uint64(wallMillis(now))+uint64(maxHold.Milliseconds()) || len(h.box)+len(h.group) > 4*maxName:
+		t.stats.Strange++
+	default:
+		if s == nil {
+			s = t.make(now, key)
+		}
+		if s != nil && compareHeld(h, s.held) > 0 {
+			t.setHeld(now, s, h)
+			changed = true
+		}
+	}
+	if len(strange) == 0 {
+		return changed, nil
+	}
+	if s == nil {
+		if s = t.make(now, key); s == nil {
+			return changed, nil
+		}
+	}
+	kept, err := t.keepStrange(now, s, strange)
+	return changed || kept, err
+}
+
+func (t *Sessions) mergeCall(now Now, key Key, s *session, f *schema.Field, changed bool) (*session, bool) {
+	id, by, ok := readCallSub(f.Sub)
+	b, read := t.readBody(f.Text)
+	wall := wallMillis(now)
+	switch {
+	case !ok || !read || f.Int == 0 || b.end > wall+2*MaxKeep.Milliseconds() || len(b.box)+len(b.group) > 4*maxName:
+		t.stats.Strange++
+		return s, changed
+	case b.end+Skew.Milliseconds()+OldFor.Milliseconds() <= wall:
+		return s, changed
+	}
+	if s == nil {
+		if s = t.make(now, key); s == nil {
+			return s, changed
+		}
+	}
+	var c *call
+	for i := range s.calls {
+		if o := &s.calls[i]; o.id == id && o.by.Member == by {
+			c = o
+		}
+	}
+	if c == nil {
+		if c = t.addCall(now, s, id, by); c == nil {
+			return s, changed
+		}
+	}
+	if f.Int > c.stamp || f.Int == c.stamp && string(f.Text) > string(c.body.append(nil)) {
+		t.setCall(now, s, c, f.Int, b)
+		return s, true
+	}
+	return s, changed
+}
+
+// name holds a box's or group's name once: a site has few, and each stands in many sessions.
+func (t *Sessions) name(b []byte) string {
+	n, ok := t.names[string(b)]
+	if !ok {
+		if len(t.names) >= 4096 {
+			clear(t.names)
+		}
+		n = string(b)
+		t.names[n] = n
+	}
+	return n
+}
+
+// compareHeld orders as a merge of records does.
+func compareHeld(a, b held) int {
+	switch {
+	case a.stamp != b.stamp:
+		if a.stamp < b.stamp {
+			return -1
+		}
+		return 1
+	case a.box != b.box:
+		return strings.Compare(a.box, b.box)
+	case a.group != b.group:
+		return strings.Compare(a.group, b.group)
+	case a.end < b.end:
+		return -1
+	case a.end > b.end:
+		return 1
+	}
+	return 0
+}
+
+// keepStrange holds what a later release has written, to be passed on. It goes with its session, or HoldFor after it came.
+func (t *Sessions) keepStrange(now Now, s *session, fields []schema.Field) (changed bool, err error) {
+	r := schema.Record{Kind: schema.Session, Schema: NewestSession, Key: string(s.key[:]), Fields: fields}
+	if s.strange != nil {
+		if r, err = t.book.Merge(*s.strange, r); err != nil {
+			return false, fmt.Errorf("share: sessions: %w", err)
+		}
+		if schema.Equal(r, *s.strange) {
+			return false, nil
+		}
+	}
+	if strangeBytes(&r) > maxStrange {
+		t.stats.Strange++
+		return false, nil // one that is empty now goes at the next tick
+	}
+	t.stats.Bytes += strangeBytes(&r) - strangeBytes(s.strange)
+	s.strange, s.strangeEnd = &r, wallMillis(now)+HoldFor.Milliseconds()
+	t.changed(now, s)
+	return true, nil
+}
--- a/share/types.go
+++ b/share/types.go
@@ -170,7 +170,7 @@
 	OwnersSilent       // those who would know it have not answered in time, or are not sure
 	Minority           // this side of a partition has not more than half of the members: others may know more
 	Alone              // there is no other instance to tell
-	NotMarked          // no other owner has acknowledged the mark in time
+	NotMarked          // not every owner has taken the mark in time
 	NoRoom             // the table is full: the mark is kept nowhere
 	causes
 )
@@ -178,9 +178,19 @@
 func (c Cause) String() string {
 	return [...]string{"", "it may have run", "it has run, and its answer is no longer known", "another request for the same call is under way",
 		"the instances that would know have not answered", "this instance is cut off from most others", "there is no other instance",
-		"no other instance has taken the mark", "no room for the mark"}[c]
+		"not every instance that should has taken the mark", "no room for the mark"}[c]
 }
 
+// Standing is as who a member replies to a mark.
+type Standing uint8
+
+// Standings. Their numbers are on the wire.
+const (
+	NotOwner    Standing = iota // by its own ring: the mark may be forgotten
+	UnsureOwner                 // it has the mark, and may lack earlier ones
+	SureOwner                   // it has every mark of the key's part that all its owners have taken
+)
+
 // Decision is what is to be done with a call.
 type Decision struct {
 	What        What
@@ -189,7 +199,8 @@
 	Answer      string        // with Known
 	Wait        time.Duration // with Ask
 	Tell        Marked        // to be sent before anything else with Ask; with others whenever there is time
-	End         bool          // End has to be called once it is known how the attempt has ended
+	End         bool          // End has to be called, with Attempt, once it is known how the attempt has ended
+	Attempt     uint64        // the mark that was made for it; 0: none, it is under an earlier one
 	Unprotected bool          // it goes though a repeat elsewhere could run it again; counted
 }
 
@@ -201,11 +212,12 @@
 
 // Ended is how an attempt of this instance has ended, or what became known of it.
 type Ended struct {
-	Key    Key
-	Call   uint64
-	State  State  // NeverRan only when nothing of it was written to any box
-	Box    string // that has run it, or may have
-	Answer string // with Answered: one of more than MaxAnswer bytes is not kept
+	Key     Key
+	Call    uint64
+	Attempt uint64 // of the Decision
+	State   State  // NeverRan only when nothing of it was written to any box
+	Box     string // that has run it, or may have
+	Answer  string // with Answered: one of more than MaxAnswer bytes is not kept
 }
 
 // Bounds of sessions.
@@ -248,6 +260,7 @@
 type Transfer struct {
 	Part Part
 	To   string
+	Sure bool // Took is called there for those that are
 }
 
 // SessionStats are what a shard of sessions holds and has had to do, for metrics.
--- /dev/null
+++ b/share/use.go
@@ -0,0 +1,383 @@
+// The table of use: who has used what of which tenant, in windows, by member.
+package share
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"glencart/schema"
+)
+
+const (
+	// Window is the time by which use is counted and allowances are reckoned: short enough to follow a tenant's clients from one
+	// instance to another, long enough for a word to reach all (see Fresh). Windows are numbered by the wall clock. A member whose
+	// clock is off by e counts into windows that are e apart from the others': what it tells is taken as of its own windows (see
+	// Seen.Off), so its part lags by no more than before, and Total is wrong by what it has used in e.
+	Window = time.Second
+	// TenSeconds are the windows of the older forms, by class.
+	TenSeconds = 10 * Window
+	// ring is how many seconds are kept: ten for Total, and one on each side for clocks.
+	ring = 12
+	// Ahead and behind, in seconds: how far a count's window may be from the own one. Farther are clocks beyond Skew, or old news.
+	ahead, behind = 6, 20
+	// Idle is how long a tenant of whom nothing is heard stays in the table, and a member in a tenant.
+	Idle = 60 * time.Second
+
+	maxName  = 128 // bytes of a member's name
+	maxClass = 64  // bytes of a class's
+)
+
+// UseConfig says whose table it is, and its bounds. Zero values: a share of an instance with some thousand tenants.
+type UseConfig struct {
+	Self    Member
+	Tenants int // 10,000
+	Cells   int // (tenant, member) pairs: 200,000
+	Classes int // classes of one tenant and member: 16
+	Strange int // fields of a tenant that this release does not know and only keeps: 256
+	// Form is the newest form that this release reads and writes: for trials of a fleet of several releases. 0: the newest.
+	Form uint16
+}
+
+// Use is one shard of the table, by a hash of the tenant.
+type Use struct {
+	cfg     UseConfig
+	book    *schema.Book
+	tenants map[string]*tenant
+	members map[Member]*member
+	view    view
+	version uint64 // rises with each change of a cell
+	cells   int
+	classes int
+	names   map[string]string // classes, each held once
+	ids     uint32
+	stats   UseStats
+}
+
+type member struct {
+	Member
+	id    uint32 // by order of being heard of
+	cells int
+	view  int32 // its place in the view, -1: not in it
+	hears bool  // its word is fresh, since then, on the own clock
+	since time.Duration
+}
+
+// tenant is what is known of one tenant's use.
+type tenant struct {
+	limit   Limit
+	plan    string
+	loaded  uint64
+	planAt  uint64  // version
+	cells   []*cell // by id of their member
+	own     *cell
+	strange *schema.Record // what this release does not know, and passes on
+	changed time.Duration  // wall: when anything was last counted or heard
+
+	bucket Bucket
+	allow  Allowance
+	window int64  // for which allow was reckoned
+	view   uint64 // and from which view
+}
+
+// cell is one member's use of one tenant. Its counters are the member's own: they are only ever joined by maximum.
+type cell struct {
+	m       *member
+	version uint64
+	newest  uint32 // the newest second told
+	share   float64
+	seconds [ring]second // by window modulo ring
+	tens    []ten
+}
+
+// second has 32 bits for each count: 4 billion requests or 71 minutes of box time in one second of one member.
+type second struct{ window, asked, let, work uint32 }
+
+type ten struct {
+	class    string
+	window   uint32
+	requests uint32
+	work     uint64 // microseconds
+}
+
+// NewUse returns an empty table.
+func NewUse(cfg UseConfig) *Use {
+	cfg.Tenants = cmp.Or(cfg.Tenants, 10_000)
+	cfg.Cells = cmp.Or(cfg.Cells, 200_000)
+	cfg.Classes = cmp.Or(cfg.Classes, 16)
+	cfg.Strange = cmp.Or(cfg.Strange, 256)
+	cfg.Form = cmp.Or(cfg.Form, NewestUse)
+	return &Use{cfg: cfg, book: newBook(), tenants: map[string]*tenant{}, members: map[Member]*member{}, names: map[string]string{"": ""}}
+}
+
+// SetLimit says what a tenant may use, and its plan. A tenant without a limit is counted all the same.
+func (u *Use) SetLimit(now Now, name string, l Limit) {
+	t := u.tenant(now, name)
+	if t == nil {
+		return
+	}
+	t.limit, t.window = l, 0
+	if l.Loaded > t.loaded || l.Loaded == t.loaded && l.Plan > t.plan {
+		u.version++
+		t.plan, t.loaded, t.planAt = l.Plan, l.Loaded, u.version
+	}
+}
+
+// Plan is the tenant's plan by the latest load of a file that any member has told.
+func (u *Use) Plan(name string) (plan string, loaded uint64) {
+	if t := u.tenants[name]; t != nil {
+		return t.plan, t.loaded
+	}
+	return "", 0
+}
+
+// Admit counts a request and takes it from what this instance may let in. When it may not, retryIn is when there is room for one.
+func (u *Use) Admit(now Now, name, class string) (ok bool, retryIn time.Duration) {
+	t := u.tenant(now, name)
+	if t == nil {
+		return true, 0 // the table is full: who is not counted is not limited
+	}
+	u.reckon(now, t)
+	let := uint64(0)
+	if ok, retryIn = t.bucket.Take(now.Own, t.allow); ok {
+		let = 1
+	}
+	u.count(now, t, class, 1, let, 0)
+	return ok, retryIn
+}
+
+// Ask counts requests of a caller that has a bucket of its own.
+func (u *Use) Ask(now Now, name, class string, asked, let uint64) {
+	if t := u.tenant(now, name); t != nil {
+		u.count(now, t, class, asked, let, 0)
+	}
+}
+
+// Spend counts what a request has cost, in seconds of box time.
+func (u *Use) Spend(now Now, name, class string, work float64) {
+	if t := u.tenant(now, name); t != nil {
+		t.bucket.Spend(work)
+		u.count(now, t, class, 0, 0, uint64(work*1e6))
+	}
+}
+
+// tenant finds or makes one; nil when there is no room.
+func (u *Use) tenant(now Now, name string) *tenant {
+	t := u.tenants[name]
+	if t == nil {
+		if len(u.tenants) >= u.cfg.Tenants || len(name) > schema.MaxKey || name == "" {
+			u.stats.Full++
+			return nil
+		}
+		t = &tenant{changed: now.Wall}
+		u.tenants[name] = t
+	}
+	return t
+}
+
+func (u *Use) count(now Now, t *tenant, class string, asked, let, work uint64) {
+	c := t.own
+	if c == nil {
+		if c = u.cell(t, u.cfg.Self); c == nil {
+			u.stats.Full++
+			return
+		}
+		t.own = c
+	}
+	t.changed = now.Wall
+	u.version++
+	c.version = u.version
+	w := uint32(now.Wall / Window)
+	if u.cfg.Form >= 3 {
+		// A window that has left the ring is not begun again when the clock goes back: its count would fall.
+		if s := &c.seconds[w%ring]; s.window <= w {
+			if s.window < w {
+				*s = second{window: w}
+			}
+			s.asked, s.let, s.work = plus(s.asked, asked), plus(s.let, let), plus(s.work, work)
+		} else {
+			u.stats.OutOfTime++
+		}
+	}
+	c.newest = max(c.newest, w)
+	if let == 0 && work == 0 {
+		return
+	}
+	if u.cfg.Form < 2 {
+		work = 0
+	}
+	tens := uint32(now.Wall / TenSeconds)
+	u.add(c, tens, "", let, work)
+	if class != "" && u.cfg.Form >= 2 {
+		u.add(c, tens, class, let, work)
+	}
+}
+
+func (u *Use) add(c *cell, window uint32, class string, let, work uint64) {
+	if k := u.ten(c, window, class); k != nil {
+		k.requests, k.work = plus(k.requests, let), k.work+work
+	}
+}
+
+func plus(a uint32, b uint64) uint32 { return uint32(min(uint64(a)+b, 1<<32-1)) }
+
+// cell finds or makes a member's; nil when there is no room.
+func (u *Use) cell(t *tenant, who Member) *cell {
+	m := u.members[who]
+	if m != nil {
+		if at, found := slices.BinarySearchFunc(t.cells, m.id, byMember); found {
+			return t.cells[at]
+		}
+	}
+	if u.cells >= u.cfg.Cells {
+		return nil
+	}
+	if m == nil {
+		u.ids++
+		m = &member{Member: who, id: u.ids, view: -1}
+		u.members[who] = m
+	}
+	at, _ := slices.BinarySearchFunc(t.cells, m.id, byMember)
+	c := &cell{m: m}
+	t.cells = slices.Insert(t.cells, at, c)
+	m.cells++
+	u.cells++
+	return c
+}
+
+func byMember(c *cell, id uint32) int { return cmp.Compare(c.m.id, id) }
+
+func (c *cell) at(window uint32, class string) *ten {
+	for i := range c.tens {
+		if k := &c.tens[i]; k.window == window && k.class == class {
+			return k
+		}
+	}
+	return nil
+}
+
+// ten finds or makes a class's window of ten seconds; nil when there is no room.
+func (u *Use) ten(c *cell, window uint32, class string) *ten {
+	if k := c.at(window, class); k != nil {
+		return k
+	}
+	over := slices.IndexFunc(c.tens, func(k ten) bool { return k.window+3 < window })
+	if over >= 0 {
+		c.tens[over] = ten{class: u.name(class), window: window}
+		return &c.tens[over]
+	}
+	if len(c.tens) >= 3*(u.cfg.Classes+1) {
+		u.stats.Full++
+		return nil
+	}
+	u.classes++
+	c.tens = append(c.tens, ten{class: u.name(class), window: window})
+	return &c.tens[len(c.tens)-1]
+}
+
+// name holds a class's name once, however many messages bring it.
+func (u *Use) name(class string) string {
+	n, ok := u.names[class]
+	if !ok {
+		if len(u.names) > 4096 { // of a site's file there are some dozens
+			clear(u.names)
+		}
+		n = strings.Clone(class)
+		u.names[n] = n
+	}
+	return n
+}
+
+// Tick lets go of what is over. Once a second or so is enough.
+func (u *Use) Tick(now Now) {
+	w := uint32(now.Wall / Window)
+	for name, t := range u.tenants {
+		t.cells = slices.DeleteFunc(t.cells, func(c *cell) bool {
+			if now.Wall-time.Duration(c.newest)*Window < Idle || c == t.own && w < c.newest {
+				return false
+			}
+			u.cells--
+			u.classes -= len(c.tens)
+			if c == t.own {
+				t.own = nil
+			}
+			if c.m.cells--; c.m.cells == 0 && c.m.view < 0 {
+				delete(u.members, c.m.Member)
+			}
+			return true
+		})
+		if len(t.cells) == 0 && now.Wall-t.changed >= Idle && t.limit == (Limit{}) {
+			delete(u.tenants, name)
+		}
+	}
+}
+
+// Total is what is known of a tenant's use in the last ten seconds: by the second; for one class, and for members of older releases,
+// by windows of ten seconds, the last one by the part of it that is not over.
+func (u *Use) Total(now Now, name, class string) Count {
+	t := u.tenants[name]
+	if t == nil {
+		return Count{}
+	}
+	var sum Count
+	for _, c := range t.cells {
+		sum.add(c.total(now, class))
+	}
+	return sum
+}
+
+func (n *Count) add(o Count) {
+	n.Asked += o.Asked
+	n.Requests += o.Requests
+	n.Work += o.Work
+}
+
+func (c *cell) total(now Now, class string) (n Count) {
+	w, seconds := uint32(now.Wall/Window), false
+	if class == "" {
+		for i := range c.seconds {
+			if s := &c.seconds[i]; s.window != 0 {
+				seconds = true
+				if s.window+10 > w && s.window <= w {
+					n.add(Count{Asked: uint64(s.asked), Requests: uint64(s.let), Work: float64(s.work) / 1e6})
+				}
+			}
+		}
+	}
+	tens := uint32(now.Wall / TenSeconds)
+	if seconds { // what was told of the seconds may not be all
+		if k := c.at(tens, class); k != nil && uint64(k.requests) > n.Requests {
+			n.Requests, n.Work = uint64(k.requests), max(n.Work, float64(k.work)/1e6)
+			n.Asked = max(n.Asked, n.Requests)
+		}
+		return n
+	}
+	left := 1 - float64(now.Wall%TenSeconds)/float64(TenSeconds)
+	for i := range c.tens {
+		k := &c.tens[i]
+		part := 1.0
+		if k.class != class || k.window != tens && k.window+1 != tens {
+			continue
+		}
+		if k.window != tens {
+			part = left
+		}
+		n.add(Count{Asked: uint64(float64(k.requests) * part), Requests: uint64(float64(k.requests) * part), Work: float64(k.work) / 1e6 * part})
+	}
+	return n
+}
+
+// Each visits all tenants, in no order, with their use in the last ten seconds.
+func (u *Use) Each(now Now, visit func(name string, total Count)) {
+	for name := range u.tenants {
+		visit(name, u.Total(now, name, ""))
+	}
+}
+
+// Stats are for metrics.
+func (u *Use) Stats() UseStats {
+	s := u.stats
+	s.Tenants, s.Cells, s.Classes = len(u.tenants), u.cells, u.classes
+	return s
+}
--- /dev/null
+++ b/share/use_test.go
@@ -0,0 +1,269 @@
+package share
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"glencart/schema"
+)
+
+// Members count, tell each other at random forms, and messages are lost, late, doubled and out of order. Nobody ever sees a count
+// fall or more than was counted; once all have told all, all know exactly what was.
+func TestUseIsNeitherLostNorDoubled(t *testing.T) {
+	book := newBook()
+	rapid.Check(t, func(t *rapid.T) {
+		members := make([]*Use, 3)
+		for i := range members {
+			members[i] = NewUse(UseConfig{Self: Member{fmt.Sprint("m", i), uint64(i + 1)}})
+		}
+		var asked, let uint64
+		var flight []schema.Record
+		var seen [3]uint64
+		now := at(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			u := members[rapid.IntRange(0, 2).Draw(t, "member")]
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				n := uint64(rapid.IntRange(1, 5).Draw(t, "n"))
+				u.Ask(now, "shop", rapid.SampledFrom([]string{"", "order"}).Draw(t, "class"), n, n-1)
+				asked, let = asked+n, let+n-1
+			case 1:
+				flight = u.Own(now, flight)
+			case 2:
+				flight = u.All(now, flight)
+			case 3:
+				if len(flight) > 0 { // stays in flight: it may come again
+					r := flight[rapid.IntRange(0, len(flight)-1).Draw(t, "message")]
+					if form := uint16(rapid.IntRange(1, 3).Draw(t, "form")); form < 3 {
+						r, _ = book.To(r, form)
+					}
+					if err := u.Merge(now, r); err != nil {
+						t.Fatal(err)
+					}
+				}
+			case 4: // all within ten seconds: nothing is over
+				now = at(min(now.Wall-day+time.Second, 9*time.Second))
+			}
+			for i, u := range members {
+				n := u.Total(now, "shop", "")
+				if n.Requests < seen[i] || n.Asked > asked || n.Requests > let {
+					t.Fatalf("%d: %+v after %d of %d asked and %d let in", i, n, seen[i], asked, let)
+				}
+				seen[i] = n.Requests
+			}
+		}
+		for _, from := range members {
+			for _, to := range members {
+				for _, r := range from.All(now, nil) {
+					to.Merge(now, r)
+				}
+			}
+		}
+		for i, u := range members {
+			if n := u.classTotal("shop"); n != let {
+				t.Fatalf("%d knows of %d in windows of ten seconds, %d were let in", i, n, let)
+			}
+		}
+	})
+}
+
+func (u *Use) classTotal(name string) (n uint64) {
+	if t := u.tenants[name]; t != nil {
+		for _, c := range t.cells {
+			for _, k := range c.tens {
+				if k.class == "" {
+					n += uint64(k.requests)
+				}
+			}
+		}
+	}
+	return n
+}
+
+// A member of a window that is over is gone, and so is a tenant that nobody asks for; one with a limit stays.
+func TestUseIsBounded(t *testing.T) {
+	u := NewUse(UseConfig{Self: Member{"a", 1}, Tenants: 3, Cells: 4, Classes: 2})
+	u.SetLimit(at(0), "limited", Limit{Requests: 5})
+	for i := range 10 {
+		u.Ask(at(0), fmt.Sprint("tenant", i), "", 1, 1)
+		u.Ask(at(0), "limited", fmt.Sprint("class", i), 1, 1)
+		other := NewUse(UseConfig{Self: Member{"b", uint64(i + 1)}})
+		other.Ask(at(0), "limited", "", 1, 1)
+		for _, r := range other.Own(at(0), nil) {
+			u.Merge(at(0), r)
+		}
+	}
+	s := u.Stats()
+	if s.Tenants != 3 || s.Cells > 4 || s.Classes > 4*9 || s.Full == 0 {
+		t.Errorf("%+v", s)
+	}
+	u.Tick(at(2 * Idle))
+	if s := u.Stats(); s.Tenants != 1 || s.Cells != 0 || s.Classes != 0 || len(u.members) != 0 {
+		t.Errorf("when all is over: %+v, %d members", s, len(u.members))
+	}
+}
+
+// Counts of windows that no clock within Skew could be in are left out, those of clocks that are off by Skew are not.
+func TestUseOfOtherClocks(t *testing.T) {
+	now := at(time.Hour)
+	for off, want := range map[time.Duration]uint64{-Skew: 1, Skew: 1, time.Minute: 0, -time.Minute: 0} {
+		u, o := NewUse(UseConfig{Self: Member{"a", 1}}), NewUse(UseConfig{Self: Member{"b", 1}})
+		theirs := Now{Own: now.Own, Wall: now.Wall + off}
+		o.Ask(theirs, "shop", "", 1, 1)
+		for _, r := range o.Own(theirs, nil) {
+			u.Merge(now, r)
+		}
+		if n := u.classTotal("shop"); n != want {
+			t.Errorf("clock off by %v: %d known, want %d", off, n, want)
+		}
+	}
+}
+
+// The plan of the latest load holds at all, whoever read it, and in whatever order they hear of it.
+func TestPlanOfTheLatestLoad(t *testing.T) {
+	a, b := NewUse(UseConfig{Self: Member{"a", 1}}), NewUse(UseConfig{Self: Member{"b", 1}})
+	a.SetLimit(at(0), "shop", Limit{Plan: "gold", Loaded: 2})
+	b.SetLimit(at(0), "shop", Limit{Plan: "free", Loaded: 1})
+	a.Ask(at(0), "shop", "", 1, 1)
+	for range 2 {
+		for _, r := range a.Own(at(0), nil) {
+			b.Merge(at(0), r)
+		}
+		for _, r := range b.Own(at(0), nil) {
+			a.Merge(at(0), r)
+		}
+	}
+	for _, u := range []*Use{a, b} {
+		if plan, loaded := u.Plan("shop"); plan != "gold" || loaded != 2 {
+			t.Errorf("%s of load %d", plan, loaded)
+		}
+	}
+}
+
+// An allowance is the limit where there is one instance, a part where there are several, and the fair part where none is heard.
+func TestAllowance(t *testing.T) {
+	u := NewUse(UseConfig{Self: Member{"a", 1}})
+	u.SetLimit(at(0), "shop", Limit{Requests: 90, Work: 9})
+	u.View(at(0), View{N: 1})
+	if a := u.Allowance(at(0), "shop"); a.Rate != 90 || a.Part != 1 || a.Burst != 90 || a.Work != 9 || a.WorkFree || a.Until != time.Hour+Window {
+		t.Errorf("alone: %+v", a)
+	}
+	u.View(at(0), View{N: 3, Members: []Seen{{Member: Member{"b", 1}, Age: AgeLimit}}})
+	if a := u.Allowance(at(0), "shop"); math.Abs(a.Rate-30) > 1e-9 || a.Heard != 1 || a.Of != 3 {
+		t.Errorf("of three, one known, none heard: %+v", a)
+	}
+	if a := u.Allowance(at(0), "who?"); a.Limited {
+		t.Errorf("no limit: %+v", a)
+	}
+	u.SetLimit(at(0), "free", Limit{})
+	if ok, _ := u.Admit(at(0), "free", ""); !ok {
+		t.Error("a tenant without a limit is refused")
+	}
+}
+
+// A part falls from what it was to the fair one: never to nothing, never to all, as the words of the others age.
+func TestAllowanceFallsWhenOthersAreSilent(t *testing.T) {
+	u, b := NewUse(UseConfig{Self: Member{"a", 1}}), NewUse(UseConfig{Self: Member{"b", 1}})
+	u.SetLimit(at(0), "shop", Limit{Requests: 100})
+	said := time.Duration(0)
+	var parts []string
+	for s := range 18 {
+		now := at(time.Duration(s) * Window)
+		u.Ask(now, "shop", "", 10, 10)
+		b.Ask(now, "shop", "", 90, 90)
+		if s < 10 {
+			said = now.Own
+			for _, r := range b.Own(now, nil) {
+				u.Merge(now, r)
+			}
+		}
+		u.View(now, View{N: 2, Members: []Seen{{Member: Member{"b", 1}, Age: now.Own - said}}})
+		parts = append(parts, fmt.Sprintf("%.2f", u.Allowance(now, "shop").Part))
+	}
+	// Four seconds until the other is heard, its words until they are two seconds old, then less and less of what it had is left to it.
+	want := "[0.50 0.50 0.50 0.50 0.12 0.12 0.12 0.12 0.12 0.12 0.12 0.12 0.41 0.50 0.50 0.50 0.50 0.50]"
+	if got := fmt.Sprint(parts); got != want {
+		t.Errorf("parts by second:\n%s, want\n%s", got, want)
+	}
+	u.View(at(17*Window), View{N: 2, CutOff: true, Members: []Seen{{Member: Member{"b", 1}}}})
+	if p := u.Allowance(at(17*Window), "shop").Part; p != 0.5 {
+		t.Errorf("cut off: %v", p)
+	}
+}
+
+// A bucket lets in its rate over time and its burst after a rest, makes up for work that was more than was left, and tells when to
+// come again.
+func TestBucket(t *testing.T) {
+	a := Allowance{Limited: true, Rate: 10, Burst: 10, Work: 1}
+	var b Bucket
+	let := 0
+	for ms := range 5000 {
+		if ok, in := b.Take(time.Duration(ms)*time.Millisecond, a); ok {
+			let++
+		} else if in <= 0 || in > 100*time.Millisecond {
+			t.Fatalf("come again in %v", in)
+		}
+	}
+	if let != 10+49 {
+		t.Errorf("%d let in in 5 s", let)
+	}
+	b.Spend(3)
+	if ok, in := b.Take(6*time.Second, a); ok || in < time.Second || in > 2*time.Second {
+		t.Errorf("a second after 3 s of work of 1 s a second: %v, %v", ok, in)
+	}
+	if ok, _ := b.Take(9*time.Second, a); !ok {
+		t.Error("not made up for")
+	}
+}
+
+// An age counts from when a beat came here, whichever way; only a higher beat is a word.
+func TestAges(t *testing.T) {
+	a, b, c := NewAges(Member{"a", 1}), NewAges(Member{"b", 1}), NewAges(Member{"c", 1})
+	beat := b.Beat(Now{Wall: day + 5*time.Second})
+	a.Merge(at(0), beat)
+	a.Merge(at(3*time.Second), beat)
+	if age, off := a.Age(at(3*time.Second), Member{"b", 1}), a.Off(Member{"b", 1}); age != 3*time.Second || off != 5*time.Second {
+		t.Errorf("age %v, off by %v", age, off)
+	}
+	r, upTo := a.Changed(0)
+	c.Merge(at(0), r)
+	if age := c.Age(at(0), Member{"b", 1}); age != 0 {
+		t.Errorf("passed on: %v", age)
+	}
+	if r, _ := a.Changed(upTo); len(r.Fields) != 0 {
+		t.Errorf("nothing new: %v", r)
+	}
+	if age := c.Age(at(0), Member{"b", 2}); age != AgeLimit {
+		t.Errorf("another process of the name: %v", age)
+	}
+}
+
+// Parts of a record are right by themselves.
+func TestSplit(t *testing.T) {
+	u := NewUse(UseConfig{Self: Member{"a", 1}})
+	for i := range 8 {
+		u.Ask(at(0), "shop", fmt.Sprint("class", i), 1, 1)
+	}
+	whole := u.All(at(0), nil)[0]
+	parts := Split(nil, whole, 200)
+	if len(parts) < 3 {
+		t.Fatalf("%d parts", len(parts))
+	}
+	var sum schema.Record
+	for i, p := range parts {
+		if p.Size() > 300 {
+			t.Errorf("part of %d bytes", p.Size())
+		}
+		if sum = p; i > 0 {
+			sum, _ = u.book.Merge(parts[0], p)
+			parts[0] = sum
+		}
+	}
+	if !schema.Equal(sum, whole) {
+		t.Errorf("parts come to %v, want %v", sum, whole)
+	}
+}
--- /dev/null
+++ b/share/userec.go
@@ -0,0 +1,291 @@
+// Use as records: what is told to others and taken in from them.
+package share
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"glencart/schema"
+)
+
+// told is how many seconds of a count are told: the one that is under way, and two that are over. Each is told in every round of
+// these, so that a few lost messages cost nothing; settle relies on it.
+const told = 3
+
+// Own are this instance's counts that others may not know yet, and the plans that it has read in its file. Each record is partial:
+// merging it into what is known is right, putting it in its place is not.
+func (u *Use) Own(now Now, out []schema.Record) []schema.Record {
+	from := len(out)
+	for name, t := range u.tenants {
+		if r, ok := u.record(now, name, t, func(c *cell) bool { return c == t.own }, t.limit.Loaded == t.loaded && t.plan != ""); ok {
+			out = append(out, r)
+		}
+	}
+	return byKey(out, from)
+}
+
+// byKey sorts what was appended: a map has no order, and the same events give the same messages.
+func byKey(out []schema.Record, from int) []schema.Record {
+	slices.SortFunc(out[from:], func(a, b schema.Record) int { return strings.Compare(a.Key, b.Key) })
+	return out
+}
+
+// Changed are the counts of all members, and plans, that came to be known after a version, and the version now. A version is this
+// table's own and means nothing to others.
+func (u *Use) Changed(now Now, since uint64, out []schema.Record) ([]schema.Record, uint64) {
+	from := len(out)
+	for name, t := range u.tenants {
+		if r, ok := u.record(now, name, t, func(c *cell) bool { return c.version > since }, t.planAt > since); ok {
+			out = append(out, r)
+		}
+	}
+	return byKey(out, from), u.version
+}
+
+// All are all counts that are held, for one who has just come, or a snapshot.
+func (u *Use) All(now Now, out []schema.Record) []schema.Record {
+	out, _ = u.Changed(now, 0, out)
+	return out
+}
+
+func (u *Use) record(now Now, name string, t *tenant, which func(*cell) bool, plan bool) (schema.Record, bool) {
+	r := schema.Record{Kind: schema.Use, Schema: NewestUse, Key: name}
+	if plan && t.plan != "" && u.cfg.Form >= 3 {
+		r.Fields = append(r.Fields, schema.Field{Num: usePlan, Int: t.loaded, Text: []byte(t.plan)})
+	}
+	for _, c := range t.cells {
+		if which(c) {
+			r.Fields = c.fields(now, r.Fields)
+		}
+	}
+	slices.SortFunc(r.Fields, compareFields)
+	if t.strange != nil && len(r.Fields) > 0 {
+		if all, err := u.book.Merge(r, *t.strange); err == nil {
+			r = all
+		}
+	}
+	return r, len(r.Fields) > 0
+}
+
+// fields are the counts of a cell that may still matter to somebody: clocks may be Skew apart, so it is judged by the newest that
+// the member itself has told.
+func (c *cell) fields(now Now, out []schema.Field) []schema.Field {
+	newest := uint64(c.newest)
+	if w := uint64(now.Wall / Window); newest+uint64(behind) < w {
+		return out
+	}
+	for i := range c.seconds {
+		s := &c.seconds[i]
+		if s.window == 0 || uint64(s.window)+told <= newest {
+			continue
+		}
+		sub := countSub(uint64(s.window), c.m.Member, "")
+		out = append(out, schema.Field{Num: useAsked, Sub: sub, Int: uint64(s.asked)})
+		if s.let > 0 {
+			out = append(out, schema.Field{Num: useLet, Sub: sub, Int: uint64(s.let)})
+		}
+		if s.work > 0 {
+			out = append(out, schema.Field{Num: useLetWork, Sub: sub, Int: uint64(s.work)})
+		}
+	}
+	for i := range c.tens {
+		k := &c.tens[i]
+		if (uint64(k.window)+1)*10+told <= newest {
+			continue
+		}
+		sub := countSub(uint64(k.window), c.m.Member, k.class)
+		if k.requests > 0 {
+			out = append(out, schema.Field{Num: useRequests, Sub: sub, Int: uint64(k.requests)})
+		}
+		if k.work > 0 {
+			out = append(out, schema.Field{Num: useWork, Sub: sub, Int: k.work})
+		}
+	}
+	return out
+}
+
+func compareFields(a, b schema.Field) int {
+	if a.Num != b.Num {
+		if a.Num < b.Num {
+			return -1
+		}
+		return 1
+	}
+	if a.Sub < b.Sub {
+		return -1
+	}
+	if a.Sub > b.Sub {
+		return 1
+	}
+	return 0
+}
+
+// Merge takes in what others have told, whole or in part, in any order and any number of times. A count that is over, or too far
+// ahead, is left out, and what is not what its form says is left out and counted. An error is of the record as a whole.
+func (u *Use) Merge(now Now, r schema.Record) error {
+	if r.Kind != schema.Use || r.Key == beatKey {
+		return fmt.Errorf("share: use: %s %q: not a tenant's use", r.Kind, r.Key)
+	}
+	r, err := u.book.To(r, NewestUse)
+	if err != nil {
+		return fmt.Errorf("share: use: %w", err)
+	}
+	t := u.tenant(now, r.Key)
+	if t == nil {
+		return nil
+	}
+	var strange []schema.Field
+	for i := range r.Fields {
+		f := &r.Fields[i]
+		switch {
+		case !u.knows(f):
+			strange = append(strange, *f)
+		case f.Num == usePlan:
+			if f.Int > t.loaded || f.Int == t.loaded && string(f.Text) > t.plan {
+				u.version++
+				t.plan, t.loaded, t.planAt = string(f.Text), f.Int, u.version
+			}
+		default:
+			u.mergeCount(now, t, f)
+		}
+	}
+	return u.keepStrange(t, r.Key, strange)
+}
+
+// knows tells whether a release at Form reads a field.
+func (u *Use) knows(f *schema.Field) bool {
+	switch f.Num {
+	case useRequests:
+		if u.cfg.Form >= 2 {
+			return true
+		}
+		_, _, class, ok := readCountSub(f.Sub)
+		return ok && class == ""
+	case useWork:
+		return u.cfg.Form >= 2
+	case usePlan:
+		return u.cfg.Form >= 3 && f.Sub == ""
+	case useAsked, useLet, useLetWork:
+		return u.cfg.Form >= 3
+	}
+	return false
+}
+
+func (u *Use) mergeCount(now Now, t *tenant, f *schema.Field) {
+	window, who, class, ok := readCountSub(f.Sub)
+	if !ok || len(who.Name) > maxName || len(class) > maxClass {
+		u.stats.Strange++
+		return
+	}
+	w := uint64(now.Wall / Window)
+	first, last := window, window
+	if f.Num == useRequests || f.Num == useWork {
+		if window > w { // and so that it does not overflow
+			u.stats.OutOfTime++
+			return
+		}
+		first, last = window*10, window*10+9
+	}
+	if first > w+ahead || last+behind < w {
+		u.stats.OutOfTime++
+		return
+	}
+	c := u.cell(t, who)
+	if c == nil {
+		u.stats.Full++
+		return
+	}
+	if who == u.cfg.Self {
+		t.own = c
+	}
+	changed := false
+	raise := func(p *uint32) {
+		if v := uint32(min(f.Int, 1<<32-1)); v > *p {
+			*p, changed = v, true
+		}
+	}
+	switch f.Num {
+	case useAsked, useLet, useLetWork:
+		s := &c.seconds[window%ring]
+		if s.window > uint32(window) {
+			return // long over for this member
+		}
+		if s.window < uint32(window) {
+			*s = second{window: uint32(window)}
+		}
+		switch f.Num {
+		case useAsked:
+			raise(&s.asked)
+		case useLet:
+			raise(&s.let)
+		default:
+			raise(&s.work)
+		}
+		c.newest = max(c.newest, uint32(window))
+	default:
+		k := u.ten(c, uint32(window), class)
+		if k == nil {
+			return
+		}
+		if f.Num == useRequests {
+			raise(&k.requests)
+		} else if f.Int > k.work {
+			k.work, changed = f.Int, true
+		}
+		if !c.bySecond() { // of a release that counts by ten seconds only
+			c.newest = max(c.newest, uint32(min(last, w)))
+		}
+	}
+	if changed {
+		u.version++
+		c.version = u.version
+		t.changed = now.Wall
+	}
+}
+
+func (c *cell) bySecond() bool {
+	for i := range c.seconds {
+		if c.seconds[i].window != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// keepStrange holds what a later release has written, to be passed on. It goes with the tenant.
+func (u *Use) keepStrange(t *tenant, key string, fields []schema.Field) error {
+	if len(fields) == 0 {
+		return nil
+	}
+	r := schema.Record{Kind: schema.Use, Schema: NewestUse, Key: key, Fields: fields}
+	if t.strange != nil {
+		var err error
+		if r, err = u.book.Merge(*t.strange, r); err != nil {
+			return fmt.Errorf("share: use: %w", err)
+		}
+	}
+	if len(r.Fields) > u.cfg.Strange {
+		u.stats.Strange++
+		r.Fields = r.Fields[len(r.Fields)-u.cfg.Strange:] // windows rise with their Subs: the newest of the highest number
+	}
+	t.strange = &r
+	return nil
+}
+
+// Split cuts a record into ones of about so many bytes, for messages that hold no more. Each is right by itself when it is merged.
+func Split(out []schema.Record, r schema.Record, bytes int) []schema.Record {
+	from, size := 0, 0
+	for i, f := range r.Fields {
+		n := 24 + len(f.Sub) + len(f.Text) + len(f.Rest)
+		if i > from && size+n > bytes {
+			part := r
+			part.Fields = r.Fields[from:i:i]
+			out = append(out, part)
+			from, size = i, 0
+		}
+		size += n
+	}
+	r.Fields = r.Fields[from:]
+	return append(out, r)
+}
