--- a/internal/lograte/lograte.go
+++ b/internal/lograte/lograte.go
@@ -2,29 +2,31 @@
 package lograte
 
 import (
+	"cmp"
 	"log/slog"
 	"strings"
 	"sync"
 	"time"
 )
 
-// complainEvery is the least time between two complaints of one kind.
+// complainEvery is the least time between two complaints of one kind, where Every does not say.
 const complainEvery = time.Second
 
 // Limited logs complaints at a bounded rate: what comes from outside must not fill the log. Use one for each kind.
 type Limited struct {
-	Log *slog.Logger
+	Log   *slog.Logger
+	Every time.Duration // the least time between two complaints; 0: a second
 
 	mu      sync.Mutex
 	at      time.Time
 	skipped int
 }
 
-// Warn logs a complaint, or counts it as skipped when the last one was less than a second ago.
+// Warn logs a complaint, or counts it as skipped when the last one was less than Every ago.
 func (l *Limited) Warn(msg string, args ...any) {
 	l.mu.Lock()
 	now := time.Now()
-	if now.Sub(l.at) < complainEvery {
+	if now.Sub(l.at) < cmp.Or(l.Every, complainEvery) {
 		l.skipped++
 		l.mu.Unlock()
 		return
