serve: [fleet] in the site's file, and pools divide by as many instances as there may be

The file's [fleet] (name, cluster, listen, advertise, seeds, networks, away, every, suspicion) is checked with place and remedy; a reload may change networks, all else needs a restart and is refused whole. The part begins before the listeners are served and ends after the last answer.

Broken on purpose and seen: the size not counted, a reload that takes other keys.

--- /dev/null
+++ b/internal/cli/instances.go
@@ -0,0 +1,101 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"glencart/internal/cluster"
+	"glencart/internal/site"
+)
+
+// fleetView is what a running process knows of the instances beside it.
+type fleetView struct {
+	Cluster    string            `json:"cluster"`
+	Asked      string            `json:"asked"` // who told it
+	Size       int               `json:"size"`  // how many there may be
+	CutOff     string            `json:"cutOff,omitempty"`
+	Superseded bool              `json:"superseded,omitempty"`
+	Exchanges  uint64            `json:"exchanges"` // full ones that came to their end
+	Dropped    map[string]uint64 `json:"dropped,omitempty"`
+	Instances  []instanceLine    `json:"instances"`
+}
+
+// instanceLine is one instance as it is shown.
+type instanceLine struct {
+	Name    string        `json:"name"`
+	State   string        `json:"state"`
+	For     time.Duration `json:"for"`  // it has been in its state, ns
+	Link    string        `json:"link"` // between it and who was asked
+	Address string        `json:"address"`
+	Start   uint64        `json:"start"`
+	Self    bool          `json:"self,omitempty"`
+}
+
+// askWithin bounds the wait for a running process.
+const askWithin = 3 * time.Second
+
+// askFleet asks the process of a file.
+func askFleet(f *site.Fleet) (*fleetView, error) {
+	addr := f.Listen
+	host, port, _ := net.SplitHostPort(addr)
+	switch {
+	case port == "0" && f.Advertise == "":
+		return nil, fmt.Errorf("fleet.listen: %s: the port is left open, so a running process can't be found: give one", addr)
+	case port == "0":
+		addr = f.Advertise
+	case host == "" || host == "0.0.0.0" || host == "::":
+		addr = net.JoinHostPort("127.0.0.1", port)
+	}
+	ctx, stop := context.WithTimeout(context.Background(), askWithin)
+	defer stop()
+	m, self, err := cluster.Ask(ctx, cluster.System{}, addr, f.Cluster)
+	if err != nil {
+		return nil, err
+	}
+	v := &fleetView{Cluster: f.Cluster, Asked: self.GetName(), Size: int(m.Size), Superseded: m.Superseded, Exchanges: m.Exchanges, Dropped: m.Counts}
+	if m.CutOff {
+		v.CutOff = m.Cause
+	}
+	for _, i := range m.List {
+		w, ok := i.GetWord().ToWord()
+		if !ok {
+			return nil, fmt.Errorf("fleet: %s: a word that can't be read: is it of another release?", addr)
+		}
+		v.Instances = append(v.Instances, instanceLine{w.Name, w.State.String(), time.Duration(i.SinceMs) * time.Millisecond, i.Link, w.Addr, w.Start,
+			self.GetName() == w.Name && self.GetStart() == w.Start})
+	}
+	return v, nil
+}
+
+// show words it for people. It is nothing where there is no fleet.
+func (v *fleetView) show(out io.Writer) {
+	if v == nil {
+		return
+	}
+	fmt.Fprintf(out, "fleet %s as %s knows it, %d instances may be there, %d full exchanges\n", v.Cluster, v.Asked, v.Size, v.Exchanges)
+	if v.CutOff != "" {
+		fmt.Fprintf(out, "  cut off: %s\n", v.CutOff)
+	}
+	if v.Superseded {
+		fmt.Fprintln(out, "  superseded: a later process has its name, it serves alone")
+	}
+	w := tabwriter.NewWriter(out, 2, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "  instance\tstate\tfor\tlink\taddress\t")
+	for _, i := range v.Instances {
+		link := i.Link
+		if i.Self {
+			link = "itself"
+		}
+		fmt.Fprintf(w, "  %s\t%s\t%v\t%s\t%s\t\n", i.Name, i.State, i.For.Round(time.Second), link, i.Address)
+	}
+	w.Flush()
+	for _, why := range slices.Sorted(maps.Keys(v.Dropped)) {
+		fmt.Fprintf(out, "  dropped, %s: %d\n", why, v.Dropped[why])
+	}
+}
--- a/internal/cli/members.go
+++ b/internal/cli/members.go
@@ -21,7 +21,7 @@
 	File string        `arg:"" help:"The installation's file (TOML)." type:"path"`
 	Pool string        `help:"Only this pool."`
 	Wait time.Duration `default:"3s" help:"How long to listen to the sources."`
-	Live bool          `help:"Do not ask: show what the running process has written to node.keep."`
+	Live bool          `help:"Do not ask: show what the running process has written to node.keep, and, with [fleet], what it knows of the other instances."`
 	JSON bool          `help:"One JSON object."`
 }
 
@@ -67,7 +67,13 @@
 		}
 		pools = append(pools, got)
 	}
-	if len(pools) == 0 {
+	var known *fleetView
+	if c.Live && s.Fleet != nil && c.Pool == "" {
+		if known, err = askFleet(s.Fleet); err != nil {
+			return exit{ExitFailed, err}
+		}
+	}
+	if len(pools) == 0 && known == nil {
 		return exit{ExitBadInput, errors.New("no pool with sources: see pool.sources in docs/MEMBERS.md")}
 	}
 	differ := false
@@ -77,10 +83,15 @@
 		}
 	}
 	if c.JSON {
-		if err := json.NewEncoder(x.Out).Encode(pools); err != nil {
+		var all any = pools
+		if known != nil {
+			all = map[string]any{"pools": pools, "fleet": known}
+		}
+		if err := json.NewEncoder(x.Out).Encode(all); err != nil {
 			return err
 		}
 	} else {
+		known.show(x.Out)
 		for _, p := range pools {
 			fmt.Fprintf(x.Out, "pool %s, %d boxes\n", p.Pool, len(p.Boxes))
 			w := tabwriter.NewWriter(x.Out, 2, 0, 2, ' ', 0)
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -39,6 +39,7 @@
 	book      living.Book
 	leaving   atomic.Bool // told to end
 	closing   atomic.Bool // answers close their connections
+	others    *others     // the processes beside this one; nil: none are known
 
 	mu      sync.Mutex
 	tunnels map[net.Conn]bool
@@ -95,10 +96,7 @@
 	for _, l := range s.Listeners {
 		nl, err := net.Listen("tcp", l.Address)
 		if err != nil {
-			for _, l := range v.listeners {
-				l.Close()
-			}
-			g.end()
+			v.abandon(g)
 			return nil, fmt.Errorf("listener %q: %w", l.Name, err)
 		}
 		_, port, _ := net.SplitHostPort(nl.Addr().String())
@@ -106,10 +104,24 @@
 		cl.Opaque = len(l.TLS) > 0
 		v.listeners = append(v.listeners, &listener{Listener: cl, table: clients.NewTable(most, clients.Own), site: l, port: port})
 	}
+	if err := v.openFleet(s); err != nil {
+		v.abandon(g)
+		return nil, err
+	}
 	v.living.Tell(life.Event{Kind: life.Opened})
 	return v, nil
 }
 
+// abandon gives back what a server has taken that does not begin.
+func (v *Server) abandon(g *generation) {
+	for _, l := range v.listeners {
+		l.Close()
+	}
+	v.others.close()
+	v.access.close()
+	g.end()
+}
+
 // Addr is the address of a listener, "" if there is none of that name.
 func (v *Server) Addr(name string) string {
 	for _, l := range v.listeners {
@@ -225,10 +237,16 @@
 	if len(s.Listeners) != len(old.site.Listeners) {
 		return errors.New("listener: one that is taken out needs a restart")
 	}
+	if err := sameFleet(old.site.Fleet, s.Fleet); err != nil {
+		return err
+	}
 	g, err := v.build(s, old)
 	if err != nil {
 		return err
 	}
+	if v.others != nil {
+		v.others.Networks(fleetNetworks(s.Fleet))
+	}
 	v.mu.Lock()
 	v.alive[g] = true
 	v.mu.Unlock()
@@ -245,6 +263,7 @@
 			p.reload(nil)
 		}
 	}
+	v.countInstances() // pools that are new have the file's number
 	v.log.Info("file reloaded", "pools", len(g.pools), "routes", len(g.targets))
 	v.retired.Go(func() { v.retire(old, g) })
 	return nil
@@ -293,6 +312,7 @@
 // Run serves until ctx ends. Then it takes nothing new, answers what is open, within the file's leave at the most, and returns.
 func (v *Server) Run(ctx context.Context) error {
 	s := v.gen.Load().site
+	v.others.begin(v.log)
 	failed := make(chan error, len(v.listeners))
 	var accepting sync.WaitGroup
 	servers := make([]*http.Server, 0, len(v.listeners))
@@ -345,6 +365,7 @@
 		c.Close()
 	}
 	v.mu.Unlock()
+	v.others.end()
 	g := v.gen.Load()
 	select {
 	case g.over <- struct{}{}: // a retirement looks again
--- a/internal/site/diff/diff.go
+++ b/internal/site/diff/diff.go
@@ -58,9 +58,27 @@
 	})
 	d.fields("limits", "", reflect.ValueOf(old.Limits), reflect.ValueOf(now.Limits), nil)
 	d.fields("node", "", reflect.ValueOf(old.Node), reflect.ValueOf(now.Node), nil)
+	d.fleet(old.Fleet, now.Fleet)
 	return d.lines, nil
 }
 
+// fleet tells what differs in the part that this process takes among others.
+func (d *differ) fleet(old, now *site.Fleet) {
+	const restart = "needs a restart: SIGHUP turns the file down"
+	switch {
+	case old == nil && now == nil:
+	case old == nil || now == nil:
+		d.say("fleet", "fleet", restart, "%s", map[bool]string{true: "comes in", false: "is taken out"}[old == nil])
+	default:
+		d.fields("fleet", "", reflect.ValueOf(*old), reflect.ValueOf(*now), func(field string) string {
+			if !slices.Contains(site.FleetReloads, field) {
+				return restart
+			}
+			return ""
+		})
+	}
+}
+
 type differ struct{ lines []Line }
 
 func (d *differ) say(about, of, risk, format string, args ...any) {
--- /dev/null
+++ b/internal/site/fleet.go
@@ -0,0 +1,123 @@
+package site
+
+// This file has [fleet]: what a process is told of the others that serve the same installation.
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Fleet is the part of this process among others: docs/FLEET-OF-SERVE.md.
+type Fleet struct {
+	Cluster   string   `toml:"cluster,omitempty"`   // the same in the files of all; who has another is not heard
+	Name      string   `toml:"name,omitempty"`      // of this instance, each its own; none: node.name
+	Listen    string   `toml:"listen,omitempty"`    // host:port, for UDP and TCP
+	Advertise string   `toml:"advertise,omitempty"` // IP:port that others are told; none: listen
+	Seeds     []string `toml:"seeds,omitempty"`     // host:port of others to begin with; none: it waits for them
+	Networks  []string `toml:"networks,omitempty"`  // who is heard; none: this machine and private networks
+	Away      Duration `toml:"away,omitempty"`      // an end is told as a restart that is over within this; 0: as an end
+	Every     Duration `toml:"every,omitempty"`     // between two asks; 0: 1s
+	Suspicion Duration `toml:"suspicion,omitempty"` // the shortest time from the first doubt to dead; 0: 5s
+}
+
+// FleetReloads are the keys of [fleet] that a reload may change.
+var FleetReloads = []string{"networks"}
+
+// Bounds of [fleet]'s times.
+const (
+	fleetAwayMost   = Duration(10 * time.Minute)
+	fleetEveryLeast = Duration(100 * time.Millisecond)
+	fleetEveryMost  = Duration(10 * time.Second)
+	fleetSuspectMin = Duration(500 * time.Millisecond)
+	fleetSuspectMax = Duration(5 * time.Minute)
+)
+
+var fleetName = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+
+func (c *checker) fleet(f *Fleet) {
+	name := func(key, value, remedy string) {
+		if value == "" {
+			c.fault("fleet."+key, "missing: %s", remedy)
+		} else if !fleetName.MatchString(value) {
+			c.fault("fleet."+key, "%q: write it with 1 to 64 letters, digits, dots, dashes and underscores", value)
+		}
+	}
+	name("cluster", f.Cluster, "give the fleet a name, the same in each of its files")
+	name("name", f.Name, "give this instance a name, here or as node.name, another in each file")
+	if f.Listen == "" {
+		c.fault("fleet.listen", "missing: give an address with a port, such as 10.0.0.7:7946")
+	} else if !hostPort(f.Listen) {
+		c.fault("fleet.listen", "%q is not an address with a port: write it as 10.0.0.7:7946", f.Listen)
+	} else if i := slices.IndexFunc(c.Listeners, func(l Listener) bool { return same(l.Address, f.Listen) }); i >= 0 {
+		c.fault("fleet.listen", "%s is taken: listener %q at line %d has it: give another port", f.Listen, c.Listeners[i].Name, c.at.Line(fmt.Sprintf("listener.%d.address", i)))
+	}
+	networks := c.fleetNetworks(f)
+	told := f.Advertise
+	if told == "" {
+		told = f.Listen
+	}
+	self, err := netip.ParseAddrPort(told)
+	switch {
+	case f.Advertise != "" && (err != nil || self.Addr().IsUnspecified() || self.Port() == 0):
+		c.fault("fleet.advertise", "%q is no IP address with a port that others can send to: write it as 10.0.0.7:7946", f.Advertise)
+	case f.Advertise == "" && f.Listen != "" && hostPort(f.Listen) && (err != nil || self.Addr().IsUnspecified()):
+		c.fault("fleet.listen", "%q is no IP address that others can be told: give it, or give advertise", f.Listen)
+	case err == nil && self.Port() != 0 && !within(networks, self.Addr()):
+		c.fault("fleet.networks", "this process's own address, %s, is in none: others would not be heard that have it so: add its network", self)
+	}
+	seen := map[string]bool{}
+	for i, seed := range f.Seeds {
+		path := fmt.Sprintf("fleet.seeds.%d", i)
+		a, err := netip.ParseAddrPort(seed)
+		switch {
+		case !hostPort(seed) || strings.HasPrefix(seed, ":") || strings.HasSuffix(seed, ":0"):
+			c.fault(path, "%q is not an address with a port: write it as 10.0.0.8:7946", seed)
+		case same(seed, f.Listen) || same(seed, f.Advertise):
+			c.fault(path, "%s is this process itself: name others only", seed)
+		case seen[seed]:
+			c.fault(path, "%s stands twice: take one out", seed)
+		case err == nil && !within(networks, a.Addr()):
+			c.fault(path, "%s is in none of fleet.networks: add its network", seed)
+		}
+		seen[seed] = true
+	}
+	span := func(key string, d, least, most Duration) {
+		if d != 0 && (d < least || d > most) {
+			c.fault("fleet."+key, "%v: write it from %v to %v", time.Duration(d), time.Duration(least), time.Duration(most))
+		}
+	}
+	span("away", f.Away, Duration(time.Second), fleetAwayMost)
+	span("every", f.Every, fleetEveryLeast, fleetEveryMost)
+	span("suspicion", f.Suspicion, fleetSuspectMin, fleetSuspectMax)
+}
+
+// fleetNetworks checks the networks; none: nothing is known of them.
+func (c *checker) fleetNetworks(f *Fleet) (out []netip.Prefix) {
+	for i, n := range f.Networks {
+		p, err := Network(n)
+		if err != nil {
+			c.fault(fmt.Sprint("fleet.networks.", i), "%v", err)
+			continue
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// within tells whether an address may belong to the fleet; with no networks given, that is for the process to say.
+func within(networks []netip.Prefix, a netip.Addr) bool {
+	return len(networks) == 0 || slices.ContainsFunc(networks, func(p netip.Prefix) bool { return !p.IsValid() || p.Contains(a.Unmap()) })
+}
+
+// same tells whether two addresses are one; an empty host is every one, and port 0 no one's.
+func same(a, b string) bool {
+	ha, pa, ea := net.SplitHostPort(a)
+	hb, pb, eb := net.SplitHostPort(b)
+	anyone := func(h string) bool { return h == "" || h == "0.0.0.0" || h == "::" }
+	return ea == nil && eb == nil && pa == pb && pa != "0" && (ha == hb || anyone(ha) || anyone(hb))
+}
--- a/internal/site/load.go
+++ b/internal/site/load.go
@@ -115,6 +115,9 @@
 			b.ID, b.Weight, b.State = cmp.Or(b.ID, b.Address), cmp.Or(b.Weight, 1), cmp.Or(b.State, "ready")
 		}
 	}
+	if s.Fleet != nil {
+		s.Fleet.Name = cmp.Or(s.Fleet.Name, s.Node.Name)
+	}
 }
 
 // Class finds a class by its name; -1 where there is none.
@@ -219,6 +222,9 @@
 	for i := range s.Servers {
 		c.server(fmt.Sprintf("server.%d", i), &s.Servers[i])
 	}
+	if s.Fleet != nil {
+		c.fleet(s.Fleet)
+	}
 	return errors.Join(c.errs...)
 }
 
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -23,6 +23,7 @@
 	Tenants   []Tenant   `toml:"tenant,omitempty"`
 	Plans     []Plan     `toml:"plan,omitempty"`
 	Servers   []Server   `toml:"server,omitempty"`
+	Fleet     *Fleet     `toml:"fleet,omitempty"` // none: this process knows of no others
 
 	file string
 	at   tomlat.Lines
