Cold grants that are not used lapse, and count in requests: the fleet keeps to the fall's formula

Need: a cold backend falls over more than N + 3 x root of N + 3 requests of mean work within a window, whatever nodes sent before. Ruled out: one to five nodes (3 of 5.6, 9 of 36.4), the random start of each node's grant, a heavy class. Change: credit is in mean requests; in a fleet where a node's part is less than a request a window, what has not been used within half a window lapses, and the node goes on from its own point.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,8 +23,9 @@
 	// asks a server twice in a row, to learn the time between its reports.
 	holdMost, pairsMost = 0.05, 16
 	// coldMargin is the part of the cold-start budget that is spent: the rest is for uneven work. What comes
-	// in coldBurst seconds may be spent at once. An old peak of the warm rate fades by rateDecay a window.
-	coldMargin, coldBurst, rateDecay = 0.4, 0.1, 0.97
+	// in coldBurst seconds may be spent at once, and coldHold windows later. An old peak of the warm rate
+	// fades by rateDecay a window.
+	coldMargin, coldBurst, coldHold, rateDecay = 0.4, 0.1, 0.5, 0.97
 	// A node keeps to partServers of each zone, or to as many as it has requests in partSpan seconds.
 	partServers, partSpan = 8, 0.5
 	// The mean of what a zone's servers hold is learned over meanSpan seconds, what is usual at one of them
@@ -135,7 +136,7 @@
 	time    float64       // running mean of the time of an answer, seconds
 	depth   float64       // running mean of the entry that those answers met
 	heard   time.Duration // last answer
-	credit  float64       // work that may be sent while cold, as of granted
+	credit  float64       // mean requests that may be sent while cold, as of granted
 	granted time.Duration
 	served  float64 // work answered since the last roll of the warm rate
 	since   time.Duration
@@ -198,10 +199,8 @@
 	if cfg.Instances < 0 || cfg.Index < 0 || cfg.Limits.MaxAttempts < 0 {
 		return nil, errors.New("balance: negative count in Config")
 	}
-	for _, c := range cfg.Classes {
-		if c.Deadline < 0 || c.Aim < 0 || c.Window < 0 {
-			return nil, errors.New("balance: negative time in a Class")
-		}
+	if slices.ContainsFunc(cfg.Classes, func(c Class) bool { return min(c.Deadline, c.Aim, c.Window) < 0 }) {
+		return nil, errors.New("balance: negative time in a Class")
 	}
 	aim := meanAim(cfg.Classes)
 	cfg.Instances, cfg.Limits.MaxAttempts = max(cfg.Instances, 1), max(cfg.Limits.MaxAttempts, 1)
@@ -209,13 +208,7 @@
 	for _, t := range cfg.Tenants {
 		perSecond += t.QuotaPerSecond / float64(cfg.Instances)
 	}
-	if perSecond == 0 {
-		perSecond = math.MaxInt32 // not told: all servers
-	}
-	shares := make([]share, len(cfg.Tenants))
-	for i := range shares {
-		shares[i].left = shareLeast
-	}
+	perSecond = cmp.Or(perSecond, math.MaxInt32) // not told: all servers
 	return &Balancer{
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)),
 		servers: map[BackendID]*server{}, requests: map[string]*request{},
@@ -223,7 +216,8 @@
 		names: map[uint32]*server{}, numbers: map[int]uint16{}, perSecond: perSecond,
 		meanAim: aim, gap: aim, peerPace: firstPace * aim, part: partFirst,
 		partSize: max(partServers, int(perSecond*partSpan)),
-		classes:  make([]classStats, len(cfg.Classes)), shares: shares,
+		classes:  make([]classStats, len(cfg.Classes)),
+		shares:   slices.Repeat([]share{{left: shareLeast}}, len(cfg.Tenants)),
 	}, nil
 }
 
@@ -473,7 +467,7 @@
 	s.out++
 	s.used = true
 	b.spend(s)
-	s.credit -= b.work(r)
+	s.credit -= b.work(r) / max(b.meanBase(), 1e-6)
 	r.pending++
 	b.do(Action{Kind: Send, Request: r.id, Backend: s.Backend, Attempt: len(r.attempts) - 1})
 }
