Test: clients that send until a node's process ends lose nothing, with deadlines of 0.3, 1 and 3 s

Suspected: requests written in the last instants before a planned end, on connections that close under them or on new ones, get lost. A connection is closed only under its lock, with nothing read from it and nothing unread on it: a request that comes in that very instant is not read, and its client sees the close before any byte of an answer. No fault is shown, nothing is changed. Seen to fail with connections closed whatever they ask, and with no time to accept.

--- /dev/null
+++ b/internal/node/untilend_test.go
@@ -0,0 +1,180 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"glencart/internal/sock"
+	"glencart/life"
+)
+
+// tally is what became of the requests of clients that go on until a node ends. A kept connection that closes under a request tells
+// that this was not read, and its client asks again elsewhere; on a new one it counts as refused. Times are since it began.
+type tally struct {
+	mu                                   sync.Mutex
+	written, answered, served, bare      int
+	lost, crossing                       []string // ids
+	began                                time.Time
+	lastWritten, lastAnswered, lastLetIn time.Duration // of those that were answered
+}
+
+// keepAsking has a client send one request after another on a connection for as long as that is open.
+func (y *tally) keepAsking(c net.Conn, seed uint64) {
+	defer c.Close()
+	rng := rand.New(rand.NewPCG(seed, 0))
+	r := bufio.NewReader(c)
+	for first := true; ; first = false {
+		id := fmt.Sprintf("until-%d", lastID.Add(1))
+		class, head := "order", "POST /api/%s HTTP/1.1\r\nContent-Length: 3\r\n"
+		if rng.IntN(2) == 0 {
+			class, head = "read", "GET /api/%s HTTP/1.1\r\n"
+		}
+		what := [...]string{"quick", "quick", "quick", "slow", "never"}[rng.IntN(5)]
+		text := fmt.Sprintf(head+"Host: x\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Customer: acme\r\nX-Expires-In: 0.3\r\n\r\n", what, id, class)
+		if class == "order" {
+			text += "abc"
+		}
+		if !first && !sock.Quiet(c) {
+			return // it has been closed between two requests, and its client has seen so
+		}
+		at := time.Since(y.began)
+		_, err := io.WriteString(c, text)
+		var resp *http.Response
+		got := false
+		if err == nil {
+			_, err = r.Peek(1)
+			got = err == nil
+		}
+		if err == nil {
+			if resp, err = http.ReadResponse(r, nil); err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+			}
+		}
+		y.mu.Lock()
+		y.written++
+		switch {
+		case err == nil:
+			y.answered++
+			if resp.StatusCode == http.StatusOK {
+				y.served++
+			}
+			y.lastWritten, y.lastAnswered = max(y.lastWritten, at), max(y.lastAnswered, time.Since(y.began))
+			if first {
+				y.lastLetIn = max(y.lastLetIn, at)
+			}
+		case got:
+			y.lost = append(y.lost, fmt.Sprintf("%s: %v, in its answer", id, err))
+		default:
+			y.crossing = append(y.crossing, id)
+			if first {
+				y.bare++
+			}
+		}
+		y.mu.Unlock()
+		if err != nil || resp.Close {
+			return
+		}
+		time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
+	}
+}
+
+// After SIGTERM clients send on every connection that stays open, as long as it does, and new ones come for 0.4 s. All that the node has
+// read has its whole answer in time; what crosses a close was not read, never reaches a backend, and is never on a new connection.
+func TestClientsSendUntilTheEnd(t *testing.T) {
+	const tries = 3
+	for _, deadline := range []time.Duration{300 * time.Millisecond, time.Second, 3 * time.Second} {
+		t.Run(deadline.String(), func(t *testing.T) {
+			for try := 1; ; try++ {
+				faults, late := untilTheEnd(t, deadline)
+				switch {
+				case len(faults) == 0:
+					return
+				case late < life.Late/2 || try == tries: // else the machine stood still for longer than a life reckons with
+					t.Fatalf("%q; the machine was late by %v", faults, late)
+				}
+			}
+		})
+	}
+}
+
+// untilTheEnd plays the end of one node. late is how long its machine had timers wait at the most.
+func untilTheEnd(t *testing.T, deadline time.Duration) (faults []string, late time.Duration) {
+	ran := sync.Map{}
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string {
+		ran.Store(r.Header.Get("X-Trace-Id"), true)
+		switch r.URL.Path {
+		case "/api/slow":
+			time.Sleep(120 * time.Millisecond)
+		case "/api/never":
+			select {}
+		}
+		return ok200("x")
+	}))
+	text := listText(1, true, listed{ID: "s", Addr: b.Addr().String(), Phase: "ready"})
+	n := start(t, testConfig(t, newRegistry(t, text).Addr, text, `"deadline":10000000000`, fmt.Sprintf(`"deadline":%d`, deadline)))
+	eventually(t, "clients let in", n.running.Load)
+	y := &tally{began: time.Now()}
+	var clients sync.WaitGroup
+	come := func() { // who finds no connection has asked for nothing
+		if c, err := net.Dial("tcp", n.Addr().String()); err == nil {
+			c.SetDeadline(time.Now().Add(patience))
+			clients.Go(func() { y.keepAsking(c, uint64(lastID.Add(1))) })
+		}
+	}
+	const first = 16
+	for range first {
+		come()
+	}
+	eventually(t, "all connected", func() bool { return n.listener.Holds() == first })
+	over := make(chan struct{})
+	clients.Go(func() {
+		const every = 5 * time.Millisecond
+		for at := time.Now(); ; at = time.Now() {
+			select {
+			case <-over:
+				return
+			case <-time.After(every):
+				late = max(late, time.Since(at)-every)
+			}
+		}
+	})
+	told := time.Since(y.began)
+	n.stop()
+	for time.Since(y.began)-told < life.Platform.Still {
+		come()
+		time.Sleep(10 * time.Millisecond)
+	}
+	if err := receive(t, "the node's end", n.err); err != nil {
+		t.Error(err)
+	}
+	ended := time.Since(y.began) - told
+	close(over)
+	clients.Wait()
+	fault := func(is bool, format string, args ...any) {
+		if is {
+			faults = append(faults, fmt.Sprintf(format, args...))
+		}
+	}
+	for _, id := range y.crossing {
+		_, is := ran.Load(id)
+		fault(is, "%s: closed without an answer, and it has run", id)
+	}
+	letIn, written, answered, kill := y.lastLetIn-told, y.lastWritten-told, y.lastAnswered-told, deadline+life.Platform.Grace
+	book := &n.front.book
+	taken, open, left := int(book.Taken.Load()), book.Open(), book.Left.Load()
+	t.Logf("%d written, %d answered (%d served), %d crossed a close; the last one let in after %v, written %v, answered %v, ended %v of %v; late by %v",
+		y.written, y.answered, y.served, len(y.crossing), letIn, written, answered, ended, kill, late)
+	fault(len(y.lost) > 0, "lost: %q", y.lost)
+	fault(y.bare > 0, "%d closed without an answer on a new connection", y.bare)
+	fault(taken != y.answered || open != 0 || left != 0, "taken %d, open %d, left %d; clients have %d answers", taken, open, left, y.answered)
+	fault(answered > kill-life.Late/2 || ended >= kill, "the last answer after %v, ended after %v, and SIGKILL may come after %v", answered, ended, kill)
+	fault(letIn < life.Platform.Still/2 || y.served == 0 || len(y.crossing) > y.written/20, "let in for %v, %d served, %d crossed a close", letIn, y.served, len(y.crossing))
+	return faults, late
+}
