--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -603,6 +603,13 @@
 	if sent != 10 {
 		t.Errorf("%d of %d sent to a server that seems full", sent, 10*scoutOnce)
 	}
+	r.b.cfg.Tenants[0].QuotaPerSecond, r.b.shares[0].left = 1e-6, 0
+	for i := range 10 * scoutOnce { // what floods beyond its share comes again and again: its scouts would fill the servers
+		r.wait(10 * ms)
+		if r.arrive(fmt.Sprint("flood", i), safe); len(of(Send, r.last)) > 0 {
+			t.Fatal("a scout of what lies beyond its tenant's share")
+		}
+	}
 }
 
 // The clock may start anywhere: the time before the first answer is no gap between answers.
--- a/lab/glencart.go
+++ b/lab/glencart.go
@@ -93,6 +93,14 @@
 		cfg.Classes = append(cfg.Classes, balance.Class{Aim: time.Duration(c.Aim), Deadline: time.Duration(c.Deadline), Effect: e,
 			LateWorth: lateWorth, Points: c.Points})
 	}
+	total := 0.0
+	for _, k := range s.Tenants {
+		total += k.Share
+	}
+	for _, k := range s.Tenants {
+		cfg.Tenants = append(cfg.Tenants, balance.Tenant{QuotaPerSecond: k.Share, Share: k.Share / total})
+		cfg.OverShareWorth = overShare
+	}
 	return cfg
 }
 
@@ -108,7 +116,7 @@
 }
 
 func (n *shipped) arrive(q *ask) {
-	r := &engine.Request{ID: q.id, Class: q.class, Tenant: -1, Repeat: q.tries > 0, Deadline: epoch.Add(q.until), Message: q}
+	r := &engine.Request{ID: q.id, Class: q.class, Tenant: q.tenant, Repeat: q.tries > 0, Deadline: epoch.Add(q.until), Message: q}
 	r.Answered = func(a engine.Answer) {
 		delete(n.open, q)
 		switch a.Kind {
--- a/lab/result.go
+++ b/lab/result.go
@@ -8,8 +8,9 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// lateWorth is the part of a request's points that an answer after its aim still earns.
-const lateWorth = 0.3
+// lateWorth is the part of a request's points that an answer after its aim still earns, overShare that of one beyond its tenant's
+// share, as nodes are told.
+const lateWorth, overShare = 0.3, 0.1
 
 // Result is what a run came to. Marshalled, it is the same for the same scenario, policy and seed.
 type Result struct {
@@ -44,11 +45,27 @@
 	Marks  []Mark    `json:"marks"`
 	Boxes  []BoxLine `json:"boxes"`
 
+	Classes []Portion `json:"classes"` // what became of the requests of each
+	Tenants []Portion `json:"tenants,omitempty"`
+
 	s              *Scenario
 	hist           *hdrhistogram.Histogram
 	offered, worth float64
 }
 
+// Portion is what became of the requests of a class or a tenant.
+type Portion struct {
+	Name    string `json:"name"`
+	Asked   int64  `json:"asked"`
+	Served  int64  `json:"served"`
+	InAim   int64  `json:"in_aim"`
+	Refused int64  `json:"refused"`
+	Failed  int64  `json:"failed"`
+}
+
+// Part is the part that was served within its aim.
+func (p *Portion) Part() float64 { return float64(p.InAim) / math.Max(float64(p.Asked), 1) }
+
 // Second is one second of a run.
 type Second struct {
 	Asked    int64 `json:"asked"`
@@ -74,8 +91,23 @@
 }
 
 func newResult(s *Scenario, policy string, seed uint64) *Result {
-	return &Result{Scenario: s.Name, Policy: policy, Seed: seed, s: s, Marks: []Mark{},
+	r := &Result{Scenario: s.Name, Policy: policy, Seed: seed, s: s, Marks: []Mark{},
 		hist: hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)}
+	for _, c := range s.Classes {
+		r.Classes = append(r.Classes, Portion{Name: c.Name})
+	}
+	for _, k := range s.Tenants {
+		r.Tenants = append(r.Tenants, Portion{Name: k.Name})
+	}
+	return r
+}
+
+// portions are those of a request.
+func (r *Result) portions(class, tenant int) []*Portion {
+	if tenant < 0 {
+		return []*Portion{&r.Classes[class]}
+	}
+	return []*Portion{&r.Classes[class], &r.Tenants[tenant]}
 }
 
 func (r *Result) second(at time.Duration) *Second {
@@ -86,8 +118,11 @@
 	return &r.Series[i]
 }
 
-func (r *Result) asked(at time.Duration, class int) {
+func (r *Result) asked(at time.Duration, class, tenant int) {
 	r.Requests++
+	for _, p := range r.portions(class, tenant) {
+		p.Asked++
+	}
 	r.offered += r.s.Classes[class].Points
 	r.second(at).Asked++
 }
@@ -103,6 +138,19 @@
 	}
 	k := &r.s.Classes[q.class]
 	s := r.second(at)
+	for _, p := range r.portions(q.class, q.tenant) {
+		switch {
+		case v == served:
+			p.Served++
+			if took <= time.Duration(k.Aim) {
+				p.InAim++
+			}
+		case v == refused:
+			p.Refused++
+		default:
+			p.Failed++
+		}
+	}
 	switch v {
 	case served:
 		r.Served++
--- a/lab/scenario.go
+++ b/lab/scenario.go
@@ -21,6 +21,7 @@
 	Zones    int      `toml:"zones"` // boxes and nodes stand in them in turn; 0: 1
 	Boxes    []Boxes  `toml:"boxes"`
 	Classes  []Class  `toml:"class"`
+	Tenants  []Tenant `toml:"tenant"`
 	Clients  Clients  `toml:"clients"`
 	Network  Network  `toml:"network"`
 	Sources  []Source `toml:"source"` // of the list, by rank, for nodes that merge several; none: one list, told to all
@@ -73,6 +74,14 @@
 	Points   float64  `toml:"points"` // 0: 1
 }
 
+// Tenant is one of those who share the boxes. Nodes are told of its share, and that what lies beyond it is worth overShare.
+type Tenant struct {
+	Name  string  `toml:"name"`
+	Part  float64 `toml:"part"`  // of the arrivals, beside the other tenants'
+	Share float64 `toml:"share"` // new requests a second, over all nodes, that lie within its share
+	Nodes float64 `toml:"nodes"` // the part of the nodes that its clients come to, the first ones; 0: all
+}
+
 // Clients are who asks.
 type Clients struct {
 	Rate    float64  `toml:"rate"`    // new requests a second, over all nodes (open loop)
@@ -207,6 +216,11 @@
 	if s.Network.Agent && len(s.Sources) > 0 {
 		fault("network.agent", "there are sources: give one or the other")
 	}
+	for i, k := range s.Tenants {
+		if k.Name == "" || k.Part <= 0 || k.Share <= 0 || k.Nodes < 0 || k.Nodes > 1 {
+			fault(fmt.Sprintf("tenant.%d", i), "name, part and share are needed, and nodes from 0 to 1")
+		}
+	}
 	names := map[string]bool{}
 	for i, src := range s.Sources {
 		path := fmt.Sprintf("source.%d", i)
--- a/lab/world.go
+++ b/lab/world.go
@@ -135,6 +135,7 @@
 	w        *world
 	id       string
 	class    int
+	tenant   int           // -1: there are none
 	first    time.Duration // when the client first asked
 	at       time.Duration
 	deadline time.Duration // of the client, over all its tries
@@ -242,18 +243,27 @@
 		w.after(w.gap(), evArrive, -1, nil)
 	}
 	w.arrivals++
+	class, tenant := drawn(w.come, w.s.Classes, func(c *Class) float64 { return c.Part }), -1
+	if len(w.s.Tenants) > 0 {
+		tenant = drawn(w.come, w.s.Tenants, func(k *Tenant) float64 { return k.Part })
+	}
+	k := &w.s.Classes[class]
+	w.res.asked(w.now, class, tenant)
+	w.send(&ask{w: w, class: class, tenant: tenant, first: w.now, deadline: w.now + time.Duration(k.Deadline), loop: n >= 0})
+}
+
+// drawn draws one of several by their parts.
+func drawn[T any](from *rand.Rand, of []T, part func(*T) float64) int {
 	total := 0.0
-	for i := range w.s.Classes {
-		total += w.s.Classes[i].Part
+	for i := range of {
+		total += part(&of[i])
 	}
-	class, x := 0, w.come.Float64()*total
-	for x >= w.s.Classes[class].Part && class < len(w.s.Classes)-1 {
-		x -= w.s.Classes[class].Part
-		class++
+	i, x := 0, from.Float64()*total
+	for x >= part(&of[i]) && i < len(of)-1 {
+		x -= part(&of[i])
+		i++
 	}
-	k := &w.s.Classes[class]
-	w.res.asked(w.now, class)
-	w.send(&ask{w: w, class: class, first: w.now, deadline: w.now + time.Duration(k.Deadline), loop: n >= 0})
+	return i
 }
 
 // send brings a try to a node.
@@ -263,7 +273,11 @@
 	if q.tries > 0 {
 		q.id = fmt.Sprintf("r%d", w.next())
 	}
-	q.at, q.node = w.now, w.come.IntN(len(w.nodes))
+	nodes := len(w.nodes)
+	if q.tenant >= 0 && w.s.Tenants[q.tenant].Nodes > 0 {
+		nodes = max(1, int(float64(nodes)*w.s.Tenants[q.tenant].Nodes))
+	}
+	q.at, q.node = w.now, w.come.IntN(nodes)
 	if q.until = q.deadline; w.s.Clients.Timeout > 0 {
 		q.until = min(q.deadline, w.now+time.Duration(w.s.Clients.Timeout))
 	}
@@ -313,7 +327,7 @@
 	w.res.ended(w.now, q, v, took, !again)
 	switch {
 	case again:
-		next := &ask{w: w, class: q.class, first: q.first, deadline: q.deadline, tries: q.tries + 1, loop: q.loop, before: q.before + q.runs}
+		next := &ask{w: w, class: q.class, tenant: q.tenant, first: q.first, deadline: q.deadline, tries: q.tries + 1, loop: q.loop, before: q.before + q.runs}
 		w.after(wait, evFunc, 0, func() { w.send(next) })
 	case q.loop:
 		w.after(time.Duration(w.come.ExpFloat64()*float64(w.s.Clients.Think)), evArrive, 0, nil)
