detect: after a pause that is longer than words last, what stood in the sockets is not taken in

A process that was stopped for longer than ends are remembered forgets all and begins anew. What had come to it meanwhile stood in its sockets and was as old: it took a dead and forgotten one for alive, and told the others.

--- a/detect/detect.go
+++ b/detect/detect.go
@@ -36,6 +36,7 @@
 	met     bool // another one has answered
 	pulled  bool // and told all that it knows
 	calm    time.Duration
+	deaf    time.Duration // until then what comes stood in a socket during a pause that was longer than words last
 	health  int
 	cut     bool
 	heardAt time.Duration // the last message of anybody
@@ -126,7 +127,9 @@
 	case Begin:
 		d.begin()
 	case Got:
-		d.got(ev.From, &ev.Message)
+		if d.now >= d.deaf {
+			d.got(ev.From, &ev.Message)
+		}
 	case Leave:
 		d.say(Left, 0)
 	case GoAway:
@@ -305,7 +308,7 @@
 	for _, i := range d.rng.Perm(len(d.ring)) {
 		m := d.ring[i]
 		if m.State.there() && len(d.seeds) < len(d.cfg.Seeds)+seedsKept {
-			d.seeds = append(d.seeds, seed{addr: m.Addr, wait: retry, at: d.now + d.chance(joinSpread)})
+			d.seeds = append(d.seeds, seed{addr: m.Addr})
 		}
 	}
 	for len(d.ring) > 0 {
@@ -313,13 +316,17 @@
 		d.forget(m, "it was known before a pause that was longer than words last")
 	}
 	for i := range d.seeds {
-		d.seeds[i].at, d.seeds[i].wait = d.now+d.chance(joinSpread), retry
+		d.seeds[i].at, d.seeds[i].wait = d.now+deafFor+d.chance(joinSpread), retry
 	}
 	d.met, d.pulled = false, false
 	d.exchangeAt = never
 	d.freshStart(0)
+	d.deaf = d.now + deafFor
 }
 
+// deafFor is how long the caller may need to read what stands in its sockets.
+const deafFor = time.Second
+
 // seedsKept is how many addresses are asked after a pause that was too long for words, beside the seeds.
 const seedsKept = 16
 
