--- a/detect/detect.go
+++ b/detect/detect.go
@@ -292,7 +292,6 @@
 	for _, m := range d.ring {
 		if m.State == Suspect {
 			m.since = min(m.since+late, d.now)
-			m.extra += d.cfg.Calm
 			m.last = 0
 			m.due = d.lastFrom(m)
 		}
--- a/detect/members.go
+++ b/detect/members.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// This file has the members: how a word is taken in, suspicion and its end, those who are dead and those who are forgotten.
+// This file has the members: how a word is taken in, and what becomes due of those who are not alive.
 
 // member is what is known of one other process.
 type member struct {
@@ -18,7 +18,6 @@
 	due   time.Duration
 
 	since    time.Duration // Suspect, Dead, Left: since when
-	extra    time.Duration // Suspect: what it lasts longer, as this process was stopped meanwhile
 	last     int           // Suspect: last questions that it was asked
 	accusers []string      // Suspect
 	back     time.Duration // Away: until when
@@ -41,14 +40,8 @@
 	deafUntil     time.Duration
 }
 
-const (
-	// flapFor is how long a return from the dead is remembered, and flapsMost the most that count: suspicion lasts 1 + flaps times as long.
-	flapFor, flapsMost = 10 * time.Minute, 2
-	// enough is the part of the least suspicion that one has to have been suspect here for the word of its death to be believed.
-	enough = 0.75
-	// doubtEvery and doubtsAtOnce bound how fast deaths that were told are looked into: 40 a second; checksMost is how often each.
-	doubtEvery, doubtsAtOnce, checksMost = 100 * time.Millisecond, 4, 3
-)
+// flapFor is how long a return from the dead is remembered, and flapsMost the most that count: suspicion lasts 1 + flaps times as long.
+const flapFor, flapsMost = 10 * time.Minute, 2
 
 // told is the word as it is passed on now.
 func (m *member) told(now time.Duration) Word {
@@ -71,7 +64,7 @@
 	m := d.members[w.Name]
 	switch {
 	case m == nil:
-		d.add(w)
+		d.add(w, first)
 	case w.Start > m.Start:
 		d.replace(m, w)
 	case w.State == Suspect && Compare(w, m.Word) == 0:
@@ -85,7 +78,7 @@
 }
 
 // add takes in one that is not known.
-func (d *Detect) add(w Word) {
+func (d *Detect) add(w Word, first bool) {
 	if len(d.members) >= d.cfg.MembersMost {
 		return
 	}
@@ -103,7 +96,7 @@
 		d.arm(m)
 		return
 	}
-	d.set(m, w, false)
+	d.set(m, w, first)
 }
 
 func (d *Detect) swap(i, j int) {
@@ -185,7 +178,7 @@
 		m.recent = true
 	}
 	if w.State != old || w.State == Suspect {
-		m.since, m.extra, m.last = d.now, 0, 0
+		m.since, m.last = d.now, 0
 	}
 	m.back = d.now + min(max(0, w.Until), d.cfg.AwayMost)
 	m.wait = retry
@@ -230,119 +223,6 @@
 	}
 }
 
-// least is the shortest suspicion of a member.
-func (d *Detect) least(m *member) time.Duration {
-	flaps := m.flaps
-	if d.now-m.flapAt > flapFor {
-		flaps = 0
-	}
-	return time.Duration(float64(d.cfg.Suspicion)*d.logs()) * time.Duration(1+flaps)
-}
-
-// deadline is when a suspicion ends in death: Stretch times the least with one accuser, and each further one shortens it, the first the
-// most (Lifeguard, 4.2).
-func (d *Detect) deadline(m *member) time.Duration {
-	least := d.least(m)
-	k := min(d.cfg.Accusers, d.there-1) // this process may be one, the accused is none
-	length := least
-	if c := max(0, len(m.accusers)-1); k > 0 && c < k {
-		most := least * time.Duration(d.cfg.Stretch)
-		length = most - time.Duration(float64(most-least)*math.Log(float64(c+1))/math.Log(float64(k+1)))
-	}
-	return max(m.since+length+m.extra, d.calm)
-}
-
-// lastMost is how many last questions a suspect is asked by each that holds it for one, before its time is up: that it lives may have been
-// told to all others. With 30 % of the messages lost, one suspicion in 200 is left of those that news did not end.
-const lastMost = 8
-
-// lastFrom is when the last questions to a suspect begin.
-func (d *Detect) lastFrom(m *member) time.Duration {
-	if m.last > 0 { // they have begun
-		return d.now
-	}
-	return max(d.deadline(m)-lastMost*d.cfg.AnswerWithin, d.calm)
-}
-
-// accuse counts one more accuser of a suspect.
-func (d *Detect) accuse(m *member, by string) {
-	if by == "" || by == m.Name || slices.Contains(m.accusers, by) || len(m.accusers) > d.cfg.Accusers {
-		return
-	}
-	m.accusers = append(m.accusers, by)
-	m.By = by
-	if m.last == 0 { // else it is being asked for the last time
-		d.arm(m)
-	}
-	d.pass(m)
-}
-
-// suspect has this process accuse one that does not answer.
-func (d *Detect) suspect(m *member, cause string) {
-	if m.State == Suspect {
-		d.accuse(m, d.self.Name)
-		return
-	}
-	w := m.Word
-	w.State, w.By, w.Until = Suspect, d.self.Name, 0
-	m.accusers = []string{d.self.Name}
-	d.become(m, w, cause)
-}
-
-// hearOfDeath works the word of the death of one who is there as far as this process knows. It is believed of one that has been suspect
-// for long enough to say that it lives. Else who tells it may have been cut off itself: the one that is told of is asked first.
-func (d *Detect) hearOfDeath(m *member, w Word) {
-	if m.State == Suspect && m.Inc == w.Inc && float64(d.now-m.since-m.extra) >= enough*float64(d.least(m)) && d.now >= d.calm {
-		d.become(m, w, "others found it dead")
-		return
-	}
-	if m.doubt.Name != "" && Compare(w, m.doubt) <= 0 {
-		return
-	}
-	m.doubt, m.checks = w, 0
-	if !m.doubted {
-		m.doubted = true
-		if d.doubts = append(d.doubts, m); len(d.doubts) == 1 {
-			d.doubtAt = d.now
-		}
-	}
-}
-
-// check asks those of whose death was told.
-func (d *Detect) check() {
-	for range min(doubtsAtOnce, len(d.doubts)) {
-		m := d.doubts[0]
-		d.doubts = d.doubts[1:]
-		m.doubted = false
-		if m.doubt.Name == "" || d.members[m.Name] != m || !m.State.there() || Compare(m.Word, m.doubt) > 0 {
-			m.doubt = Word{}
-			continue
-		}
-		if m.checks >= checksMost {
-			w := m.doubt
-			m.doubt = Word{}
-			if m.State != Away && d.now >= d.calm {
-				w.State, w.By = Suspect, d.self.Name
-				if m.State == Suspect && Compare(w, m.Word) <= 0 {
-					d.accuse(m, w.By)
-				} else {
-					m.accusers = []string{w.By}
-					d.become(m, w, "others found it dead, and it does not answer")
-				}
-			}
-			continue
-		}
-		m.checks++
-		d.send(m.Addr, Message{Kind: Ask, Seq: d.seqNext(), About: m.ID, News: []Word{m.doubt}}, m)
-		m.doubted = true
-		d.doubts = append(d.doubts, m)
-	}
-	d.doubtAt = d.now + doubtEvery
-	if n := len(d.doubts); n > 0 && n <= doubtsAtOnce { // each has time to answer
-		d.doubtAt = d.now + d.cfg.AnswerWithin
-	}
-}
-
 // timeUp works the timer of a member.
 func (d *Detect) timeUp(m *member) {
 	switch m.State {
