--- a/schema/law.go
+++ b/schema/law.go
@@ -30,13 +30,19 @@
 // The two need not be of one schema. Draw them as a fleet could hold them: of one writer's counter, say, one is the later.
 func (b *Book) Law(x, y Record) error {
 	at := max(x.Schema, y.Schema)
-	var err error
+	met, err := b.Merge(x, y)
+	if err != nil {
+		return err
+	}
 	if x, err = b.To(x, at); err != nil {
 		return err
 	}
 	if y, err = b.To(y, at); err != nil {
 		return err
 	}
+	if first, err := b.Merge(x, y); err != nil || !Equal(met, first) {
+		return broken(fmt.Sprintf("a merge is at the higher schema, %d, as if both had gone there first (%v)", at, err), met, first, x, y)
+	}
 	if err := b.lawOfMerge(x, y); err != nil {
 		return err
 	}
--- a/schema/law_test.go
+++ b/schema/law_test.go
@@ -251,6 +251,12 @@
 	if _, err := b.Within(r, 1, 1); !errors.Is(err, ErrOneWay) {
 		t.Errorf("sent to one that reads 1: %v", err)
 	}
+	table := &Table{}
+	table.Put(r)
+	sweep := Sweep{Kind: Session, To: 1}
+	if sweep.Step(b, table, DefaultBound); !sweep.Done || sweep.Moved != 1 || sweep.Kept != 1 || sweep.Highest != 2 {
+		t.Errorf("swept: %+v", sweep)
+	}
 	old := b.Only(Session, 1, 2)
 	if _, err := old.Merge(Record{Kind: Session, Schema: 1, Key: "k"}, r); !errors.Is(err, ErrNoForm) || !strings.Contains(err.Error(), "reads 1 to 2") {
 		t.Errorf("%v", err)
--- a/schema/record_test.go
+++ b/schema/record_test.go
@@ -45,6 +45,14 @@
 		}
 		return r
 	}
+	one := func(num uint32, v uint64) Record {
+		return Record{Kind: Use, Schema: 1, Key: "k", Fields: []Field{{Num: num, Int: v}}}
+	}
+	for num, want := range map[uint32]uint64{1: 6, 1000: 6, 2000: 5, 3000: 7, 4000: 6, 8000: 6} {
+		if r, err := b.Merge(one(num, 5), one(num, 6)); err != nil || r.Int(num, "") != want {
+			t.Errorf("%d: 5 and 6 by %s are %v, not %d; %v", num, JoinOf(num), r, want, err)
+		}
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		x, y, z := drawRecord(t, everyJoin, "x"), drawRecord(t, everyJoin, "y"), drawRecord(t, everyJoin, "z")
 		if err := b.lawOfMerge(x, y); err != nil {
