share: a call that follows another's mark to its group has a mark of its own

A call that follows is now marked for that group, and goes there only where all owners had the other's mark first; else both fail in words. An instance whose earlier attempt may have run never says "never ran" of a later one: it has one word a call.

--- a/share/session.go
+++ b/share/session.go
@@ -84,6 +84,7 @@
 	id    uint64
 	by    *maker
 	stamp uint64 // attempt<<2 | rank
+	stuck bool   // own: an earlier attempt may have run, so that of a later one "never ran" is not said
 	body
 }
 
@@ -115,7 +116,9 @@
 	to                   []string
 	replied, acked, sure uint32 // bits by place in to
 	attempt              uint64
-	since                time.Duration // own
+	follow               bool              // to q.Group, which is known to remember the call
+	had                  map[Member]uint32 // which of them had marks of others when this one came
+	since                time.Duration     // own
 }
 
 // unacked is a mark of this instance that some owner has not acknowledged.
@@ -160,7 +163,10 @@
 	}
 	f := t.known(now, s, q.Call, nil)
 	own := t.ownCall(s, q.Call)
-	if f.know == knowAnswer || f.know == knowRan || f.know == knowMay && (t.owns(q.Key) || own != nil && own.state() == MayHaveRun) {
+	follow := q.Effect == Keyed && f.group != "" && !f.old && (f.know == knowMay || f.know == knowRan)
+	if follow { // to its group, under a mark of its own: the earlier one may yet be taken back
+		q.Group = f.group
+	} else if f.know >= knowRan || f.know == knowMay && (t.owns(q.Key) || own != nil && own.state() == MayHaveRun) {
 		return t.answer(d, q, f, ownersSilent)
 	}
 	q.Keep = min(cmp.Or(q.Keep, t.cfg.MarkFor), t.cfg.MarkFor)
@@ -171,13 +177,18 @@
 		}
 		return d
 	}
-	p := &pending{q: q, to: t.others(q.Key), since: now.Own, attempt: c.stamp >> 2}
-	t.pending[k] = p
+	return t.ask(now, d, &pending{q: q, follow: follow, attempt: c.stamp >> 2})
+}
+
+// ask has a mark that was just made told to the owners.
+func (t *Sessions) ask(now Now, d Decision, p *pending) Decision {
+	p.since, p.to = now.Own, t.others(p.q.Key)
+	t.pending[callKey{p.q.Key, p.q.Call}] = p
 	if len(p.to) == 0 {
-		return t.Decide(now, q.Key, q.Call)
+		return t.Decide(now, p.q.Key, p.q.Call)
 	}
 	d.What, d.Wait, d.Attempt = Ask, t.cfg.Wait, p.attempt
-	d.Tell = Marked{t.record(t.find(q.Key)), p.to}
+	d.Tell = Marked{t.record(t.find(p.q.Key)), p.to}
 	return d
 }
 
@@ -199,6 +210,16 @@
 	if at < 0 || at > 31 {
 		return false, nil
 	}
+	if p.replied&(1<<at) == 0 {
+		for _, f := range r.All(sessCall) {
+			if c, by, ok := readCallSub(f.Sub); ok && c == id && by != t.cfg.Self {
+				if p.had == nil {
+					p.had = map[Member]uint32{}
+				}
+				p.had[by] |= 1 << at
+			}
+		}
+	}
 	p.replied |= 1 << at
 	if acked {
 		p.acked |= 1 << at
@@ -221,7 +242,8 @@
 	return true
 }
 
-// Decide says what is done with a call that was Asked. Where it does not go, its mark is taken back.
+// Decide says what is done with a call that was Asked. Where it does not go, its mark is taken back. It may be Asked once more: a
+// keyed call whose group was learnt from the owners is marked anew, for that group.
 func (t *Sessions) Decide(now Now, key Key, id uint64) Decision {
 	k := callKey{key, id}
 	p := t.pending[k]
@@ -241,10 +263,28 @@
 		o, why = ownersSilent, OwnersSilent
 	}
 	f := t.known(now, s, id, own)
+	switch {
+	case !p.follow:
+	case f.know < knowMay: // the mark that it follows is its own, or was taken back since: it may have come there all the same
+		f = facts{know: knowMay, group: p.q.Group}
+	case f.know == knowMay && f.group != p.q.Group:
+		f.group = "" // there are two by now
+	}
 	d := t.answer(Decision{Box: t.box(now, s)}, p.q, f, o)
-	if d.What != Go {
+	if d.What == GoTo && own != nil && own.group != d.Group {
+		// It was learnt from owners. Where one of them had the other's mark later than this one, the other has seen this one's group,
+		// and may be about to come there: neither may follow the other.
+		if !p.before(now, t, s, d.Group, all) {
+			d = Decision{What: Unsure, Why: UnderWay}
+			t.stats.FailedInWords++
+		} else if c := t.mark(now, k, rankMay, body{end: own.end, group: d.Group}); c != nil {
+			p.q.Group = d.Group
+			return t.ask(now, Decision{Box: d.Box}, &pending{q: p.q, follow: true, attempt: c.stamp >> 2})
+		}
+	}
+	if d.What != Go && d.What != GoTo {
 		if own != nil { // else the cap has pushed it out
-			if c := t.mark(now, k, rankNever, body{end: own.end, group: d.Group}); c != nil {
+			if c := t.mark(now, k, rankNever, body{end: own.end}); c != nil {
 				d.Tell = Marked{t.record(t.find(key)), t.others(key)}
 			}
 		}
@@ -262,9 +302,22 @@
 	return d
 }
 
+// before tells whether all owners had a mark of this group before they had the one that was asked about.
+func (p *pending) before(now Now, t *Sessions, s *session, group string, all uint32) bool {
+	if t.owns(p.q.Key) {
+		return false // it was not known here
+	}
+	for i := range s.calls {
+		if c := &s.calls[i]; c.id == p.q.Call && c.group == group && c.know() >= knowMay && p.had[c.by.Member] == all {
+			return true
+		}
+	}
+	return all == 0
+}
+
 func (t *Sessions) unprotected(d Decision, why Cause) Decision {
 	t.stats.Unprotected++
-	d.What, d.Why, d.Unprotected = Go, why, true
+	d.Why, d.Unprotected = why, true
 	return d
 }
 
@@ -276,7 +329,7 @@
 		d.Answer = f.answer
 		t.stats.KnownAnswers++
 	case GoTo:
-		d.Box, d.Group, d.End = f.box, f.group, true
+		d.Box, d.Group = f.box, f.group
 	case Unsure:
 		t.stats.FailedInWords++
 	}
@@ -333,6 +386,10 @@
 		// Higher than any attempt of this process that may have been forgotten, here or elsewhere.
 		c.stamp = uint64(wallMillis(now)) << 2
 	}
+	if rank == rankNever && c.stuck {
+		return nil
+	}
+	c.stuck = c.stuck || c.stamp&3 == rankMay && rank == rankMay
 	attempt := c.stamp >> 2
 	if rank <= c.stamp&3 {
 		attempt++
--- a/share/types.go
+++ b/share/types.go
@@ -150,7 +150,7 @@
 	GoTo               // to Group and nowhere else
 	Known              // no attempt: Answer is the answer
 	Unsure             // no attempt: fail in words (see Why)
-	Ask                // Lookup only: send Tell, take in the replies (Merge, Replied), then call Decide: when Replied says so, or after Wait
+	Ask                // send Tell, take in the replies (Replied), then call Decide: when Replied says so, or after Wait
 	whats
 )
 
