--- a/share/session.go
+++ b/share/session.go
@@ -116,9 +116,8 @@
 	to                   []string
 	replied, acked, sure uint32 // bits by place in to
 	attempt              uint64
-	follow               bool              // to q.Group, which is known to remember the call
-	had                  map[Member]uint32 // which of them had marks of others when this one came
-	since                time.Duration     // own
+	follow               bool          // to q.Group, which is known to remember the call
+	since                time.Duration // own
 }
 
 // unacked is a mark of this instance that some owner has not acknowledged.
@@ -210,16 +209,6 @@
 	if at < 0 || at > 31 {
 		return false, nil
 	}
-	if p.replied&(1<<at) == 0 {
-		for _, f := range r.All(sessCall) {
-			if c, by, ok := readCallSub(f.Sub); ok && c == id && by != t.cfg.Self {
-				if p.had == nil {
-					p.had = map[Member]uint32{}
-				}
-				p.had[by] |= 1 << at
-			}
-		}
-	}
 	p.replied |= 1 << at
 	if acked {
 		p.acked |= 1 << at
@@ -272,12 +261,9 @@
 	}
 	d := t.answer(Decision{Box: t.box(now, s)}, p.q, f, o)
 	if d.What == GoTo && own != nil && own.group != d.Group {
-		// It was learnt from owners. Where one of them had the other's mark later than this one, the other has seen this one's group,
-		// and may be about to come there: neither may follow the other.
-		if !p.before(now, t, s, d.Group, all) {
-			d = Decision{What: Unsure, Why: UnderWay}
-			t.stats.FailedInWords++
-		} else if c := t.mark(now, k, rankMay, body{end: own.end, group: d.Group}); c != nil {
+		// It was learnt from owners, and the other may have learnt this one's group. Of two that mark and then read, at most one sees
+		// no other group.
+		if c := t.mark(now, k, rankMay, body{end: own.end, group: d.Group}); c != nil {
 			p.q.Group = d.Group
 			return t.ask(now, Decision{Box: d.Box}, &pending{q: p.q, follow: true, attempt: c.stamp >> 2})
 		}
@@ -302,19 +288,6 @@
 	return d
 }
 
-// before tells whether all owners had a mark of this group before they had the one that was asked about.
-func (p *pending) before(now Now, t *Sessions, s *session, group string, all uint32) bool {
-	if t.owns(p.q.Key) {
-		return false // it was not known here
-	}
-	for i := range s.calls {
-		if c := &s.calls[i]; c.id == p.q.Call && c.group == group && c.know() >= knowMay && p.had[c.by.Member] == all {
-			return true
-		}
-	}
-	return all == 0
-}
-
 func (t *Sessions) unprotected(d Decision, why Cause) Decision {
 	t.stats.Unprotected++
 	d.Why, d.Unprotected = why, true
