--- a/share/fleet_test.go
+++ b/share/fleet_test.go
@@ -30,7 +30,9 @@
 	off  time.Duration
 	side int
 	dead bool
-	n    int // what this member takes for the size of the fleet
+	mute bool // it hears, and is not heard
+	cut  bool // it was told so
+	n    int  // what this member takes for the size of the fleet
 }
 
 type useWord struct {
@@ -90,7 +92,7 @@
 			continue
 		}
 		now := f.at(m)
-		v := View{Self: m.self, N: m.n}
+		v := View{Self: m.self, N: m.n, CutOff: m.cut}
 		for j, o := range f.members {
 			if j != i {
 				v.Members = append(v.Members, m.ages.Seen(now, o.self))
@@ -115,7 +117,7 @@
 	recs := m.use.Own(f.at(m), nil)
 	recs = append(recs, m.ages.Beat(f.at(m)))
 	for j, o := range f.members {
-		if j == i || o.dead || o.side != m.side {
+		if j == i || o.dead || o.side != m.side || m.mute {
 			continue
 		}
 		for range 1 + f.rng.IntN(20)/19 { // some come twice
@@ -286,6 +288,40 @@
 	}
 }
 
+// Clocks that are off and jump, and one that hears and is not heard: what goes over a limit stays under what was stated, and is
+// nothing once it knows that it is cut off.
+func TestFleetWithOneThatIsOff(t *testing.T) {
+	const n = 5
+	for _, c := range []struct {
+		name string
+		do   func(f *useFleet, m *useMember)
+		most float64
+	}{
+		{"five seconds behind", func(f *useFleet, m *useMember) { m.off = -Skew }, 0.02},
+		{"five seconds ahead", func(f *useFleet, m *useMember) { m.off = Skew }, 0.02},
+		{"jumps each second", func(f *useFleet, m *useMember) { m.off = time.Duration(f.rng.Int64N(int64(2*Skew))) - Skew }, 1},
+		{"not heard", func(f *useFleet, m *useMember) { m.mute = true }, 1 - 1.0/n},
+		{"not heard, and told so", func(f *useFleet, m *useMember) { m.mute, m.cut = true, true }, 0.02},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newUseFleet(1, n, 100*time.Millisecond, 0.01, Limit{Requests: tenantLimit})
+			for f.now < 60*time.Second {
+				if f.now >= 20*time.Second && f.now%time.Second == 0 {
+					c.do(f, f.members[0])
+				}
+				f.step(func(i int) float64 { // half of the clients come to the one that is off
+					return []float64{3, 0.75}[min(i, 1)] * tenantLimit
+				})
+			}
+			over := f.over(tenantLimit, 10*time.Second, 30*time.Second, f.now)
+			t.Logf("%+.3f, %.3f at the most", over, c.most)
+			if over > c.most {
+				t.Errorf("%.3f over, %.3f at the most", over, c.most)
+			}
+		})
+	}
+}
+
 // steadyMost is what a flood may let in beyond the limit once it has lasted for a burst: nothing but what lost words make members
 // disagree.
 func steadyMost(loss float64) float64 {
