shed: a plan that has all it asks has it whatever rounding took

Found by a property over 6,523 draws: 2 + 1.5 came to a little less than 3.5, so a priority that nobody had asked for counted as shed, and with more room as well.

--- a/shed/level.go
+++ b/shed/level.go
@@ -107,6 +107,7 @@
 		}
 	}
 	for r := range plans {
+		gets[r] *= 1 + 1e-9 // what rounding took: else a plan that has all it asks would miss its last request
 		whole := gets[r] >= asked[r]
 		for i := r * perRank; i < (r+1)*perRank; i++ {
 			switch a := d.asked[i]; {
