--- a/internal/node/management.go
+++ b/internal/node/management.go
@@ -201,6 +201,20 @@
 	n.countBackends()
 }
 
+// saw takes in how an attempt or a probe ended. On the loop.
+func (n *Node) saw(id string, res engine.Result) {
+	switch {
+	case res.Refused:
+		n.hand.Refused(id, unixNow())
+	case n.hand.InDoubt() == 0: // mostly
+	case res.Status == balance.Delivered, res.Status == balance.AppError, res.Status == balance.Shed:
+		if lines := n.hand.Answered(id, unixNow()); len(lines) > 0 {
+			n.log.Info("backend refused and answers: taken for a new process", "id", id)
+			n.loop.Post(func() { n.heed(lines) }) // after what is in hand
+		}
+	}
+}
+
 // byHand takes in a call of operators and tells whether anybody has this id. On the loop.
 func (n *Node) byHand(id string, out bool) (members.Call, bool) {
 	lines, call, known := n.hand.Say(id, out, unixNow())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -39,8 +38,6 @@
 	door     net.Listener    // for operators; nil: none
 	place    *handover.Place // where this process stands beside another; nil: there is none
 	hand     members.Hand    // of the loop
-	signs    *time.Timer     // rings when hand has something to do; of the loop
-	signsAt  time.Duration   // and when
 	figures  *figures
 	listed   atomic.Bool // a list has named a backend that may be sent to
 	heard    atomic.Bool // discovery has told a list
@@ -85,9 +82,6 @@
 			return nil, fmt.Errorf("peer_listen: %w", err)
 		}
 		n.loop.Tell = n.peers.tell
-		if limits.Peers {
-			n.hand.Speak(rand.New(rand.NewPCG(cfg.Seed, signStream)))
-		}
 	}
 	n.recall(cfg)
 	// Last: who connects from here on has been taken, and waits.
@@ -155,10 +149,6 @@
 func (n *Node) hear(peer int, payload []byte) {
 	if int(n.hears.Add(1)) > n.bounds.hear || !n.loop.Post(func() {
 		n.hears.Add(-1)
-		if len(payload) > 0 && payload[0] == members.SignVersion {
-			n.heedSigns(n.hand.Heard(peer, payload, unixNow()))
-			return
-		}
 		n.loop.Handle(balance.Event{Kind: balance.PeerMessage, Peer: peer, Payload: payload})
 	}) {
 		n.hears.Add(-1)
--- a/lab/box.go
+++ b/lab/box.go
@@ -70,7 +70,6 @@
 	begun    bool // its first byte has left
 	barred   bool
 	left     bool // nobody waits for its answer
-	refused  bool // nobody listens there
 	over     bool
 	life     int
 	sent     time.Duration
@@ -164,7 +163,6 @@
 		c.answer(endUnsent)
 		return
 	case !b.up:
-		c.refused = true
 		c.answer(endNoConn)
 		return
 	}
--- a/lab/glencart.go
+++ b/lab/glencart.go
@@ -203,9 +203,6 @@
 		w.after(in, evFunc, 0, func() {
 			if life == n.life {
 				told(res)
-				if n.merged != nil {
-					n.merged.saw(b, res.Status, res.Refused)
-				}
 				n.run()
 			}
 		})
@@ -217,7 +214,7 @@
 	w.after(w.way(), evFunc, 0, func() {
 		switch {
 		case !b.up:
-			tell(w.way(), engine.Result{Status: balance.DialFailed, Refused: true})
+			tell(w.way(), engine.Result{Status: balance.DialFailed})
 		case b.hung:
 			tell(150*time.Millisecond, engine.Result{Status: balance.Expired})
 		default:
@@ -243,7 +240,6 @@
 	at.a.Done(res)
 	if n.merged != nil {
 		n.merged.met(c)
-		n.merged.saw(c.box, res.Status, c.refused)
 	}
 	n.run()
 }
--- a/lab/result.go
+++ b/lab/result.go
@@ -19,9 +19,8 @@
 
 	Requests int64 `json:"requests"` // of clients, whatever they try
 	Tries    int64 `json:"tries"`
-	Attempts int64 `json:"attempts"`        // at boxes
-	Probes   int64 `json:"probes"`          // and messages of boxes
-	Signs    int64 `json:"signs,omitempty"` // messages between nodes, each to all others
+	Attempts int64 `json:"attempts"` // at boxes
+	Probes   int64 `json:"probes"`   // and messages of boxes
 	Served   int64 `json:"served"`
 	InAim    int64 `json:"in_aim"`
 	Refused  int64 `json:"refused"` // at the end of all tries
--- a/lab/scenario.go
+++ b/lab/scenario.go
@@ -24,7 +24,6 @@
 	Clients  Clients  `toml:"clients"`
 	Network  Network  `toml:"network"`
 	Sources  []Source `toml:"source"` // of the list, by rank, for nodes that merge several; none: one list, told to all
-	Peers    bool     `toml:"peers"`  // these nodes tell one another of boxes that refuse and come back
 	Events   []Event  `toml:"event"`
 
 	file string
--- a/lab/sources.go
+++ b/lab/sources.go
@@ -117,10 +117,7 @@
 	member *follow.Membership
 	learnt []time.Duration // by box: when this node learned that it wants nothing more; -1: it has not
 	lives  int             // of the process
-	absent []bool          // by box: it took no connection, and has not answered since; where nodes tell one another nothing
-
-	hand *members.Hand // where they do
-	due  time.Duration // when it is looked at; 0: it is not
+	absent []bool          // by box: it took no connection, and has not answered since
 }
 
 func newMerged(n *shipped, most int) (*merged, error) {
@@ -147,11 +144,6 @@
 	}
 	m.absent = make([]bool, len(m.w.boxes))
 	m.lives++
-	m.hand, m.due = nil, 0
-	if m.w.s.Peers {
-		m.hand = &members.Hand{}
-		m.hand.Speak(m.rng)
-	}
 	m.e.TakeList(balance.MembersAll, engine.List{Complete: true})
 	for i := range m.most {
 		m.hear(i, m.lives)
@@ -187,9 +179,6 @@
 			*at = m.w.now
 		}
 	}
-	if m.hand != nil {
-		list.Members = m.hand.Take(list.Members, false, m.e.Clock())
-	}
 	if len(list.Members) > 0 {
 		m.e.TakeList(balance.MembersChanged, list)
 	}
@@ -200,9 +189,6 @@
 // met takes in how a call ended: a box that took no connection and answers is another process than before, whatever the sources
 // know of it yet (as the knocks of serve find out).
 func (m *merged) met(c *call) {
-	if m.hand != nil {
-		return
-	}
 	was := m.absent[c.box.n]
 	m.absent[c.box.n] = c.end == endNoConn || was && c.end != endServed && c.end != endError
 	if !was || m.absent[c.box.n] {
@@ -215,59 +201,5 @@
 	}
 }
 
-// saw takes in how a call or a probe ended, as nodes do that tell one another.
-func (m *merged) saw(b *box, status balance.Status, refused bool) {
-	if m.hand == nil {
-		return
-	}
-	switch {
-	case refused:
-		m.heed(m.hand.Refused(b.id, m.e.Clock()))
-	case status == balance.Delivered, status == balance.AppError, status == balance.Shed:
-		m.heed(m.hand.Answered(b.id, m.e.Clock()))
-	}
-}
-
-// heed tells the engine of lines that signs have changed, and waits for what is due.
-func (m *merged) heed(lines []members.Line) {
-	if len(lines) > 0 {
-		m.e.TakeList(balance.MembersChanged, engine.List{Members: lines})
-	}
-	at, some := m.hand.Next()
-	if !some || at == m.due {
-		return
-	}
-	m.due = at
-	hand := m.hand
-	m.w.after(at-m.e.Clock(), evFunc, 0, func() {
-		if m.hand != hand || m.due != at {
-			return // another process, or another time
-		}
-		m.due = 0
-		message, lines := hand.Due(m.e.Clock())
-		if message != nil {
-			m.tell(message)
-		}
-		m.heed(lines)
-		m.run()
-	})
-}
-
-// tell brings a message to all other nodes. What the network loses is lost.
-func (m *merged) tell(message []byte) {
-	w := m.w
-	w.res.Signs++
-	for _, o := range w.nodes {
-		other, ok := o.(*merged)
-		if !ok || other == m || w.net.Float64() < w.s.Network.Loss {
-			continue
-		}
-		w.after(w.way(), evFunc, 0, func() {
-			other.heed(other.hand.Heard(m.i, message, other.e.Clock()))
-			other.run()
-		})
-	}
-}
-
 // toldAt is when this node learned that a box wants nothing more, by the first source that told; -1: it has not.
 func (m *merged) toldAt(b *box) time.Duration { return m.learnt[b.n] }
--- a/members/hand.go
+++ b/members/hand.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -31,12 +30,6 @@
 type Hand struct {
 	all     map[string]*known
 	doubted int // backends that refused, and have not answered since
-
-	chance   *rand.Rand        // nil: nodes do not tell one another
-	names    map[uint32]*known // by what all nodes call them; of two by one name, the first
-	stirred  []*known          // those that Due looks at
-	held     int               // those that get nothing since they have ended
-	answered time.Duration     // when any backend answered last
 }
 
 type known struct {
@@ -44,8 +37,46 @@
 	call Call
 	gone time.Duration // when it left the list
 
-	name uint32 // what all nodes call it
-	process
+	refused time.Duration // when it refused a connection, since it answered last; 0: it has not
+	renewed time.Duration // when it answered after that; 0: it has not
+}
+
+// Refused takes in that nobody listens at a backend: its process has ended.
+func (h *Hand) Refused(id string, now time.Duration) {
+	if k := h.all[id]; k != nil && k.line.Phase != balance.Gone && k.refused == 0 {
+		h.doubted++
+		k.refused = now
+	}
+}
+
+// Answered takes in that a backend has answered. After a refusal it is another process, which has just started, until discovery
+// tells when it did. Silence of discovery takes nothing back: it may be down, and the process is as cold. It returns the lines that the engine has to be told, mostly none.
+func (h *Hand) Answered(id string, now time.Duration) []Line {
+	if h.doubted == 0 {
+		return nil // the common case costs nothing
+	}
+	k := h.all[id]
+	if k == nil || k.refused == 0 {
+		return nil
+	}
+	if k.line.Launched >= k.refused { // discovery has told of it in the meantime
+		h.trust(k)
+		return nil
+	}
+	h.trust(k)
+	k.renewed = now
+	return []Line{k.told(k.line)}
+}
+
+// InDoubt counts the backends that have refused since they answered.
+func (h *Hand) InDoubt() int { return h.doubted }
+
+// trust has discovery's word hold again.
+func (h *Hand) trust(k *known) {
+	if k.refused > 0 {
+		h.doubted--
+	}
+	k.refused, k.renewed = 0, 0
 }
 
 // goneLeast and goneParts bound how many backends are remembered that have left the list and that nobody took out: as many as
@@ -158,14 +189,11 @@
 
 func (h *Hand) add(id string) *known {
 	if h.all == nil {
-		h.all, h.names = map[string]*known{}, map[uint32]*known{}
+		h.all = map[string]*known{}
 	}
-	k := &known{name: signName(id)}
+	k := &known{}
 	k.line.ID = id
 	h.all[id] = k
-	if h.names[k.name] == nil {
-		h.names[k.name] = k
-	}
 	return k
 }
 
@@ -177,9 +205,9 @@
 
 // told is a line with the operators' word in it, and what was seen. A backend that is out drains, whatever discovery says. One
 // that was put back may have been restarted while it was out, which discovery tells late or never: it started no earlier than
-// that. One that refused and answers has started in between. One that has ended takes nothing until it is tried again.
+// that. One that refused and answers has started in between.
 func (k *known) told(l Line) Line {
-	if (k.call.Out || k.held > 0) && l.Phase == balance.Ready {
+	if k.call.Out && l.Phase == balance.Ready {
 		l.Phase = balance.Draining
 	}
 	if l.Launched < k.call.Back {
@@ -206,8 +234,5 @@
 	})
 	for _, k := range gone[:len(gone)-most] {
 		delete(h.all, k.line.ID)
-		if h.names[k.name] == k {
-			delete(h.names, k.name)
-		}
 	}
 }
--- a/members/hand_test.go
+++ b/members/hand_test.go
@@ -23,7 +23,7 @@
 	return b.String()
 }
 
-// TestScripts runs testdata/hand: what discovery and operators say in turn, and what the engine is told. Times are in
+// TestScripts runs the scripts of testdata/: what discovery and operators say in turn, and what the engine is told. Times are in
 // seconds. "other" is a second process that hears the first one's calls.
 //
 //	list whole|changes [at=..]    lines of: id phase started
@@ -31,7 +31,7 @@
 //	other                         what the other process is told of the calls so far
 //	counts
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata/hand", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var h, other Hand
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			at := 0
