--- a/share/move_test.go
+++ b/share/move_test.go
@@ -197,6 +197,26 @@
 	return keys
 }
 
+// A part that comes before its new owner knows that it is one is not asked for again; one that came long ago is.
+func TestAPartThatCameEarly(t *testing.T) {
+	old := NewRing([]Member{{"a", 1}, {"b", 1}, {"c", 1}}, 2)
+	next := NewRing([]Member{{"b", 1}, {"c", 1}}, 2)
+	for late, want := range map[time.Duration]bool{time.Second: true, earlyFor: false} {
+		c := NewSessions(SessionsConfig{Self: Member{"c", 1}})
+		c.Members(at(0), old, false, nil)
+		c.Tick(at(2 * MarkFor))
+		var p Part
+		for old.Owns("c", p) {
+			p++
+		}
+		c.Took(at(2*MarkFor), p)
+		c.Members(at(2*MarkFor+late), next, false, nil)
+		if c.Sure(p) != want {
+			t.Errorf("after %v: sure is %v", late, c.Sure(p))
+		}
+	}
+}
+
 // Two owners that differ in some sessions find them by digests, and send those ranges alone.
 func TestRepairByDigests(t *testing.T) {
 	a, b := NewSessions(SessionsConfig{Self: Member{"a", 1}, Sessions: 1 << 20}), NewSessions(SessionsConfig{Self: Member{"b", 1}, Sessions: 1 << 20})
@@ -290,4 +310,11 @@
 	if a.Digest(r) != b.Digest(r) {
 		t.Error("the same is known, and the digests differ")
 	}
+	neighbour := k
+	neighbour[15]++
+	b.Hold(at(0), neighbour, "box", "", time.Second)
+	b.Tick(at(time.Second + Skew + OldFor))
+	if b.find(neighbour) != nil || a.Digest(r) != b.Digest(r) {
+		t.Error("one that is over stays in the digest")
+	}
 }
--- a/share/use.go
+++ b/share/use.go
@@ -16,8 +16,8 @@
 	// clock is off by e counts into windows that are e apart from the others': what it tells is taken as of its own windows (see
 	// Seen.Off), so its part lags by no more than before, and Total is wrong by what it has used in e.
 	Window = time.Second
-	// TenSeconds are the windows of the older forms, by class.
-	TenSeconds = 10 * Window
+	// ClassWindow are the windows of the older forms, by class.
+	ClassWindow = 10 * Window
 	// ring is how many seconds are kept: ten for Total, and one on each side for clocks.
 	ring = 12
 	// Ahead and behind, in seconds: how far a count's window may be from the own one. Farther are clocks beyond Skew, or old news.
@@ -207,7 +207,7 @@
 	if u.cfg.Form < 2 {
 		work = 0
 	}
-	tens := uint32(now.Wall / TenSeconds)
+	tens := uint32(now.Wall / ClassWindow)
 	u.add(c, tens, "", let, work)
 	if class != "" && u.cfg.Form >= 2 {
 		u.add(c, tens, class, let, work)
@@ -345,7 +345,7 @@
 			}
 		}
 	}
-	tens := uint32(now.Wall / TenSeconds)
+	tens := uint32(now.Wall / ClassWindow)
 	if seconds { // what was told of the seconds may not be all
 		if k := c.at(tens, class); k != nil && uint64(k.requests) > n.Requests {
 			n.Requests, n.Work = uint64(k.requests), max(n.Work, float64(k.work)/1e6)
@@ -353,7 +353,7 @@
 		}
 		return n
 	}
-	left := 1 - float64(now.Wall%TenSeconds)/float64(TenSeconds)
+	left := 1 - float64(now.Wall%ClassWindow)/float64(ClassWindow)
 	for i := range c.tens {
 		k := &c.tens[i]
 		part := 1.0
