cluster: sessions and use in shards, orders asked for before they go, hand-over and repair

An order that comes again at another instance ran twice: nobody there knew of it. Sessions and use of package share now stand in 16 shards, each under its lock. With fleet.session_header or session_cookie an unsafe or keyed request is marked at its owners before the engine gets it, for 50 ms at the most; a repeat gets the known answer, goes on to its pool (keyed), or fails with 409 in words. What a process owns is handed over before a planned end, given to new owners after a crash, and compared by digests each 3 s. Tenants' requests and box time are told to all each second.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -9,6 +9,7 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -22,6 +23,7 @@
 
 	"glencart/detect"
 	"glencart/internal/cluster/wire"
+	"glencart/share"
 )
 
 // Config is what a Cluster is built from. Cluster, Name and Listen are needed.
@@ -34,6 +36,10 @@
 	Networks  []netip.Prefix // who is heard and spoken to; none: DefaultNetworks
 	Away      time.Duration  // Leave says that this process is back within it; 0: that it does not come back
 
+	Wait   time.Duration // that a call waits for the owners of its session at the most; 0: 50ms
+	Keep   time.Duration // how long a call's mark matters: as long as clients repeat; 0: a minute
+	Owners int           // of each session; 0: share.Owners
+
 	Log *slog.Logger
 	// Sized is told how many members there may be, each time the number has changed, from one goroutine; nil: nobody is.
 	Sized func(n int)
@@ -68,7 +74,10 @@
 	counts   counts
 	pulls    atomic.Uint64 // exchanges that came to their end
 
+	repaired atomic.Uint64 // comparisons that found something
+
 	members members
+	shared  shared
 	view    atomic.Pointer[View]
 	rearm   chan struct{} // the timer looks again when it is due
 	inbox   chan datagram
@@ -91,6 +100,7 @@
 	}
 	c := &Cluster{cfg: cfg, net: n, log: cfg.Log.With("part", "fleet"), number: wire.Number(cfg.Cluster), listener: l, packets: p, born: time.Now(),
 		rearm: make(chan struct{}, 1), inbox: make(chan datagram, inboxMost), notes: make(chan detect.Action, notesMost)}
+	c.cfg.Owners = cmp.Or(cfg.Owners, share.Owners)
 	c.aside.SetLimit(asideMost)
 	c.counts.log = c.log
 	c.Networks(cfg.Networks)
@@ -102,6 +112,10 @@
 	d.Start = detect.FirstStart(c.born, uint32(d.Seed))
 	c.members.rank, c.members.detect, c.members.size = rankMembers, detect.New(d), 1
 	c.members.since = map[string]time.Duration{}
+	if err := c.openShared(d.Start); err != nil {
+		c.Close()
+		return nil, err
+	}
 	c.members.Lock()
 	c.replace(0)
 	c.members.Unlock()
@@ -147,14 +161,18 @@
 	}
 	c.handle(detect.Event{Kind: detect.Begin}, nil)
 	g.Go(func() error { c.ticks(ctx); return nil })
+	g.Go(func() error { c.tend(ctx); return nil })
 	err := g.Wait()
 	c.aside.Wait()
+	c.shared.marks.Wait()
+	c.shared.moves.Wait()
 	return err
 }
 
-// Leave tells others that this process ends, or is away for Config.Away. From here on it takes no part. It waits for nobody, but says
-// so a few times: who does not hear it would find this process dead.
+// Leave hands over what this process owns, and tells others that it ends, or is away for Config.Away. From here on it takes no part. It
+// waits for handWithin at the most, and says so a few times: who does not hear it would find this process dead.
 func (c *Cluster) Leave() {
+	c.handOver()
 	ev := detect.Event{Kind: detect.Leave}
 	if c.cfg.Away > 0 {
 		ev = detect.Event{Kind: detect.GoAway, Until: c.cfg.Away}
--- a/internal/cluster/counts.go
+++ b/internal/cluster/counts.go
@@ -28,11 +28,14 @@
 	exchangeLost               // an exchange by stream that failed
 	exchangeMany               // an exchange that was not begun: too many were under way
 	lostNotes                  // a change that the log does not have
+	handLost                   // a hand-over that failed
+	handMany                   // one that was not begun: too many were under way
+	notTold                    // a record that has no form that a member reads
 	reasons
 )
 
 var reasonNames = [reasons]string{"outside", "garbage", "too_long", "too_new", "foreign", "crowded", "not_sent", "shortened",
-	"exchange_lost", "exchange_many", "lost_notes"}
+	"exchange_lost", "exchange_many", "lost_notes", "hand_lost", "hand_many", "not_told"}
 
 // remedies are those of what comes from outside; the others are told by View alone.
 var remedies = [reasons]string{
@@ -52,6 +55,14 @@
 	n    [reasons]atomic.Uint64
 	once [reasons]sync.Once
 	rate [reasons]*lograte.Limited
+
+	waits    atomic.Uint64 // requests that waited for owners
+	waitedUs atomic.Uint64 // for how long in all
+}
+
+func (c *counts) waited(d time.Duration) {
+	c.waits.Add(1)
+	c.waitedUs.Add(uint64(d.Microseconds()))
 }
 
 func (c *counts) add(r reason) { c.n[r].Add(1) }
--- a/internal/cluster/datagrams.go
+++ b/internal/cluster/datagrams.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"glencart/detect"
 	"glencart/internal/cluster/wire"
 )
@@ -99,6 +101,10 @@
 		c.counts.drop(reasonOf(err), d.from.String())
 		return
 	}
+	if p.GetMarks() != nil || p.GetRecords() != nil {
+		c.tookShared(p, d.from.String())
+		return
+	}
 	m, ok := p.ToDetect()
 	if !ok || m.Kind == detect.Push || m.Kind == detect.Pull {
 		if p.GetProbe().GetKind() <= wire.Kind_PULL { // else a later release's: skipped
@@ -109,6 +115,29 @@
 	c.handle(detect.Event{Kind: detect.Got, From: d.from.String(), Message: m}, nil)
 }
 
+// tookShared takes marks, replies and records that came by datagram. They are believed from whoever may speak here, as all else is.
+func (c *Cluster) tookShared(p *wire.Packet, from string) {
+	w, ok := p.From.ToWord()
+	switch m := p.GetMarks(); {
+	case !ok:
+		c.counts.drop(garbage, from)
+	case p.GetRecords() != nil:
+		c.records(&wire.Records{List: p.GetRecords().List}, from)
+	case m.Reply:
+		c.replies(p, from)
+	default:
+		reply := c.marked(p, from)
+		if len(reply.List) == 0 {
+			return
+		}
+		to := from // as with all answers, but for one that goes by stream
+		if proto.Size(reply) > wire.DatagramMost-datagramRoom {
+			to = w.Addr
+		}
+		c.sendMarks(to, reply)
+	}
+}
+
 // send sends a message. What has no room is left out, the last first: the youngest news stands first.
 func (c *Cluster) send(addr string, m detect.Message) {
 	b, err := wire.Encode(c.number, wire.FromDetect(m))
--- a/internal/cluster/locks.go
+++ b/internal/cluster/locks.go
@@ -1,6 +1,6 @@
 package cluster
 
-// This file holds the order of locks. A goroutine takes them in rising rank only: members, schema, shards by rising number, links.
+// This file holds the order of locks. A goroutine takes them in rising rank only: members, schema, ages, shards by rising number, links.
 // Tests check it: a wrong order panics at once, whether or not two goroutines met.
 
 import (
@@ -16,6 +16,7 @@
 const (
 	rankMembers = 1
 	rankSchema  = 2
+	rankAges    = 15
 	rankShards  = 16
 	rankLinks   = 1 << 20
 )
@@ -60,7 +61,7 @@
 	}
 	mine := held.by[id]
 	if n := len(mine); n > 0 && mine[n-1] >= l.rank {
-		panic(fmt.Sprintf("locks: rank %d after %v: the order is members, schema, shards by rising number, links", l.rank, mine))
+		panic(fmt.Sprintf("locks: rank %d after %v: the order is members, schema, ages, shards by rising number, links", l.rank, mine))
 	}
 	held.by[id] = append(mine, l.rank)
 }
--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -94,6 +94,12 @@
 	if changed {
 		c.replace(now)
 	}
+	if changed {
+		select {
+		case c.shared.moved <- struct{}{}:
+		default:
+		}
+	}
 	for _, a := range out { // after the view: whoever takes one looks there for the size
 		if a.Kind == detect.Send || a.Kind == detect.Exchange {
 			continue
--- /dev/null
+++ b/internal/cluster/shards.go
@@ -0,0 +1,192 @@
+package cluster
+
+// This file has the tables of use and sessions, in shards, each under a lock of its own, and who owns which part of them.
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
+
+	"glencart/detect"
+	"glencart/internal/cluster/wire"
+	"glencart/schema"
+	"glencart/share"
+)
+
+// shardCount is a power of two: the keys of a part are in one shard. Some cores that ask at once seldom meet in one.
+const shardCount = 16
+
+// movesMost is how many hand-overs and comparisons may be under way.
+const movesMost = 8
+
+// shard is one of them.
+type shard struct {
+	lock
+	sessions *share.Sessions
+	use      *share.Use
+	waiting  map[asked]chan struct{} // closed once nobody is waited for any more
+}
+
+// asked is a call for which a request waits.
+type asked struct {
+	key  share.Key
+	call uint64
+}
+
+// shared is what this process knows together with others.
+type shared struct {
+	self   share.Member
+	book   *schema.Book
+	shards [shardCount]shard
+	ages   struct {
+		lock
+		*share.Ages
+	}
+	tenants atomic.Pointer[[]*Tenant]
+	used    atomic.Pointer[Used]
+	ring    atomic.Pointer[share.Ring] // nil: nobody was met yet
+	moved   chan struct{}              // somebody came or went
+	marks   errgroup.Group             // marks that go by stream
+	moves   errgroup.Group             // hand-overs and comparisons that wait for the network
+
+	// For the goroutine that tends alone:
+	members  []share.Member
+	minority bool
+	alone    atomic.Bool // minority, for others to see
+}
+
+func (c *Cluster) openShared(start uint64) error {
+	s := &c.shared
+	s.self = share.Member{Name: c.cfg.Name, Start: start}
+	s.book = &schema.Book{}
+	if err := share.Register(s.book); err != nil {
+		return err
+	}
+	for i := range s.shards {
+		s.shards[i] = shard{lock: lock{rank: rankShards + i}, waiting: map[asked]chan struct{}{}, use: share.NewUse(share.UseConfig{Self: s.self}),
+			sessions: share.NewSessions(share.SessionsConfig{Self: s.self, Shard: i, Shards: shardCount, Wait: c.cfg.Wait, MarkFor: c.cfg.Keep,
+				Sessions: sessionsMost / shardCount, Bytes: sessionBytesMost / shardCount})}
+	}
+	s.ages.rank, s.ages.Ages = rankAges, share.NewAges(s.self)
+	s.moved = make(chan struct{}, 1)
+	s.moves.SetLimit(movesMost)
+	s.marks.SetLimit(movesMost * 4)
+	s.tenants.Store(&[]*Tenant{})
+	s.used.Store(&Used{})
+	return nil
+}
+
+// Bounds of all shards together.
+const (
+	sessionsMost     = 200_000
+	sessionBytesMost = 64 << 20
+)
+
+// instant is now on both clocks.
+func (c *Cluster) instant() share.Now {
+	return share.Now{Own: c.now(), Wall: time.Duration(time.Now().UnixNano())}
+}
+
+func (s *shared) ofPart(p share.Part) *shard  { return &s.shards[p%shardCount] }
+func (s *shared) ofKey(k share.Key) *shard    { return s.ofPart(share.PartOf(k)) }
+func (s *shared) ofTenant(name string) *shard { return &s.shards[xxhash.Sum64String(name)%shardCount] }
+
+// member finds another process that may be there.
+func (c *Cluster) member(name string) (Member, bool) {
+	v := c.View()
+	at, found := slices.BinarySearchFunc(v.Members, name, func(m Member, n string) int {
+		switch {
+		case m.Name < n:
+			return -1
+		case m.Name > n:
+			return 1
+		}
+		return 0
+	})
+	if !found || v.Members[at].State == detect.Left || v.Members[at].State == detect.Dead {
+		return Member{}, false
+	}
+	return v.Members[at], true
+}
+
+// owners reckons anew who owns what, if somebody came or went, and has handed over what now is another's.
+//
+// One that is away owns nothing: it has handed over what it had. A process that was given seeds and has found nobody yet has no ring:
+// then nothing is sure, and repeats of which it knows nothing fail in words.
+func (c *Cluster) owners() {
+	s, v := &c.shared, c.View()
+	list := []share.Member{s.self}
+	for _, m := range v.Members {
+		if m.Name != s.self.Name && (m.State == detect.Alive || m.State == detect.Suspect) {
+			list = append(list, share.Member{Name: m.Name, Start: m.Start})
+		}
+	}
+	if len(list) == 1 && len(c.cfg.Seeds) > 0 && s.ring.Load() == nil {
+		return
+	}
+	minority := v.CutOff || v.Superseded || 2*len(list) <= v.Size
+	ring := s.ring.Load()
+	if ring != nil && minority == s.minority && slices.Equal(list, s.members) {
+		return
+	}
+	if !slices.Equal(list, s.members) {
+		ring = share.NewRing(list, c.cfg.Owners)
+	}
+	s.ring.Store(ring)
+	s.alone.Store(minority)
+	s.members, s.minority = list, minority
+	var out []share.Transfer
+	now := c.instant()
+	for i := range s.shards {
+		sh := &s.shards[i]
+		sh.Lock()
+		out = sh.sessions.Members(now, ring, minority, out)
+		sh.Unlock()
+	}
+	for to, list := range byMember(out) {
+		if !s.moves.TryGo(func() error { c.hand(c.running, to, list); return nil }) {
+			c.counts.add(handMany) // comparing makes up for it
+		}
+	}
+}
+
+// told words what is known together.
+func (c *Cluster) told() *wire.Shared {
+	s := &c.shared
+	ring := s.ring.Load()
+	m := &wire.Shared{Minority: s.alone.Load(), Repaired: c.repaired.Load(), Waits: c.counts.waits.Load(), WaitedUs: c.counts.waitedUs.Load(),
+		Tenants: map[string]*wire.TenantUse{}}
+	if ring != nil {
+		m.Ring = uint32(ring.Size())
+	}
+	for i := range s.shards {
+		sh := &s.shards[i]
+		sh.Lock()
+		st := sh.sessions.Stats()
+		for p := i; p < share.Parts; p += shardCount {
+			if ring.Owns(s.self.Name, share.Part(p)) && !sh.sessions.Sure(share.Part(p)) {
+				m.Unsure++
+			}
+		}
+		sh.Unlock()
+		m.Sessions += uint64(st.Sessions)
+		m.Unprotected += st.Unprotected
+		m.FailedInWords += st.FailedInWords
+		m.KnownAnswers += st.KnownAnswers
+	}
+	for name, t := range c.Used().Tenants {
+		m.Tenants[name] = &wire.TenantUse{Asked: t.Total.Asked, Requests: t.Total.Requests, Work: t.Total.Work, Part: t.Allowance.Part}
+	}
+	return m
+}
+
+func byMember(list []share.Transfer) map[string][]share.Transfer {
+	out := map[string][]share.Transfer{}
+	for _, t := range list {
+		out[t.To] = append(out[t.To], t)
+	}
+	return out
+}
--- a/internal/cluster/streams.go
+++ b/internal/cluster/streams.go
@@ -126,9 +126,19 @@
 		return
 	}
 	m, ok := p.ToDetect()
+	_, member := p.From.ToWord()
 	switch {
 	case !c.allowed(remote.Addr()):
 		c.counts.drop(outside, from)
+	case member && p.GetRecords() != nil:
+		c.put(conn, &wire.Packet{Body: &wire.Packet_Records{Records: c.records(p.GetRecords(), p.From.Name)}})
+	case member && p.GetDigests() != nil:
+		c.put(conn, &wire.Packet{Body: &wire.Packet_Digests{Digests: c.digests(p.GetDigests())}})
+	case member && p.GetMarks().GetReply():
+		c.replies(p, from)
+		c.put(conn, &wire.Packet{Body: &wire.Packet_Marks{Marks: &wire.Marks{Reply: true}}})
+	case member && p.GetMarks() != nil:
+		c.put(conn, &wire.Packet{From: wire.FromWord(c.View().Self), Body: &wire.Packet_Marks{Marks: c.marked(p, from)}})
 	case !ok || m.Kind != detect.Push:
 		c.counts.drop(garbage, from)
 	default:
@@ -145,7 +155,7 @@
 // known words the view.
 func (c *Cluster) known() *wire.Packet {
 	v := c.View()
-	m := &wire.Members{Size: uint32(v.Size), CutOff: v.CutOff, Superseded: v.Superseded, Cause: v.Cause, Counts: c.Counts(), Exchanges: c.pulls.Load()}
+	m := &wire.Members{Size: uint32(v.Size), CutOff: v.CutOff, Superseded: v.Superseded, Cause: v.Cause, Counts: c.Counts(), Exchanges: c.pulls.Load(), Shared: c.told()}
 	for _, x := range v.Members {
 		m.List = append(m.List, &wire.Member{Word: wire.FromWord(x.Word), Link: x.Link.String(), SinceMs: time.Since(x.Since).Milliseconds()})
 	}
--- a/internal/cluster/wire/wire.go
+++ b/internal/cluster/wire/wire.go
@@ -66,6 +66,7 @@
 // Numbers of the fields of a Packet that hold lists.
 const (
 	probeField   = 4
+	marksField   = 7 // and what is between them
 	membersField = 10
 )
 
@@ -82,7 +83,7 @@
 			return true
 		}
 		var inner []byte
-		if kind == protowire.BytesType && (num == probeField || num == membersField) { // all that holds lists
+		if kind == protowire.BytesType && (num >= probeField && num <= marksField || num == membersField) { // all that holds lists
 			inner, _ = protowire.ConsumeBytes(b)
 		}
 		b = b[n:]
--- a/internal/front/http/attempt.go
+++ b/internal/front/http/attempt.go
@@ -112,6 +112,10 @@
 		end(balance.Unused, nil)
 		return
 	}
+	if m.tenant != nil {
+		began := time.Now()
+		defer func() { m.tenant.Spend(time.Since(began)) }()
+	}
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	cn.SetDeadline(a.Deadline)
 	text := m.wire()
--- a/internal/front/http/fleet.go
+++ b/internal/front/http/fleet.go
@@ -30,7 +30,8 @@
 	}
 	f := s.Fleet
 	c, err := cluster.Open(cluster.Config{Cluster: f.Cluster, Name: f.Name, Listen: f.Listen, Advertise: f.Advertise, Seeds: f.Seeds,
-		Networks: fleetNetworks(f), Away: time.Duration(f.Away), Log: v.log, Sized: func(int) { v.countInstances() },
+		Networks: fleetNetworks(f), Away: time.Duration(f.Away),
+		Wait: time.Duration(f.Wait), Keep: time.Duration(f.Keep), Owners: f.Owners, Log: v.log, Sized: func(int) { v.countInstances() },
 		Detect: detect.Config{Every: time.Duration(f.Every), AnswerWithin: time.Duration(f.Every) * 3 / 10, Suspicion: time.Duration(f.Suspicion)},
 	}, cluster.System{})
 	if err != nil {
--- a/internal/front/http/handle.go
+++ b/internal/front/http/handle.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"glencart/internal/cluster"
 	"glencart/internal/engine"
 	"glencart/route"
 )
@@ -45,6 +46,7 @@
 	unsafe               bool
 	within               time.Duration // until the answer's head, from the last byte of a body that streams
 	attempts             atomic.Int32
+	tenant               *cluster.Tenant // whose use is counted over all instances; nil: nobody's
 
 	// What streams: the rest of the body, which one attempt reads from the client.
 	rest   io.Reader
@@ -234,6 +236,7 @@
 		c.fixed()
 		return
 	}
+	s := c.session()
 	r, m, status, err := c.read(path)
 	if err != nil {
 		c.w.Header().Set("Connection", "close")
@@ -245,6 +248,10 @@
 	}
 	c.log.pool = c.tg.Pool
 	defer c.close(m)
+	t, ok := c.admit(s, r, m)
+	if !ok {
+		return
+	}
 	p := c.tg.pool
 	p.loop.Post(func() { p.loop.Arrive(r) })
 	select {
@@ -252,8 +259,12 @@
 		if m.attempts.Load() > 1 {
 			delete(m.reply.header, neverRanHeader) // this box knows nothing of the others
 		}
+		m.tenant.Ask(true)
+		c.ended(t, m, nil)
 		c.pass(m.reply)
 	case a := <-r.Reply:
+		m.tenant.Ask(a.Kind != engine.Refused)
+		c.ended(t, m, &a)
 		c.answer(m, a)
 	case <-c.hr.Context().Done():
 		p.loop.Post(func() { p.loop.Gone(r) })
@@ -388,6 +399,9 @@
 	if name := s.Node.Tenant; name != "" {
 		if i, ok := c.gen.tenants[hr.Header.Get(name)]; ok {
 			r.Tenant = i
+			if i < len(c.gen.used) {
+				m.tenant = c.gen.used[i]
+			}
 		}
 	}
 	if hr.ContentLength != 0 && !m.upgrade {
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"glencart/internal/clients"
+	"glencart/internal/cluster"
 	"glencart/internal/living"
 	"glencart/internal/site"
 	"glencart/life"
@@ -63,7 +64,8 @@
 	certs   map[string][]tls.Certificate // by listener
 	trusted []netip.Prefix
 	tenants map[string]int
-	refs    atomic.Int64 // requests
+	used    []*cluster.Tenant // by tenant; none: they are not counted
+	refs    atomic.Int64      // requests
 	over    chan struct{}
 }
 
@@ -108,6 +110,7 @@
 		v.abandon(g)
 		return nil, err
 	}
+	g.used = v.tenantsUsed(s)
 	v.living.Tell(life.Event{Kind: life.Opened})
 	return v, nil
 }
@@ -246,6 +249,7 @@
 	}
 	if v.others != nil {
 		v.others.Networks(fleetNetworks(s.Fleet))
+		g.used = v.tenantsUsed(s)
 	}
 	v.mu.Lock()
 	v.alive[g] = true
--- a/internal/site/fleet.go
+++ b/internal/site/fleet.go
@@ -23,6 +23,14 @@
 	Away      Duration `toml:"away,omitempty"`      // an end is told as a restart that is over within this; 0: as an end
 	Every     Duration `toml:"every,omitempty"`     // between two asks; 0: 1s
 	Suspicion Duration `toml:"suspicion,omitempty"` // the shortest time from the first doubt to dead; 0: 5s
+
+	// Sessions, and orders that come again at another instance. With neither of the first two nothing is asked for.
+	SessionHeader string   `toml:"session_header,omitempty"` // the request header whose value names the session
+	SessionCookie string   `toml:"session_cookie,omitempty"` // or the cookie
+	RepeatHeader  string   `toml:"repeat_header,omitempty"`  // one that is "1" in what the client sends again; none: nobody says so
+	Wait          Duration `toml:"wait,omitempty"`           // for the owners of a session, at the most; 0: 50ms
+	Owners        int      `toml:"owners,omitempty"`         // instances that keep a session; 0: 2
+	Keep          Duration `toml:"keep,omitempty"`           // how long an order is known after it began; 0: 1m
 }
 
 // FleetReloads are the keys of [fleet] that a reload may change.
@@ -35,6 +43,11 @@
 	fleetEveryMost  = Duration(10 * time.Second)
 	fleetSuspectMin = Duration(500 * time.Millisecond)
 	fleetSuspectMax = Duration(5 * time.Minute)
+	fleetWaitLeast  = Duration(time.Millisecond)
+	fleetWaitMost   = Duration(time.Second)
+	fleetKeepLeast  = Duration(time.Second)
+	fleetKeepMost   = Duration(5 * time.Minute)
+	fleetOwnersMost = 5
 )
 
 var fleetName = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
@@ -94,6 +107,33 @@
 	span("away", f.Away, Duration(time.Second), fleetAwayMost)
 	span("every", f.Every, fleetEveryLeast, fleetEveryMost)
 	span("suspicion", f.Suspicion, fleetSuspectMin, fleetSuspectMax)
+	span("wait", f.Wait, fleetWaitLeast, fleetWaitMost)
+	span("keep", f.Keep, fleetKeepLeast, fleetKeepMost)
+	c.fleetSessions(f)
+}
+
+func (c *checker) fleetSessions(f *Fleet) {
+	for _, x := range []struct{ key, name string }{{"session_header", f.SessionHeader}, {"session_cookie", f.SessionCookie}, {"repeat_header", f.RepeatHeader}} {
+		if x.name != "" && !token.MatchString(x.name) {
+			c.fault("fleet."+x.key, "%q can't be the name of a header or cookie: correct it", x.name)
+		}
+	}
+	if f.SessionHeader != "" && f.SessionCookie != "" {
+		c.fault("fleet.session_cookie", "session_header is given too: take one out")
+	}
+	if f.Owners != 0 && (f.Owners < 2 || f.Owners > fleetOwnersMost) {
+		c.fault("fleet.owners", "%d: write 2 to %d: with fewer a crash loses what is known", f.Owners, fleetOwnersMost)
+	}
+	if f.SessionHeader == "" && f.SessionCookie == "" {
+		for _, x := range []struct {
+			key   string
+			given bool
+		}{{"repeat_header", f.RepeatHeader != ""}, {"wait", f.Wait != 0}, {"owners", f.Owners != 0}, {"keep", f.Keep != 0}} {
+			if x.given {
+				c.fault("fleet."+x.key, "counts for sessions only: give session_header or session_cookie, or take it out")
+			}
+		}
+	}
 }
 
 // fleetNetworks checks the networks; none: nothing is known of them.
--- a/share/bound.go
+++ b/share/bound.go
@@ -182,7 +182,7 @@
 			}
 		}
 		if len(to) > 0 {
-			out = append(out, Marked{t.record(s), to})
+			out = append(out, Marked{t.record(s), to, k.call})
 		} else if t.ring != nil {
 			delete(t.unacked, k)
 		}
--- a/share/ring.go
+++ b/share/ring.go
@@ -82,6 +82,9 @@
 	return g.owners[int(p)*g.r : (int(p)+1)*g.r : (int(p)+1)*g.r]
 }
 
+// Size is how many members there are.
+func (g *Ring) Size() int { return len(g.members) }
+
 // Owns tells whether a member is among them.
 func (g *Ring) Owns(name string, p Part) bool { return slices.Contains(g.Owners(p), name) }
 
--- a/share/session.go
+++ b/share/session.go
@@ -187,7 +187,7 @@
 		return t.Decide(now, p.q.Key, p.q.Call)
 	}
 	d.What, d.Wait, d.Attempt = Ask, t.cfg.Wait, p.attempt
-	d.Tell = Marked{t.record(t.find(p.q.Key)), p.to}
+	d.Tell = Marked{t.record(t.find(p.q.Key)), p.to, p.q.Call}
 	return d
 }
 
@@ -271,7 +271,7 @@
 	if d.What != Go && d.What != GoTo {
 		if own != nil { // else the cap has pushed it out
 			if c := t.mark(now, k, rankNever, body{end: own.end}); c != nil {
-				d.Tell = Marked{t.record(t.find(key)), t.others(key)}
+				d.Tell = Marked{t.record(t.find(key)), t.others(key), id}
 			}
 		}
 		return d
@@ -342,7 +342,7 @@
 	if t.mark(now, k, rank, b) == nil {
 		return Marked{}
 	}
-	return Marked{t.record(t.find(e.Key)), t.others(e.Key)}
+	return Marked{t.record(t.find(e.Key)), t.others(e.Key), e.Call}
 }
 
 // mark writes this instance's own word of a call; nil when there is no room.
@@ -387,7 +387,7 @@
 		return Marked{}
 	}
 	t.setHeld(now, s, h)
-	return Marked{t.record(s), t.others(key)}
+	return Marked{t.record(s), t.others(key), 0}
 }
 
 // until is when a session ends, in wall milliseconds.
--- a/share/sessrec.go
+++ b/share/sessrec.go
@@ -202,6 +202,15 @@
 	return string(append(binary.BigEndian.AppendUint64(b, m.Start), m.Name...))
 }
 
+// OfCall is what a session's record says of one call, and of what holds the session: small enough for a datagram, but for an answer. It
+// is right by itself when it is merged.
+func OfCall(r schema.Record, id uint64) schema.Record {
+	r.Fields = slices.DeleteFunc(slices.Clone(r.Fields), func(f schema.Field) bool {
+		return f.Num == sessCall && (len(f.Sub) < 8 || be64(f.Sub) != id)
+	})
+	return r
+}
+
 func readCallSub(s string) (id uint64, m Member, ok bool) {
 	if len(s) < 17 || len(s) > 16+maxName {
 		return 0, Member{}, false
--- a/share/types.go
+++ b/share/types.go
@@ -208,6 +208,7 @@
 type Marked struct {
 	Record schema.Record
 	To     []string // names of owners beside this instance. Not to be changed
+	Call   uint64   // of which it is a word; 0 with Hold
 }
 
 // Ended is how an attempt of this instance has ended, or what became known of it.
