--- a/internal/cluster/records.go
+++ b/internal/cluster/records.go
@@ -328,12 +328,18 @@
 		theirs[p] = true
 	}
 	now := c.instant()
+	var sh *shard // parts come by shard: its lock is taken once for all of them
 	for i, p := range m.Parts {
 		if p >= share.Parts {
 			continue
 		}
-		sh := c.shared.ofPart(share.Part(p))
-		sh.Lock()
+		if next := c.shared.ofPart(share.Part(p)); next != sh {
+			if sh != nil {
+				sh.Unlock()
+			}
+			sh = next
+			sh.Lock()
+		}
 		if sh.sessions.Sure(share.Part(p)) {
 			a.Sure = append(a.Sure, p)
 		}
@@ -343,6 +349,8 @@
 		} else if theirs[p] {
 			sh.sessions.Took(now, share.Part(p))
 		}
+	}
+	if sh != nil {
 		sh.Unlock()
 	}
 	return a
