--- a/internal/cli/instances.go
+++ b/internal/cli/instances.go
@@ -24,6 +24,30 @@
 	Exchanges  uint64            `json:"exchanges"` // full ones that came to their end
 	Dropped    map[string]uint64 `json:"dropped,omitempty"`
 	Instances  []instanceLine    `json:"instances"`
+	Shared     *sharedLine       `json:"shared,omitempty"` // none: of an older release
+}
+
+// sharedLine is what it knows together with others: docs/FLEET-OF-SERVE.md.
+type sharedLine struct {
+	Owners        uint32              `json:"owners"` // members that own sessions; 0: it has met none yet
+	Unsure        uint32              `json:"unsure"` // parts that it owns and is not sure of
+	Minority      bool                `json:"minority,omitempty"`
+	Sessions      uint64              `json:"sessions"`
+	Unprotected   uint64              `json:"unprotected"`
+	FailedInWords uint64              `json:"failedInWords"`
+	KnownAnswers  uint64              `json:"knownAnswers"`
+	Repaired      uint64              `json:"repaired"` // comparisons that found something
+	Waits         uint64              `json:"waits"`    // orders that waited for owners
+	Waited        time.Duration       `json:"waited"`   // in all, ns
+	Tenants       map[string]usedLine `json:"tenants,omitempty"`
+}
+
+// usedLine is what all instances let a tenant use in the last ten seconds.
+type usedLine struct {
+	Asked    uint64  `json:"asked"`
+	Requests uint64  `json:"requests"`
+	Work     float64 `json:"work"` // seconds of box time
+	Part     float64 `json:"part"` // of its limit that is this instance's now
 }
 
 // instanceLine is one instance as it is shown.
@@ -62,6 +86,13 @@
 	if m.CutOff {
 		v.CutOff = m.Cause
 	}
+	if s := m.Shared; s != nil {
+		v.Shared = &sharedLine{s.Ring, s.Unsure, s.Minority, s.Sessions, s.Unprotected, s.FailedInWords, s.KnownAnswers, s.Repaired, s.Waits,
+			time.Duration(s.WaitedUs) * time.Microsecond, map[string]usedLine{}}
+		for name, t := range s.Tenants {
+			v.Shared.Tenants[name] = usedLine{t.GetAsked(), t.GetRequests(), t.GetWork(), t.GetPart()}
+		}
+	}
 	for _, i := range m.List {
 		w, ok := i.GetWord().ToWord()
 		if !ok {
--- a/internal/cluster/shared_test.go
+++ b/internal/cluster/shared_test.go
@@ -95,6 +95,41 @@
 	})
 }
 
+// Two of five are cut off, until they know the others as dead. Both own what they are asked for, and were sure of it: what is marked as a
+// repeat fails in words all the same, for it may have run on the other side.
+func TestMinority(t *testing.T) {
+	inMemory(t, 5, func(t *testing.T, net *memnet.Net, all []*member) {
+		var calls []Query
+		for i := 0; len(calls) < 10; i++ {
+			q := orderOf(i)
+			q.Repeat = true
+			if p, ring := share.PartOf(q.Key), all[0].shared.ring.Load(); ring.Owns("m1", p) && ring.Owns("m2", p) {
+				calls = append(calls, q)
+			}
+		}
+		cut := func(l memnet.Link) {
+			for _, m := range all[:2] {
+				for _, o := range all[2:] {
+					net.Set(m.addr, o.addr, l)
+					net.Set(o.addr, m.addr, l)
+				}
+			}
+		}
+		cut(memnet.Link{Cut: true})
+		time.Sleep(time.Minute)
+		if r := all[0].shared.ring.Load().Size(); r != 2 {
+			t.Fatalf("a ring of %d", r)
+		}
+		for _, q := range calls {
+			if _, v := all[0].Admit(t.Context(), q); v.What != share.Unsure || v.Why != share.Minority {
+				t.Errorf("a repeat on the smaller side: %v", v)
+			}
+		}
+		cut(memnet.Link{})
+		time.Sleep(time.Minute)
+	})
+}
+
 // same checks that owners of one part know the same.
 func same(t *testing.T, all []*member) {
 	t.Helper()
