cluster: which schema of records the fleet writes, agreed among processes

Records went out at the newest form that the sender knows, whoever was to read them.

Package schema's Levels stand under a lock of their own, after that of the members. Words go by datagram, as soon as one has changed and each second, and ride on full exchanges. What is known stands in the view: records go at the form that both ends read and the fleet writes, none go to who is unfit, who owns nothing either; a form that this release does not read is left out and counted. A reply that would have to leave its record out is not sent: it would say that nothing is known.

A process agrees to nothing in the 5 s after its first exchange: without that, two of a new release that are started at once and meet each other first write their schema before they have heard of the five others, and make them unfit.

Three processes are upgraded from schema 2 to 3 by restarts under load, one killed half-way, and rolled back: every request answered, the same written at all, in 10 s. The old release of the tests is this program linked with a bound on what it reads.

--- a/internal/cli/instances.go
+++ b/internal/cli/instances.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -23,6 +24,7 @@
 	Superseded bool              `json:"superseded,omitempty"`
 	Exchanges  uint64            `json:"exchanges"` // full ones that came to their end
 	Dropped    map[string]uint64 `json:"dropped,omitempty"`
+	Written    map[string]string `json:"written,omitempty"` // turn and schema, by kind of records
 	Instances  []instanceLine    `json:"instances"`
 	Shared     *sharedLine       `json:"shared,omitempty"` // none: of an older release
 }
@@ -59,6 +61,7 @@
 	Address string        `json:"address"`
 	Start   uint64        `json:"start"`
 	Self    bool          `json:"self,omitempty"`
+	Reads   string        `json:"reads,omitempty"` // schemas, by kind of records, and what its operator holds back
 }
 
 // askWithin bounds the wait for a running process.
@@ -93,13 +96,34 @@
 			v.Shared.Tenants[name] = usedLine{t.GetAsked(), t.GetRequests(), t.GetWork(), t.GetPart()}
 		}
 	}
+	reads := map[string]string{}
+	for n, s := range m.GetLevels().GetList() {
+		said, ok := s.ToSaid()
+		if !ok {
+			continue
+		}
+		for _, x := range said.Stands {
+			if n == 0 { // who was asked
+				if v.Written == nil {
+					v.Written = map[string]string{}
+				}
+				v.Written[x.Kind.String()] = x.Written.String()
+			}
+			text := fmt.Sprintf("%s %d-%d", x.Kind, x.Lo, x.Hi)
+			if x.Held != 0 {
+				text += fmt.Sprintf(" held at %d", x.Held)
+			}
+			id := fmt.Sprint(said.Name, said.Start)
+			reads[id] = strings.TrimPrefix(reads[id]+", "+text, ", ")
+		}
+	}
 	for _, i := range m.List {
 		w, ok := i.GetWord().ToWord()
 		if !ok {
 			return nil, fmt.Errorf("fleet: %s: a word that can't be read: is it of another release?", addr)
 		}
 		v.Instances = append(v.Instances, instanceLine{w.Name, w.State.String(), time.Duration(i.SinceMs) * time.Millisecond, i.Link, w.Addr, w.Start,
-			self.GetName() == w.Name && self.GetStart() == w.Start})
+			self.GetName() == w.Name && self.GetStart() == w.Start, reads[fmt.Sprint(w.Name, w.Start)]})
 	}
 	return v, nil
 }
@@ -116,14 +140,17 @@
 	if v.Superseded {
 		fmt.Fprintln(out, "  superseded: a later process has its name, it serves alone")
 	}
+	for _, kind := range slices.Sorted(maps.Keys(v.Written)) {
+		fmt.Fprintf(out, "  %s is written at %s (how often it was taken back, schema)\n", kind, v.Written[kind])
+	}
 	w := tabwriter.NewWriter(out, 2, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "  instance\tstate\tfor\tlink\taddress\t")
+	fmt.Fprintln(w, "  instance\tstate\tfor\tlink\taddress\treads\t")
 	for _, i := range v.Instances {
 		link := i.Link
 		if i.Self {
 			link = "itself"
 		}
-		fmt.Fprintf(w, "  %s\t%s\t%v\t%s\t%s\t\n", i.Name, i.State, i.For.Round(time.Second), link, i.Address)
+		fmt.Fprintf(w, "  %s\t%s\t%v\t%s\t%s\t%s\t\n", i.Name, i.State, i.For.Round(time.Second), link, i.Address, i.Reads)
 	}
 	w.Flush()
 	for _, why := range slices.Sorted(maps.Keys(v.Dropped)) {
--- a/internal/cluster/asks.go
+++ b/internal/cluster/asks.go
@@ -159,6 +159,9 @@
 			c.counts.drop(garbage, from)
 			break
 		}
+		if !c.reads(r) {
+			continue // no reply is one that was not heard
+		}
 		key := share.Key(m.Key)
 		sh := c.shared.ofKey(key)
 		sh.Lock()
@@ -167,7 +170,9 @@
 		sh.Unlock()
 		reply := &wire.Mark{Key: m.Key, Call: m.Call, Standing: uint32(as)}
 		if err == nil && known.Key != "" {
-			reply.Record = c.encode(share.OfCall(known, m.Call), p.From.GetName())
+			if reply.Record = c.encode(share.OfCall(known, m.Call), p.From.GetName()); reply.Record == nil {
+				continue // a reply without it would say that nothing is known
+			}
 		}
 		out.List = append(out.List, reply)
 	}
@@ -189,6 +194,9 @@
 				c.counts.drop(garbage, from)
 				return
 			}
+			if !c.reads(r) {
+				continue
+			}
 		}
 		k := asked{share.Key(m.Key), m.Call}
 		sh := c.shared.ofKey(k.key)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -23,6 +24,7 @@
 
 	"glencart/detect"
 	"glencart/internal/cluster/wire"
+	"glencart/schema"
 	"glencart/share"
 )
 
@@ -40,6 +42,9 @@
 	Keep   time.Duration // how long a call's mark matters: as long as clients repeat; 0: a minute
 	Owners int           // of each session; 0: share.Owners
 
+	Book *schema.Book           // forms of records that this release reads; nil: all of package share's
+	Hold map[schema.Kind]uint16 // no more than these schemas are to be written; a kind that is not there: any
+
 	Log *slog.Logger
 	// Sized is told how many members there may be, each time the number has changed, from one goroutine; nil: nobody is.
 	Sized func(n int)
@@ -77,6 +82,7 @@
 	repaired atomic.Uint64 // comparisons that found something
 
 	members members
+	levels  levels
 	shared  shared
 	view    atomic.Pointer[View]
 	rearm   chan struct{} // the timer looks again when it is due
@@ -112,7 +118,7 @@
 	d.Start = detect.FirstStart(c.born, uint32(d.Seed))
 	c.members.rank, c.members.detect, c.members.size = rankMembers, detect.New(d), 1
 	c.members.since = map[string]time.Duration{}
-	if err := c.openShared(d.Start); err != nil {
+	if err := errors.Join(c.openLevels(d.Start), c.openShared(d.Start)); err != nil {
 		c.Close()
 		return nil, err
 	}
@@ -162,6 +168,7 @@
 	c.handle(detect.Event{Kind: detect.Begin}, nil)
 	g.Go(func() error { c.ticks(ctx); return nil })
 	g.Go(func() error { c.tend(ctx); return nil })
+	g.Go(func() error { c.agree(ctx); return nil })
 	err := g.Wait()
 	c.aside.Wait()
 	c.shared.marks.Wait()
--- a/internal/cluster/counts.go
+++ b/internal/cluster/counts.go
@@ -31,11 +31,13 @@
 	handLost                   // a hand-over that failed
 	handMany                   // one that was not begun: too many were under way
 	notTold                    // a record that has no form that a member reads
+	notRead                    // a record in a form that this release does not read
+	misled                     // what was meant for a process of this name before this one
 	reasons
 )
 
 var reasonNames = [reasons]string{"outside", "garbage", "too_long", "too_new", "foreign", "crowded", "not_sent", "shortened",
-	"exchange_lost", "exchange_many", "lost_notes", "hand_lost", "hand_many", "not_told"}
+	"exchange_lost", "exchange_many", "lost_notes", "hand_lost", "hand_many", "not_told", "not_read", "misled"}
 
 // remedies are those of what comes from outside; the others are told by View alone.
 var remedies = [reasons]string{
--- a/internal/cluster/datagrams.go
+++ b/internal/cluster/datagrams.go
@@ -105,6 +105,10 @@
 		c.tookShared(p, d.from.String())
 		return
 	}
+	if p.Body == nil && p.Levels != nil {
+		c.heardLevels(p, d.from.String())
+		return
+	}
 	m, ok := p.ToDetect()
 	if !ok || m.Kind == detect.Push || m.Kind == detect.Pull {
 		if p.GetProbe().GetKind() <= wire.Kind_PULL { // else a later release's: skipped
@@ -121,6 +125,8 @@
 	switch m := p.GetMarks(); {
 	case !ok:
 		c.counts.drop(garbage, from)
+	case !c.meant(p):
+		c.counts.add(misled)
 	case p.GetRecords() != nil:
 		c.records(&wire.Records{List: p.GetRecords().List}, from)
 	case m.Reply:
--- a/internal/cluster/procs/harness_test.go
+++ b/internal/cluster/procs/harness_test.go
@@ -35,15 +35,19 @@
 // patience bounds every wait here: the slowest thing waited for is a death that one accuser alone has found.
 const patience = 90 * time.Second
 
-// program is what is tested. It is built once.
-var program string
+// program is what is tested, oldRelease one that reads no schema of records above 2. They are built once.
+var program, oldRelease string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "glencart-procs")
 	if err == nil {
 		program = filepath.Join(dir, "glencart-site")
 		var out []byte
-		if out, err = exec.Command("go", "build", "-o", program, "glencart/cmd/glencart-site").CombinedOutput(); err != nil {
+		// oldRelease is the same, but for the schemas that it reads.
+		oldRelease = program + "-2"
+		if out, err = exec.Command("go", "build", "-ldflags", "-X glencart/internal/cluster.readsMost=2", "-o", oldRelease, "glencart/cmd/glencart-site").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		} else if out, err = exec.Command("go", "build", "-o", program, "glencart/cmd/glencart-site").CombinedOutput(); err != nil {
 			err = fmt.Errorf("%w: %s", err, out)
 		}
 	}
@@ -65,6 +69,7 @@
 	ledger *box.Ledger
 	keys   string // of [fleet], for all
 	procs  []*proc
+	old    bool // processes are started with the old release
 }
 
 func newFleet(t *testing.T, keys string) *fleet {
@@ -131,7 +136,11 @@
 	p := &proc{f: f, name: name, door: door, file: filepath.Join(f.t.TempDir(), "site.toml"), ended: make(chan struct{}), more: make(chan struct{})}
 	seeds = slices.DeleteFunc(slices.Clone(seeds), func(d *relay.Door) bool { return d == door })
 	p.write(f.file(name, "127.0.0.1:0", door.Addr, seeds))
-	p.cmd = exec.Command(program, "--log-format", "json", "serve", p.file)
+	release := program
+	if f.old {
+		release = oldRelease
+	}
+	p.cmd = exec.Command(release, "--log-format", "json", "serve", p.file)
 	out, err := p.cmd.StderrPipe()
 	if err == nil {
 		err = p.cmd.Start()
--- a/internal/cluster/records.go
+++ b/internal/cluster/records.go
@@ -30,19 +30,16 @@
 	handPause = 500 * time.Millisecond
 )
 
-// form is at which schema a record goes to a member: the newest that both read.
-func (c *Cluster) form(kind schema.Kind, _ string) uint16 {
-	if kind == schema.Use {
-		return share.NewestUse
-	}
-	return share.NewestSession
-}
-
 // encode words a record for a member; nil: it can't be told to it.
 func (c *Cluster) encode(r schema.Record, to string) []byte {
-	if at := c.form(r.Kind, to); at != r.Schema {
+	at, most := c.Form(r.Kind, to)
+	if at == 0 {
+		c.counts.add(notTold)
+		return nil
+	}
+	if at != r.Schema {
 		var err error
-		if r, err = c.shared.book.To(r, at); err != nil {
+		if r, err = c.shared.book.Within(r, at, most); err != nil {
 			c.counts.add(notTold)
 			return nil
 		}
@@ -56,6 +53,9 @@
 	if err != nil {
 		return err
 	}
+	if !c.reads(r) {
+		return nil
+	}
 	s := &c.shared
 	switch {
 	case r.Kind == schema.Session && len(r.Key) == len(share.Key{}):
@@ -129,6 +129,7 @@
 		return nil, net.ErrClosed
 	}
 	p.From = wire.FromWord(c.View().Self)
+	p.ToStart = m.Start
 	return call(ctx, c.net, m.Addr, c.number, p)
 }
 
--- a/internal/cluster/shards.go
+++ b/internal/cluster/shards.go
@@ -96,20 +96,8 @@
 
 // member finds another process that may be there.
 func (c *Cluster) member(name string) (Member, bool) {
-	v := c.View()
-	at, found := slices.BinarySearchFunc(v.Members, name, func(m Member, n string) int {
-		switch {
-		case m.Name < n:
-			return -1
-		case m.Name > n:
-			return 1
-		}
-		return 0
-	})
-	if !found || v.Members[at].State == detect.Left || v.Members[at].State == detect.Dead {
-		return Member{}, false
-	}
-	return v.Members[at], true
+	m, ok := c.View().of(name)
+	return m, ok && m.State != detect.Left && m.State != detect.Dead
 }
 
 // owners reckons anew who owns what, if somebody came or went, and has handed over what now is another's.
@@ -119,15 +107,16 @@
 func (c *Cluster) owners() {
 	s, v := &c.shared, c.View()
 	list := []share.Member{s.self}
+	fit := c.Fit(schema.Session)
 	for _, m := range v.Members {
-		if m.Name != s.self.Name && (m.State == detect.Alive || m.State == detect.Suspect) {
+		if m.Name != s.self.Name && fit && c.Takes(schema.Session, m.Name, m.Start) && (m.State == detect.Alive || m.State == detect.Suspect) {
 			list = append(list, share.Member{Name: m.Name, Start: m.Start})
 		}
 	}
 	if len(list) == 1 && len(c.cfg.Seeds) > 0 && s.ring.Load() == nil {
 		return
 	}
-	minority := v.CutOff || v.Superseded || 2*len(list) <= v.Size
+	minority := !fit || v.CutOff || v.Superseded || 2*len(list) <= v.Size
 	ring := s.ring.Load()
 	if ring != nil && minority == s.minority && slices.Equal(list, s.members) {
 		return
--- a/internal/cluster/streams.go
+++ b/internal/cluster/streams.go
@@ -29,7 +29,9 @@
 		return
 	}
 	if !c.aside.TryGo(func() error {
-		p, err := call(c.running, c.net, addr, c.number, wire.FromDetect(m))
+		push := wire.FromDetect(m)
+		push.Levels = c.words(wire.StreamMost)
+		p, err := call(c.running, c.net, addr, c.number, push)
 		if err != nil {
 			c.counts.add(exchangeLost)
 			c.log.Debug("fleet: exchange failed", "with", addr, "error", err)
@@ -37,6 +39,8 @@
 		}
 		if m, ok := p.ToDetect(); ok && m.Kind == detect.Pull {
 			c.handle(detect.Event{Kind: detect.Got, From: addr, Message: m}, nil)
+			c.heardLevels(p, addr)
+			c.met()
 			c.pulls.Add(1)
 		} else {
 			c.counts.drop(garbage, addr)
@@ -130,6 +134,8 @@
 	switch {
 	case !c.allowed(remote.Addr()):
 		c.counts.drop(outside, from)
+	case !c.meant(p):
+		c.counts.add(misled)
 	case member && p.GetRecords() != nil:
 		c.put(conn, &wire.Packet{Body: &wire.Packet_Records{Records: c.records(p.GetRecords(), p.From.Name)}})
 	case member && p.GetDigests() != nil:
@@ -142,7 +148,13 @@
 	case !ok || m.Kind != detect.Push:
 		c.counts.drop(garbage, from)
 	default:
-		c.handle(detect.Event{Kind: detect.Got, From: from, Message: m}, func(m detect.Message) { c.put(conn, wire.FromDetect(m)) })
+		c.handle(detect.Event{Kind: detect.Got, From: from, Message: m}, func(m detect.Message) {
+			pull := wire.FromDetect(m)
+			pull.Levels = c.words(wire.StreamMost)
+			c.put(conn, pull)
+		})
+		c.heardLevels(p, from)
+		c.met()
 	}
 }
 
@@ -155,7 +167,7 @@
 // known words the view.
 func (c *Cluster) known() *wire.Packet {
 	v := c.View()
-	m := &wire.Members{Size: uint32(v.Size), CutOff: v.CutOff, Superseded: v.Superseded, Cause: v.Cause, Counts: c.Counts(), Exchanges: c.pulls.Load(), Shared: c.told()}
+	m := &wire.Members{Size: uint32(v.Size), CutOff: v.CutOff, Superseded: v.Superseded, Cause: v.Cause, Counts: c.Counts(), Exchanges: c.pulls.Load(), Shared: c.told(), Levels: c.words(wire.StreamMost)}
 	for _, x := range v.Members {
 		m.List = append(m.List, &wire.Member{Word: wire.FromWord(x.Word), Link: x.Link.String(), SinceMs: time.Since(x.Since).Milliseconds()})
 	}
--- a/internal/cluster/use.go
+++ b/internal/cluster/use.go
@@ -162,7 +162,7 @@
 	p := &wire.Records{}
 	room := wire.DatagramMost - datagramRoom
 	send := func() {
-		c.sendPacket(m.Addr, &wire.Packet{Body: &wire.Packet_Records{Records: p}})
+		c.sendPacket(m.Addr, &wire.Packet{ToStart: m.Start, Body: &wire.Packet_Records{Records: p}})
 		p, room = &wire.Records{}, wire.DatagramMost-datagramRoom
 	}
 	for _, r := range records {
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -18,6 +18,7 @@
 	CutOff     bool     // this process has to act as one that stands alone
 	Cause      string   // of CutOff
 	Superseded bool     // a later process of this name lives: this one takes no part
+	Schemas    Schemas  // of records, by kind
 }
 
 // Member is one process.
@@ -39,7 +40,7 @@
 		return true
 	})
 	m.viewed = now
-	c.view.Store(v)
+	c.membersLevels(v)
 }
 
 // linesMost bounds the lines a second: a fleet of some hundred that comes together would fill the log.
--- a/internal/cluster/wire/wire.go
+++ b/internal/cluster/wire/wire.go
@@ -68,6 +68,7 @@
 	probeField   = 4
 	marksField   = 7 // and what is between them
 	membersField = 10
+	levelsField  = 20 // whose parts hold lists too
 )
 
 // crowded tells that bytes are no Packet, or would take far more memory than they are long.
@@ -83,13 +84,16 @@
 			return true
 		}
 		var inner []byte
-		if kind == protowire.BytesType && (num >= probeField && num <= marksField || num == membersField) { // all that holds lists
+		if kind == protowire.BytesType && (num >= probeField && num <= marksField || num == membersField || num == levelsField) { // all that holds lists
 			inner, _ = protowire.ConsumeBytes(b)
 		}
 		b = b[n:]
 		for len(inner) > 0 {
 			n := consumed(inner)
-			if parts++; n < 0 || parts > partsMost {
+			if parts++; num == levelsField && n > 0 {
+				parts += held(inner[:n])
+			}
+			if n < 0 || parts > partsMost {
 				return true
 			}
 			inner = inner[n:]
@@ -98,6 +102,23 @@
 	return false
 }
 
+// held is how many fields a field has in it.
+func held(b []byte) (parts int) {
+	_, kind, n := protowire.ConsumeTag(b)
+	if kind != protowire.BytesType {
+		return 0
+	}
+	in, _ := protowire.ConsumeBytes(b[n:])
+	for len(in) > 0 {
+		n := consumed(in)
+		if n < 0 {
+			break // Unmarshal tells
+		}
+		parts, in = parts+1, in[n:]
+	}
+	return parts
+}
+
 // consumed is the length of the first field; below 0: it is none.
 func consumed(b []byte) int {
 	_, _, n := protowire.ConsumeField(b)
--- a/internal/front/http/fleet.go
+++ b/internal/front/http/fleet.go
@@ -15,6 +15,7 @@
 	"glencart/detect"
 	"glencart/internal/cluster"
 	"glencart/internal/site"
+	"glencart/schema"
 )
 
 // others is the part among others; nil: there is none.
@@ -31,7 +32,7 @@
 	f := s.Fleet
 	c, err := cluster.Open(cluster.Config{Cluster: f.Cluster, Name: f.Name, Listen: f.Listen, Advertise: f.Advertise, Seeds: f.Seeds,
 		Networks: fleetNetworks(f), Away: time.Duration(f.Away),
-		Wait: time.Duration(f.Wait), Keep: time.Duration(f.Keep), Owners: f.Owners, Log: v.log, Sized: func(int) { v.countInstances() },
+		Wait: time.Duration(f.Wait), Keep: time.Duration(f.Keep), Owners: f.Owners, Hold: fleetHold(f), Log: v.log, Sized: func(int) { v.countInstances() },
 		Detect: detect.Config{Every: time.Duration(f.Every), AnswerWithin: time.Duration(f.Every) * 3 / 10, Suspicion: time.Duration(f.Suspicion)},
 	}, cluster.System{})
 	if err != nil {
@@ -50,6 +51,11 @@
 	return out
 }
 
+// fleetHold is what the operator wants written at the most.
+func fleetHold(f *site.Fleet) map[schema.Kind]uint16 {
+	return map[schema.Kind]uint16{schema.Use: uint16(f.Schema.Use), schema.Session: uint16(f.Schema.Session)}
+}
+
 // begin has the part among others begin, before anything is accepted.
 func (o *others) begin(log *slog.Logger) {
 	if o == nil {
@@ -119,8 +125,9 @@
 	}
 	a, b := *old, *now
 	a.Networks, b.Networks = nil, nil
+	a.Schema, b.Schema = site.FleetSchema{}, site.FleetSchema{}
 	if !reflect.DeepEqual(a, b) {
-		return errors.New("fleet: all keys but networks need a restart")
+		return errors.New("fleet: all keys but networks and schema need a restart")
 	}
 	return nil
 }
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -249,6 +249,7 @@
 	}
 	if v.others != nil {
 		v.others.Networks(fleetNetworks(s.Fleet))
+		v.others.Hold(fleetHold(s.Fleet))
 		g.used = v.tenantsUsed(s)
 	}
 	v.mu.Lock()
--- a/internal/site/fleet.go
+++ b/internal/site/fleet.go
@@ -10,19 +10,22 @@
 	"slices"
 	"strings"
 	"time"
+
+	"glencart/share"
 )
 
 // Fleet is the part of this process among others: docs/FLEET-OF-SERVE.md.
 type Fleet struct {
-	Cluster   string   `toml:"cluster,omitempty"`   // the same in the files of all; who has another is not heard
-	Name      string   `toml:"name,omitempty"`      // of this instance, each its own; none: node.name
-	Listen    string   `toml:"listen,omitempty"`    // host:port, for UDP and TCP
-	Advertise string   `toml:"advertise,omitempty"` // IP:port that others are told; none: listen
-	Seeds     []string `toml:"seeds,omitempty"`     // host:port of others to begin with; none: it waits for them
-	Networks  []string `toml:"networks,omitempty"`  // who is heard; none: this machine and private networks
-	Away      Duration `toml:"away,omitempty"`      // an end is told as a restart that is over within this; 0: as an end
-	Every     Duration `toml:"every,omitempty"`     // between two asks; 0: 1s
-	Suspicion Duration `toml:"suspicion,omitempty"` // the shortest time from the first doubt to dead; 0: 5s
+	Cluster   string      `toml:"cluster,omitempty"`   // the same in the files of all; who has another is not heard
+	Name      string      `toml:"name,omitempty"`      // of this instance, each its own; none: node.name
+	Listen    string      `toml:"listen,omitempty"`    // host:port, for UDP and TCP
+	Advertise string      `toml:"advertise,omitempty"` // IP:port that others are told; none: listen
+	Seeds     []string    `toml:"seeds,omitempty"`     // host:port of others to begin with; none: it waits for them
+	Networks  []string    `toml:"networks,omitempty"`  // who is heard; none: this machine and private networks
+	Away      Duration    `toml:"away,omitempty"`      // an end is told as a restart that is over within this; 0: as an end
+	Schema    FleetSchema `toml:"schema,omitempty"`    // no more than these schemas of records are to be written; none: whatever all read
+	Every     Duration    `toml:"every,omitempty"`     // between two asks; 0: 1s
+	Suspicion Duration    `toml:"suspicion,omitempty"` // the shortest time from the first doubt to dead; 0: 5s
 
 	// Sessions, and orders that come again at another instance. With neither of the first two nothing is asked for.
 	SessionHeader string   `toml:"session_header,omitempty"` // the request header whose value names the session
@@ -33,8 +36,14 @@
 	Keep          Duration `toml:"keep,omitempty"`           // how long an order is known after it began; 0: 1m
 }
 
+// FleetSchema are schemas of records by kind; 0: any.
+type FleetSchema struct {
+	Use     int `toml:"use,omitempty"`
+	Session int `toml:"session,omitempty"`
+}
+
 // FleetReloads are the keys of [fleet] that a reload may change.
-var FleetReloads = []string{"networks"}
+var FleetReloads = []string{"networks", "schema"}
 
 // Bounds of [fleet]'s times.
 const (
@@ -99,6 +108,13 @@
 		}
 		seen[seed] = true
 	}
+	schema := func(key string, at, newest int) {
+		if at < 0 || at > newest {
+			c.fault("fleet.schema."+key, "%d: this release reads schemas 1 to %d: write one of these, or take it out to have written what all members read", at, newest)
+		}
+	}
+	schema("use", f.Schema.Use, share.NewestUse)
+	schema("session", f.Schema.Session, share.NewestSession)
 	span := func(key string, d, least, most Duration) {
 		if d != 0 && (d < least || d > most) {
 			c.fault("fleet."+key, "%v: write it from %v to %v", time.Duration(d), time.Duration(least), time.Duration(most))
