--- a/internal/cluster/levels.go
+++ b/internal/cluster/levels.go
@@ -391,10 +391,7 @@
 	}
 	m, _ := v.of(name)
 	if l, known := x.links[schema.ID{Name: name, Start: m.Start}]; known {
-		if !l.ok {
-			return 0, 0
-		}
-		return l.at, l.most
+		return l.at, l.most // both 0 where it gets none
 	}
 	return x.Writes, x.Writes
 }
--- a/internal/cluster/wire/wire_test.go
+++ b/internal/cluster/wire/wire_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"glencart/detect"
+	"glencart/schema"
 )
 
 var full = detect.Message{Kind: detect.CantReach, Seq: math.MaxUint32,
@@ -75,6 +76,52 @@
 	}
 }
 
+// Words on schemas come in as they went out. Those that nobody can mean are refused, and so are more than a Packet may hold in memory.
+func TestLevels(t *testing.T) {
+	said := schema.Said{ID: schema.ID{Name: "a", Start: 1 << 60}, Seq: 7, Stands: []schema.Stand{{Kind: schema.Use, Lo: 1, Hi: 3, Held: 2, Holds: 3,
+		Agreed: schema.Level{Turn: 1, Schema: 2}, Written: schema.Level{Turn: 1 << 31, Schema: 65535}}, {Kind: schema.Session, Lo: 1, Hi: 2}}}
+	decode := func(list ...*Said) ([]schema.Said, error) {
+		t.Helper()
+		b, err := Encode(1, &Packet{Levels: &Levels{List: list}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, err := Decode(1, b)
+		if err != nil {
+			return nil, err
+		}
+		got, ok := p.ToLevels()
+		if !ok {
+			return nil, ErrGarbage
+		}
+		return got, nil
+	}
+	if got, err := decode(FromSaid(said)); err != nil || !reflect.DeepEqual(got, []schema.Said{said}) {
+		t.Errorf("%+v, %v", got, err)
+	}
+	for what, spoil := range map[string]func(*Said){
+		"no name":            func(s *Said) { s.Name = "" },
+		"kinds out of order": func(s *Said) { s.Stands[0].Kind = 2 },
+		"a schema too high":  func(s *Said) { s.Stands[0].Written = 1 << 16 },
+		"a kind too high":    func(s *Said) { s.Stands[1].Kind = 256 },
+		"lo above hi":        func(s *Said) { s.Stands[0].Lo = 4 },
+	} {
+		s := FromSaid(said)
+		spoil(s)
+		if _, err := decode(s); err == nil {
+			t.Errorf("%s: it is taken", what)
+		}
+	}
+	many := &Said{Name: "a", Stands: make([]*Stand, partsMost)}
+	for i := range many.Stands {
+		many.Stands[i] = &Stand{}
+	}
+	b, _ := Encode(1, &Packet{Levels: &Levels{List: []*Said{many}}})
+	if _, err := Decode(1, b); !errors.Is(err, ErrGarbage) {
+		t.Errorf("%d empty stands: %v", partsMost, err)
+	}
+}
+
 // Whatever comes is refused or read; what was read goes out and comes in the same.
 func FuzzDecode(f *testing.F) {
 	b, _ := Encode(1, FromDetect(full))
