--- a/internal/cli/instances.go
+++ b/internal/cli/instances.go
@@ -24,7 +24,9 @@
 	Superseded bool              `json:"superseded,omitempty"`
 	Exchanges  uint64            `json:"exchanges"` // full ones that came to their end
 	Dropped    map[string]uint64 `json:"dropped,omitempty"`
-	Written    map[string]string `json:"written,omitempty"` // turn and schema, by kind of records
+	Written    map[string]string `json:"written,omitempty"`  // turn and schema, by kind of records
+	Turned     map[string]uint64 `json:"turned,omitempty"`   // away so far, by plan
+	Shedding   string            `json:"shedding,omitempty"` // why somebody is shed, or why it goes by its own view
 	Instances  []instanceLine    `json:"instances"`
 	Shared     *sharedLine       `json:"shared,omitempty"` // none: of an older release
 }
@@ -85,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &fleetView{Cluster: f.Cluster, Asked: self.GetName(), Size: int(m.Size), Superseded: m.Superseded, Exchanges: m.Exchanges, Dropped: m.Counts}
+	v := &fleetView{Cluster: f.Cluster, Asked: self.GetName(), Size: int(m.Size), Superseded: m.Superseded, Exchanges: m.Exchanges, Dropped: m.Counts, Turned: m.Turned, Shedding: m.Shedding}
 	if m.CutOff {
 		v.CutOff = m.Cause
 	}
@@ -137,6 +139,9 @@
 	if v.CutOff != "" {
 		fmt.Fprintf(out, "  cut off: %s\n", v.CutOff)
 	}
+	if v.Shedding != "" {
+		fmt.Fprintf(out, "  shed: %s\n", v.Shedding)
+	}
 	if v.Superseded {
 		fmt.Fprintln(out, "  superseded: a later process has its name, it serves alone")
 	}
@@ -153,6 +158,9 @@
 		fmt.Fprintf(w, "  %s\t%s\t%v\t%s\t%s\t%s\t\n", i.Name, i.State, i.For.Round(time.Second), link, i.Address, i.Reads)
 	}
 	w.Flush()
+	for _, plan := range slices.Sorted(maps.Keys(v.Turned)) {
+		fmt.Fprintf(out, "  turned away, plan %s: %d\n", plan, v.Turned[plan])
+	}
 	for _, why := range slices.Sorted(maps.Keys(v.Dropped)) {
 		fmt.Fprintf(out, "  dropped, %s: %d\n", why, v.Dropped[why])
 	}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -81,15 +81,16 @@
 
 	repaired atomic.Uint64 // comparisons that found something
 
-	members members
-	levels  levels
-	shared  shared
-	view    atomic.Pointer[View]
-	rearm   chan struct{} // the timer looks again when it is due
-	inbox   chan datagram
-	notes   chan detect.Action
-	aside   errgroup.Group // what is begun here and waits for the network
-	running context.Context
+	members  members
+	levels   levels
+	shared   shared
+	view     atomic.Pointer[View]
+	pressure atomic.Pointer[Pressure] // nil: no plans were ever told
+	rearm    chan struct{}            // the timer looks again when it is due
+	inbox    chan datagram
+	notes    chan detect.Action
+	aside    errgroup.Group // what is begun here and waits for the network
+	running  context.Context
 }
 
 // Open takes the sockets. Nothing is sent before Run.
--- a/internal/cluster/datagrams.go
+++ b/internal/cluster/datagrams.go
@@ -109,6 +109,10 @@
 		c.heardLevels(p, d.from.String())
 		return
 	}
+	if p.GetPressure() != nil {
+		c.pressed(p, d.from.String())
+		return
+	}
 	m, ok := p.ToDetect()
 	if !ok || m.Kind == detect.Push || m.Kind == detect.Pull {
 		if p.GetProbe().GetKind() <= wire.Kind_PULL { // else a later release's: skipped
--- a/internal/cluster/locks.go
+++ b/internal/cluster/locks.go
@@ -1,7 +1,7 @@
 package cluster
 
-// This file holds the order of locks. A goroutine takes them in rising rank only: members, schema, ages, shards by rising number, links.
-// Tests check it: a wrong order panics at once, whether or not two goroutines met.
+// This file holds the order of locks. A goroutine takes them in rising rank only: members, schema, ages, shards by rising number, links,
+// pressure. Tests check it: a wrong order panics at once, whether or not two goroutines met.
 
 import (
 	"bytes"
--- a/internal/cluster/procs/harness_test.go
+++ b/internal/cluster/procs/harness_test.go
@@ -67,7 +67,9 @@
 	relay  *relay.Relay
 	box    *httpbox.Server
 	ledger *box.Ledger
-	keys   string // of [fleet], for all
+	keys   string                     // of [fleet], for all
+	more   string                     // of the file: [node]'s keys and other tables
+	boxes  func(name string) []string // of an instance; nil: the one box
 	procs  []*proc
 	old    bool // processes are started with the old release
 }
@@ -107,8 +109,17 @@
 	for _, d := range seeds {
 		list = append(list, fmt.Sprintf("%q", d.Addr))
 	}
+	boxes := fmt.Sprintf("{ address = %q }", f.box.Addr)
+	if f.boxes != nil {
+		var all []string
+		for _, b := range f.boxes(name) {
+			all = append(all, fmt.Sprintf("{ address = %q }", b))
+		}
+		boxes = strings.Join(all, ", ")
+	}
 	return fmt.Sprintf(`[node]
 leave = "5s"
+%s
 [fleet]
 cluster = "shop"
 name = %q
@@ -121,13 +132,13 @@
 address = "127.0.0.1:0"
 [[pool]]
 name = "p"
-boxes = [{ address = %q }]
+boxes = [%s]
 [[server]]
 [[server.location]]
 path = "/"
 [[server.location.route]]
 pool = "p"
-`, name, listen, advertise, strings.Join(list, ", "), f.keys, f.box.Addr)
+`, f.more, name, listen, advertise, strings.Join(list, ", "), f.keys, boxes)
 }
 
 // start starts a process behind a door, and waits until it serves.
--- a/internal/cluster/streams.go
+++ b/internal/cluster/streams.go
@@ -168,6 +168,7 @@
 func (c *Cluster) known() *wire.Packet {
 	v := c.View()
 	m := &wire.Members{Size: uint32(v.Size), CutOff: v.CutOff, Superseded: v.Superseded, Cause: v.Cause, Counts: c.Counts(), Exchanges: c.pulls.Load(), Shared: c.told(), Levels: c.words(wire.StreamMost)}
+	m.Turned, m.Shedding = c.pressure.Load().Turned()
 	for _, x := range v.Members {
 		m.List = append(m.List, &wire.Member{Word: wire.FromWord(x.Word), Link: x.Link.String(), SinceMs: time.Since(x.Since).Milliseconds()})
 	}
--- a/internal/front/http/attempt.go
+++ b/internal/front/http/attempt.go
@@ -285,6 +285,7 @@
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		if st = balance.AppError; resp.Header.Get(neverRanHeader) == "1" {
 			st = balance.Shed
+			m.full.Store(true)
 		}
 	}
 	if st == balance.Delivered && (resp.ContentLength < 0 || resp.ContentLength > answerMost) && m.method != http.MethodHead {
--- a/internal/front/http/handle.go
+++ b/internal/front/http/handle.go
@@ -47,6 +47,7 @@
 	within               time.Duration // until the answer's head, from the last byte of a body that streams
 	attempts             atomic.Int32
 	tenant               *cluster.Tenant // whose use is counted over all instances; nil: nobody's
+	full                 atomic.Bool     // a box said that it has no room for it
 
 	// What streams: the rest of the body, which one attempt reads from the client.
 	rest   io.Reader
@@ -103,6 +104,7 @@
 	ask  asked
 	idle time.Duration
 
+	shed   shedding
 	handed bool // the connection is not HTTP's any more, and the request counts as answered
 }
 
@@ -238,6 +240,10 @@
 	}
 	s := c.session()
 	r, m, status, err := c.read(path)
+	if err == errTurned {
+		return // it has its answer
+	}
+	defer c.noted()
 	if err != nil {
 		c.w.Header().Set("Connection", "close")
 		c.here(status, err.Error()+"\n")
@@ -253,9 +259,11 @@
 		return
 	}
 	p := c.tg.pool
+	c.goes()
 	p.loop.Post(func() { p.loop.Arrive(r) })
 	select {
 	case <-m.ready:
+		c.served(r, m)
 		if m.attempts.Load() > 1 {
 			delete(m.reply.header, neverRanHeader) // this box knows nothing of the others
 		}
@@ -265,6 +273,7 @@
 	case a := <-r.Reply:
 		m.tenant.Ask(a.Kind != engine.Refused)
 		c.ended(t, m, &a)
+		c.unserved(r, m, a)
 		c.answer(m, a)
 	case <-c.hr.Context().Done():
 		p.loop.Post(func() { p.loop.Gone(r) })
@@ -404,6 +413,10 @@
 			}
 		}
 	}
+	if in, ok := c.letIn(r); !ok {
+		c.turn(in)
+		return nil, nil, 0, errTurned
+	}
 	if hr.ContentLength != 0 && !m.upgrade {
 		if status, err := c.body(m, int64(bodyMost)); err != nil {
 			return nil, nil, status, err
--- a/internal/front/http/pool.go
+++ b/internal/front/http/pool.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"glencart/balance"
@@ -32,16 +33,17 @@
 
 // pool is one running pool: its own engine with its own Balancer.
 type pool struct {
-	site   site.Pool
-	sum    string // of all that can't change while it runs
-	loop   *engine.Engine
-	lag    living.Lag
-	conns  *conns
-	log    *slog.Logger
-	spare  *reserve.Reserve // on the loop
-	list   engine.List      // as the file has it, backups included; on the loop
-	backup map[string]bool  // on the loop
-	knocks map[string]bool  // boxes that are knocked at; on the loop
+	site     site.Pool
+	sum      string // of all that can't change while it runs
+	loop     *engine.Engine
+	lag      living.Lag
+	answered atomic.Int64 // when a box last answered, in Unix nanoseconds; kept where there are plans
+	conns    *conns
+	log      *slog.Logger
+	spare    *reserve.Reserve // on the loop
+	list     engine.List      // as the file has it, backups included; on the loop
+	backup   map[string]bool  // on the loop
+	knocks   map[string]bool  // boxes that are knocked at; on the loop
 
 	// Where boxes come from several sources, on the loop:
 	member  *follow.Membership // nil: they don't
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -41,6 +41,7 @@
 	leaving   atomic.Bool // told to end
 	closing   atomic.Bool // answers close their connections
 	others    *others     // the processes beside this one; nil: none are known
+	pressure  *cluster.Pressure
 
 	mu      sync.Mutex
 	tunnels map[net.Conn]bool
@@ -65,6 +66,7 @@
 	trusted []netip.Prefix
 	tenants map[string]int
 	used    []*cluster.Tenant // by tenant; none: they are not counted
+	gate    *cluster.Gate     // where requests ask whether they are let in; nil: there are no plans
 	refs    atomic.Int64      // requests
 	over    chan struct{}
 }
@@ -111,6 +113,7 @@
 		return nil, err
 	}
 	g.used = v.tenantsUsed(s)
+	v.openPressure(s)
 	v.living.Tell(life.Event{Kind: life.Opened})
 	return v, nil
 }
@@ -252,6 +255,7 @@
 		v.others.Hold(fleetHold(s.Fleet))
 		g.used = v.tenantsUsed(s)
 	}
+	g.gate = v.pressure.Next(s.Shed())
 	v.mu.Lock()
 	v.alive[g] = true
 	v.mu.Unlock()
@@ -370,6 +374,7 @@
 		c.Close()
 	}
 	v.mu.Unlock()
+	v.pressure.Close()
 	v.others.end()
 	g := v.gen.Load()
 	select {
