memnet: a host stands still, is killed, has a wall clock of its own

Stories about fleets need what links alone cannot do: a process that SIGSTOP has stopped, one whose wall clock is off, an old datagram that comes again.

A host that stands still returns from no call of its sockets before Go; Kill takes its sockets away; Watch and Inject copy datagrams and hand them in again. cluster.Net may offer Wall, read where a start is made: the only place where a wall clock counts.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -116,7 +116,7 @@
 		d.Seed = rand.Uint64()
 	}
 	d.Name, d.Addr, d.Seeds, d.DatagramMost = cfg.Name, cfg.Advertise, cfg.Seeds, wire.DatagramMost
-	d.Start = detect.FirstStart(c.born, uint32(d.Seed))
+	d.Start = detect.FirstStart(wall(n), uint32(d.Seed))
 	c.members.rank, c.members.detect, c.members.size = rankMembers, detect.New(d), 1
 	c.members.since = map[string]time.Duration{}
 	if err := errors.Join(c.openLevels(d.Start), c.openShared(d.Start)); err != nil {
--- a/internal/cluster/net.go
+++ b/internal/cluster/net.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"time"
 )
 
 // Net is what a Cluster speaks through. The system's is used in service; tests give one in memory, so that what they run is what is
@@ -15,6 +16,17 @@
 	Dial(ctx context.Context, addr string) (net.Conn, error)
 }
 
+// Clock is what a Net may have beside: a wall clock of its own. Tests give one that is off.
+type Clock interface{ Wall() time.Time }
+
+// wall is the wall clock of a Net's machine.
+func wall(n Net) time.Time {
+	if c, ok := n.(Clock); ok {
+		return c.Wall()
+	}
+	return time.Now()
+}
+
 // System is the machine's own network: UDP and TCP.
 type System struct{}
 
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -33,6 +33,8 @@
 	changed chan struct{} // closed at each change of links
 	packets map[netip.AddrPort]*packetConn
 	streams map[netip.AddrPort]*listener
+	still   map[netip.Addr]bool // hosts that stand still
+	watch   func(from, to netip.AddrPort, b []byte)
 	ports   uint16
 	dropped int
 	carried int
@@ -42,7 +44,7 @@
 // New returns a network whose links are as usual says.
 func New(seed uint64, usual Link) *Net {
 	return &Net{rng: rand.New(rand.NewPCG(seed, 2)), usual: usual, links: map[[2]netip.Addr]Link{}, changed: make(chan struct{}),
-		packets: map[netip.AddrPort]*packetConn{}, streams: map[netip.AddrPort]*listener{}, ports: 40000}
+		still: map[netip.Addr]bool{}, packets: map[netip.AddrPort]*packetConn{}, streams: map[netip.AddrPort]*listener{}, ports: 40000}
 }
 
 // Set changes one direction between two hosts.
@@ -137,6 +139,9 @@
 func (c *packetConn) ReadFrom(b []byte) (int, net.Addr, error) {
 	select {
 	case p := <-c.inbox:
+		if !c.net.moves(c.at.Addr(), c.closed) {
+			return 0, nil, net.ErrClosed
+		}
 		return copy(b, p.b), net.UDPAddrFromAddrPort(p.from), nil
 	case <-c.closed:
 		return 0, nil, net.ErrClosed
@@ -145,10 +150,8 @@
 
 // WriteTo sends a datagram. That it gets lost is no error.
 func (c *packetConn) WriteTo(b []byte, to net.Addr) (int, error) {
-	select {
-	case <-c.closed:
+	if !c.net.moves(c.at.Addr(), c.closed) {
 		return 0, net.ErrClosed
-	default:
 	}
 	u, ok := to.(*net.UDPAddr)
 	if !ok {
@@ -159,6 +162,9 @@
 	n := c.net
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.watch != nil {
+		n.watch(c.at, dst, p.b)
+	}
 	l := n.link(c.at.Addr(), dst.Addr())
 	// The draws are made whatever comes of them, so that a link's fault does not change the chance of others.
 	lost, twice := n.rng.Float64() < l.Drop, n.rng.Float64() < l.Repeat
--- a/internal/standin/memnet/streams.go
+++ b/internal/standin/memnet/streams.go
@@ -39,6 +39,10 @@
 func (l *listener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.queue:
+		if !l.net.moves(l.at.Addr(), l.closed) {
+			c.Close()
+			return nil, net.ErrClosed
+		}
 		return c, nil
 	case <-l.closed:
 		return nil, net.ErrClosed
@@ -71,6 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
+	h.net.moves(h.addr, nil)
 	for _, way := range [][2]netip.Addr{{h.addr, to.Addr()}, {to.Addr(), h.addr}} {
 		if err := h.net.wait(ctx.Done(), nil, way[0], way[1]); err != nil {
 			return nil, fmt.Errorf("dial %s: %w", addr, context.DeadlineExceeded)
@@ -143,6 +148,9 @@
 		done = make(chan struct{})
 		defer time.AfterFunc(time.Until(end), func() { close(done) }).Stop()
 	}
+	if !s.net.moves(s.from.Addr(), s.gone) {
+		return 0, net.ErrClosed
+	}
 	if err := s.net.wait(done, s.gone, s.from.Addr(), s.to.Addr()); err != nil {
 		return 0, err
 	}
