--- a/internal/cluster/records.go
+++ b/internal/cluster/records.go
@@ -81,14 +81,15 @@
 // records takes in a message of records and words its answer.
 func (c *Cluster) records(m *wire.Records, from string) *wire.Records {
 	now := c.instant()
+	whole := true
 	for i, b := range m.List {
-		if i >= recordsMost || c.merge(now, b) != nil {
+		if i >= recordsMost || c.merge(now, b) != nil { // one that can't be read keeps no other out
+			whole = false
 			c.counts.drop(garbage, from)
-			break
 		}
 	}
 	for _, p := range m.Sure {
-		if p < share.Parts {
+		if p < share.Parts && whole {
 			sh := c.shared.ofPart(share.Part(p))
 			sh.Lock()
 			sh.sessions.Took(now, share.Part(p))
--- a/internal/cluster/shared_test.go
+++ b/internal/cluster/shared_test.go
@@ -53,6 +53,16 @@
 			}
 			open = append(open, k)
 		}
+		for i := range 10 { // keyed ones go on to their group, while it remembers them
+			q := orderOf(1000 + i)
+			q.Effect, q.Group, q.Keep = share.Keyed, "p", 30*time.Second
+			if _, v := all[0].Admit(ctx, q); v.What != share.Go {
+				t.Errorf("keyed: %v", v)
+			}
+			if _, v := all[1+i%3].Admit(ctx, q); v.What != share.GoTo || v.Group != "p" {
+				t.Errorf("keyed, repeated: %v", v)
+			}
+		}
 		for _, m := range all[1:] {
 			net.Set(all[0].addr, m.addr, memnet.Link{Cut: true})
 			net.Set(m.addr, all[0].addr, memnet.Link{Cut: true})
