cluster: no part counts as whole where a record was not read or could not be told

A part of which one record has no form that both ends read was taken for whole by hand-over and comparison: an owner would then have said of that session that it is sure that nothing is known. Seen failing with a record that is not read taken for one that was.

--- a/internal/cluster/levels_test.go
+++ b/internal/cluster/levels_test.go
@@ -264,5 +264,22 @@
 			}
 			before = now
 		}
+		// With a record that is not read, no part counts as whole.
+		unsure := func() uint32 { return b.told().Unsure }
+		first := unsure()
+		if first == 0 {
+			t.Fatal("all is sure: it shows nothing")
+		}
+		all := &wire.Records{List: [][]byte{schema.AppendRecord(nil, schema.Record{Kind: schema.Use, Schema: 3, Key: "t"})}}
+		for i := range uint32(share.Parts) {
+			all.Sure = append(all.Sure, i)
+		}
+		if b.records(all, "m1"); unsure() != first {
+			t.Errorf("%d parts are not sure, after %d", unsure(), first)
+		}
+		all.List = nil
+		if b.records(all, "m1"); unsure() != 0 {
+			t.Errorf("%d parts are not sure though all was read", unsure())
+		}
 	})
 }
--- a/internal/cluster/records.go
+++ b/internal/cluster/records.go
@@ -47,6 +47,9 @@
 	return schema.AppendRecord(nil, r)
 }
 
+// errNotRead is a record in a form that this release does not read. It has been counted.
+var errNotRead = errors.New("a form that this release does not read")
+
 // merge takes in one record.
 func (c *Cluster) merge(now share.Now, b []byte) error {
 	r, err := schema.ParseRecord(b)
@@ -54,7 +57,7 @@
 		return err
 	}
 	if !c.reads(r) {
-		return nil
+		return errNotRead
 	}
 	s := &c.shared
 	switch {
@@ -83,9 +86,15 @@
 	now := c.instant()
 	whole := true
 	for i, b := range m.List {
-		if i >= recordsMost || c.merge(now, b) != nil { // one that can't be read keeps no other out
+		err := error(nil)
+		if i < recordsMost {
+			err = c.merge(now, b)
+		}
+		if i >= recordsMost || err != nil { // one that can't be read keeps no other out
 			whole = false
-			c.counts.drop(garbage, from)
+			if !errors.Is(err, errNotRead) {
+				c.counts.drop(garbage, from)
+			}
 		}
 	}
 	for _, p := range m.Sure {
@@ -108,6 +117,8 @@
 		for _, r := range c.rangeOf(now, w) {
 			if b := c.encode(r, from); b != nil {
 				answer.List, bytes = append(answer.List, b), bytes+len(b)
+			} else if n := len(answer.Want); n == 0 || answer.Want[n-1] != w {
+				answer.Want = append(answer.Want, w) // it is not all
 			}
 		}
 	}
@@ -145,12 +156,15 @@
 		return false, wire.ErrGarbage
 	}
 	now := c.instant()
+	whole = len(a.Want) == 0
 	for _, b := range a.List {
-		if err := c.merge(now, b); err != nil {
+		if err := c.merge(now, b); errors.Is(err, errNotRead) {
+			whole = false
+		} else if err != nil {
 			return false, err
 		}
 	}
-	return len(a.Want) == 0, nil
+	return whole, nil
 }
 
 // hand hands parts over to a member.
@@ -295,6 +309,8 @@
 			for _, r := range c.rangeOf(now, w) {
 				if b := c.encode(r, with); b != nil {
 					m.List, bytes = append(m.List, b), bytes+len(b)
+				} else {
+					sure[p] = false // it does not get all
 				}
 			}
 			if len(m.Want) == rangesMost || bytes > recordsBytes {
