--- a/internal/cluster/records.go
+++ b/internal/cluster/records.go
@@ -218,7 +218,7 @@
 	v := c.View()
 	var rest []share.Member
 	for _, m := range v.Members {
-		if m.Name != s.self.Name && (m.State == detect.Alive || m.State == detect.Suspect) {
+		if m.Name != s.self.Name && c.Takes(schema.Session, m.Name, m.Start) && (m.State == detect.Alive || m.State == detect.Suspect) {
 			rest = append(rest, share.Member{Name: m.Name, Start: m.Start})
 		}
 	}
