--- a/internal/front/http/shed_test.go
+++ b/internal/front/http/shed_test.go
@@ -107,7 +107,10 @@
 		t.Errorf("%d of the higher plan, %d of the lower", g, f)
 	}
 	// On one connection: what is turned away, with its body, and what follows.
-	for shed := false; !shed; {
+	for shed, tries := false, 0; !shed; tries++ {
+		if tries == 2000 {
+			t.Fatal("none of 2,000 is turned away with words of when to come back")
+		}
 		before := turned("free")
 		head := "POST /raw HTTP/1.1\r\nHost: x\r\nX-Tenant: f\r\nContent-Length: 200000\r\n\r\n" + strings.Repeat("x", 200_000)
 		resp, r, c := n.raw(head)
