serve: a box's 429 is a refusal, not the answer that an order's repeats get

Cause, by reading: session.go, ended, marked whatever a box answered as Answered, so a 429 was kept and given to every repeat of that order until the mark ended (a minute); the order could not be placed. PROTOCOL calls 429 a refusal, whoever words it. Now such a call never ran; where an earlier attempt of a keyed one may have run, that is what is remembered.

--- a/internal/front/http/session.go
+++ b/internal/front/http/session.go
@@ -99,15 +99,31 @@
 
 // ended tells how a request has ended that was asked for.
 func (c *visit) ended(t cluster.Ticket, m *message, a *engine.Answer) {
-	switch {
-	case t == (cluster.Ticket{}):
-	case a == nil:
-		t.Done(share.Answered, m.reply.to.ID, m.reply.keep())
-	case !a.Begun:
-		t.Done(share.NeverRan, "", "")
+	if t == (cluster.Ticket{}) {
+		return
+	}
+	switch state := m.became(a); state {
+	case share.Answered:
+		t.Done(state, m.reply.to.ID, m.reply.keep())
 	default:
-		t.Done(share.MayHaveRun, "", "")
+		t.Done(state, "", "")
+	}
+}
+
+// became is what is known of a call by how its request ended: a is the engine's answer, nil where a box's is passed on. A box's 429 is a
+// refusal: kept as the answer, it would be given to every repeat, and the order could not be placed before the mark ends.
+func (m *message) became(a *engine.Answer) share.State {
+	switch {
+	case a != nil && !a.Begun:
+		return share.NeverRan
+	case a != nil:
+		return share.MayHaveRun
+	case m.reply.status != http.StatusTooManyRequests:
+		return share.Answered
+	case m.unsafe || m.attempts.Load() <= 1: // what is unsafe is tried again only when it is known never to have run
+		return share.NeverRan
 	}
+	return share.MayHaveRun
 }
 
 // tooLong stands for an answer that is not kept.
