Settings: doubled and empty names, doubled keys and shares over 1 are refused with a remedy

Cause: internal/settings/settings.go Parse and internal/node/config.go ParseConfig took a class or tenant named twice: Settings.Class found the first, so a safe class and an unsafe one of one name were served alike. A class of no name served requests without X-Qos. A key given twice counted with its last value. coldShare over 1 made a cold backend stronger than a warm one. Times near the end of int64 overflowed: the clock plus a deadline of 292 years is in the past, so every request was refused, and idleClose * 7/10 was negative, on which time.NewTicker panics.

Change: Settings.Check, at the start and at SIGHUP, and one line that says where, what and what to write. Times are cut at a year.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -84,13 +84,13 @@
 		}
 	}
 	if len(raw.Settings) == 0 || bytes.Equal(raw.Settings, []byte("null")) {
-		return Config{}, errors.New("settings: missing")
+		return Config{}, errors.New("settings: missing: give the object of the simulator's first message")
 	}
 	if cfg.Settings, err = settings.Parse(raw.Settings); err != nil {
 		return Config{}, fmt.Errorf("settings: %w", err)
 	}
 	if len(cfg.Settings.Classes) == 0 {
-		return Config{}, errors.New("settings: no classes")
+		return Config{}, errors.New("settings: classes: none: give one or more")
 	}
 	if len(raw.Known) > 0 && !bytes.Equal(raw.Known, []byte("null")) {
 		// A remembered list only bridges the time until discovery answers: without it a node still starts.
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -74,3 +74,41 @@
 		t.Errorf("%v, %v", err, cfg.knownErr)
 	}
 }
+
+// Settings that tell two classes or tenants by one name, or one by none, start no node and replace nothing in service: the first
+// of them would be served for both, with the other's effect.
+func TestNamesThatTellNothingApartStartNoNode(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`"name":"token"`, `"name":"read"`, "classes[2].name: read is given twice: give each one a name of its own"},
+		{`"name":"order"`, `"name":""`, "classes[1].name: empty: give each one a name"},
+		{`[{"name":"acme",`, `[{"name":"acme","quotaPerS":1,"share":0},{"name":"acme",`, "tenants[1].name: acme is given twice: give each one a name of its own"},
+		{`"zones":["a","b"]`, `"zones":["a","a"]`, "zones[1]: a is given twice: give each one a name of its own"},
+		{`"coldShare":0.12`, `"coldShare":12`, "obligations.coldShare: 12 is no part of a capacity: give 0 to 1"},
+	} {
+		cfg := testConfig(t, "127.0.0.1:1", listText(1, true), c.old, c.new)
+		n, err := New(cfg, quiet())
+		if want := "configuration: settings: " + c.want; err == nil || err.Error() != want {
+			t.Errorf("%s: %v, want %q", c.new, err, want)
+		}
+		if n != nil {
+			n.close()
+		}
+		in := testConfig(t, "127.0.0.1:1", listText(1, true))
+		if n, err = New(in, quiet()); err != nil {
+			t.Fatal(err)
+		}
+		before := n.front.tuning.Load()
+		if err := n.Reload(cfg); err == nil || !strings.HasSuffix(err.Error(), c.want) || n.figures.reloadsFailed.Load() != 1 {
+			t.Errorf("at SIGHUP: %s: %v", c.new, err)
+		}
+		n.loop.Step()
+		if n.front.tuning.Load() != before {
+			t.Errorf("%s: taken in", c.new)
+		}
+		n.close()
+	}
+	text := strings.Replace(goodConfig, `"maxAttempts":3`, `"maxAttempts":3,"maxAttempts":1`, 1)
+	if _, err := ParseConfig([]byte(text)); err == nil || err.Error() != "settings: limits.maxAttempts: given twice: give it once" {
+		t.Error(err)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,9 @@
 
 // New returns a node that is ready to run.
 func New(cfg Config, log *slog.Logger) (*Node, error) {
+	if err := cfg.Settings.Check(); err != nil {
+		return nil, fmt.Errorf("configuration: settings: %w", err)
+	}
 	bal, err := balance.New(cfg.Settings.Config, cfg.Seed)
 	if err != nil {
 		return nil, err
--- a/internal/settings/adopt.go
+++ b/internal/settings/adopt.go
@@ -59,20 +59,16 @@
 // deadline or the attempts, may be left to it again.
 func (s Settings) CheckInService(old Settings) error {
 	untold := slices.ContainsFunc(old.Config.Classes, func(c balance.Class) bool { return c.Deadline == 0 && !c.Gone })
+	if err := s.Check(); err != nil {
+		return err
+	}
 	for i, c := range s.Config.Classes {
-		switch {
-		case s.Classes[i] == "":
-			return fmt.Errorf("classes[%d].name: empty", i)
-		case slices.Index(s.Classes, s.Classes[i]) < i:
-			return fmt.Errorf("classes[%d].name: %q is there twice", i, s.Classes[i])
-		case c.Deadline < 0 || c.Deadline == 0 && !untold:
-			return fmt.Errorf("classes[%d].deadline: %d, it has to be over 0", i, c.Deadline)
-		case c.Aim < 0 || c.Window < 0:
-			return fmt.Errorf("classes[%d]: a negative time", i)
+		if c.Deadline == 0 && !untold {
+			return fmt.Errorf("classes[%d].deadline: 0: give nanoseconds over 0, as the file in use does", i)
 		}
 	}
 	if n := s.Config.Limits.MaxAttempts; n < 0 || n == 0 && old.Config.Limits.MaxAttempts > 0 {
-		return fmt.Errorf("limits.maxAttempts: %d, it has to be over 0", s.Config.Limits.MaxAttempts)
+		return fmt.Errorf("limits.maxAttempts: %d: give 1 or more, as the file in use does", n)
 	}
 	return nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -33,6 +34,9 @@
 	if err := json.Unmarshal(text, &c); err != nil {
 		return Settings{}, err
 	}
+	if err := once(json.NewDecoder(bytes.NewReader(text)), ""); err != nil {
+		return Settings{}, err
+	}
 	cfg, err := c.config()
 	s := Settings{Config: cfg, Zones: c.Zones, Kinds: c.SKUs}
 	for _, k := range c.Classes {
@@ -134,43 +138,125 @@
 	ServiceType string   `json:"serviceType"`
 }
 
-// check reports what cannot be a setting, whether or not the module uses it.
+// check reports the first thing that cannot be a setting, whether or not the module uses it: where, what, and what to write.
 func (c *conf) check() error {
-	switch l, p := c.Limits, c.Prices; {
-	case c.NInstances < 0:
-		return errors.New("nInstances: negative")
+	l, p := c.Limits, c.Prices
+	for _, k := range []struct {
+		at, what string
+		value    float64
+	}{
+		{"nInstances", "a count", float64(c.NInstances)}, {"tick", "a time", float64(c.Tick)},
+		{"limits.maxAttempts", "a count", float64(l.MaxAttempts)}, {"limits.maxOpen", "a count", float64(l.MaxOpen)},
+		{"limits.streamsPerConn", "a count", float64(l.StreamsPerConn)},
+		{"limits.cpuUsPerS", "a CPU limit", l.CPUPerSecond}, {"limits.cpuUsPerRequest", "a CPU limit", l.CPUPerRequest},
+		{"limits.maxRetryAfter", "a time", float64(l.MaxRetryAfter)}, {"limits.connectTimeout", "a time", float64(l.ConnectTimeout)},
+		{"limits.idleClose", "a time", float64(l.IdleClose)},
+		{"prices.crossZone", "a price", p.CrossZone}, {"prices.waste", "a price", p.Waste}, {"prices.lateFail", "a price", p.LateFail},
+		{"prices.probe", "a price", p.Probe}, {"prices.peer", "a price", p.Peer}, {"prices.handshake", "a price", p.Handshake},
+		{"prices.connection", "a price", p.Connection}, {"prices.membershipMode", "a price", p.Discovery},
+		{"prices.moves", "a price", p.Moves}, {"prices.origin", "a price", p.Origin}, {"prices.fleet", "a price", p.Fleet},
+	} {
+		if k.value < 0 {
+			return fmt.Errorf("%s: %v: %s can't be negative: give 0 or more", k.at, k.value, k.what)
+		}
+	}
+	switch {
 	case c.Index < 0 || c.Index >= max(c.NInstances, 1):
-		return errors.New("index: not below nInstances")
+		return fmt.Errorf("index: %d is not below nInstances, %d: give the number of this node, from 0 on", c.Index, c.NInstances)
 	case c.Zone < 0 || len(c.Zones) > 0 && c.Zone >= len(c.Zones):
-		return errors.New("zone: not one of zones")
+		return fmt.Errorf("zone: %d is not one of the %d zones: give the number of this node's zone, from 0 on", c.Zone, len(c.Zones))
 	case c.Stage < 0 || len(c.Tiers) > 0 && c.Stage >= len(c.Tiers):
-		return errors.New("stage: not one of tiers")
-	case min(l.MaxAttempts, l.MaxOpen, l.StreamsPerConn) < 0:
-		return errors.New("limits: a negative count")
-	case min(l.CPUPerSecond, l.CPUPerRequest) < 0:
-		return errors.New("limits: a negative CPU limit")
-	case min(l.MaxRetryAfter, l.ConnectTimeout, l.IdleClose) < 0:
-		return errors.New("limits: a negative time")
-	case min(p.CrossZone, p.Waste, p.LateFail, p.Probe, p.Peer, p.Handshake, p.Connection, p.Discovery,
-		p.Moves, p.Origin, p.Fleet) < 0:
-		return errors.New("prices: a negative price")
+		return fmt.Errorf("stage: %d is not one of the %d tiers: give the number of the tier that is sent to, from 0 on", c.Stage, len(c.Tiers))
 	case len(c.LoadReport.Columns) > 4:
-		return errors.New("loadReport.columns: more than four")
+		return fmt.Errorf("loadReport.columns: %d of them: give four at most", len(c.LoadReport.Columns))
 	}
 	return nil
 }
 
+// Check reports the first thing that a node can't serve by: names that do not tell classes, tenants or zones apart, and figures
+// that mean nothing. The simulator's wire, which names classes by number, needs none of it.
+func (s Settings) Check() error {
+	for _, k := range []struct {
+		list  string
+		names []string
+	}{{"classes[%d].name", s.Classes}, {"tenants[%d].name", s.Tenants}, {"zones[%d]", s.Zones}} {
+		for i, name := range k.names {
+			switch at := fmt.Sprintf(k.list, i); {
+			case name == "":
+				return fmt.Errorf("%s: empty: give each one a name", at)
+			case slices.Index(k.names, name) < i:
+				return fmt.Errorf("%s: %s is given twice: give each one a name of its own", at, name)
+			}
+		}
+	}
+	for i, c := range s.Config.Classes {
+		if min(c.Aim, c.Deadline, c.Window) < 0 {
+			return fmt.Errorf("classes[%d]: aim, deadline or window is negative: give nanoseconds, 0 or more", i)
+		}
+	}
+	for i, t := range s.Config.Tenants {
+		if min(t.QuotaPerSecond, t.Share) < 0 {
+			return fmt.Errorf("tenants[%d]: quotaPerS or share is negative: give 0 or more", i)
+		}
+	}
+	switch r := s.Config.Rules; {
+	case min(r.GraceToAnswer, r.DrainGrace, r.AskEvery, r.WarmWithin, r.OverloadFor) < 0:
+		return errors.New("obligations: a time is negative: give nanoseconds, 0 or more")
+	case r.ColdShare < 0 || r.ColdShare > 1:
+		return fmt.Errorf("obligations.coldShare: %v is no part of a capacity: give 0 to 1", r.ColdShare)
+	case r.FallMultiple < 0:
+		return fmt.Errorf("obligations.fallMultiple: %v is negative: give 0 or more", r.FallMultiple)
+	}
+	return nil
+}
+
+// once reports the first key that an object, at any depth, gives twice: which of the two counts would be a guess.
+func once(d *json.Decoder, at string) error {
+	t, err := d.Token()
+	if err != nil {
+		return err
+	}
+	given := map[string]bool{}
+	for i := 0; (t == json.Delim('{') || t == json.Delim('[')) && d.More(); i++ {
+		in := fmt.Sprintf("%s[%d]", at, i)
+		if t == json.Delim('{') {
+			key, err := d.Token()
+			if err != nil {
+				return err
+			}
+			name, _ := key.(string)
+			if in = strings.TrimPrefix(at+"."+name, "."); given[name] {
+				return fmt.Errorf("%s: given twice: give it once", in)
+			}
+			given[name] = true
+		}
+		if err := once(d, in); err != nil {
+			return err
+		}
+	}
+	if t == json.Delim('{') || t == json.Delim('[') {
+		_, err = d.Token()
+	}
+	return err
+}
+
+// longest bounds every time that settings give: sums of times must not overflow, and no process lives to see the difference.
+const longest = 365 * 24 * time.Hour
+
+// span is a time that settings give.
+func span(ns int64) time.Duration { return min(time.Duration(ns), longest) }
+
 // config turns the settings into a balance.Config.
 func (c *conf) config() (balance.Config, error) {
-	errs := []error{c.check()}
+	wrong := c.check() // the first one
 	pick := func(what, s string, names ...string) int {
 		for i, n := range names {
 			if s == n {
 				return i
 			}
 		}
-		if s != "" {
-			errs = append(errs, fmt.Errorf("%s: %q is not one of %s", what, s, strings.Join(names, ", ")))
+		if s != "" && wrong == nil {
+			wrong = fmt.Errorf("%s: %q is not known: give one of %s", what, s, strings.Join(names, ", "))
 		}
 		return 0
 	}
@@ -181,19 +267,20 @@
 		AskDiscovery: pick("membershipMode", c.MembershipMode, "push", "ask") == 1,
 		Reports:      balance.ReportSource(pick("loadReport.source", c.LoadReport.Source, "off", "on_probe", "inline")),
 		Weights:      balance.WeightKind(pick("weightKind", c.WeightKind, "off", "nominal", "rough", "live")),
-		Tick:         time.Duration(c.Tick), PassesDeadline: c.Domain.PassesDeadline, Stage: c.Stage,
+		Tick:         span(c.Tick), PassesDeadline: c.Domain.PassesDeadline, Stage: c.Stage,
 	}
 	for i, name := range LoadNames {
 		if slices.Contains(c.LoadReport.Columns, name) {
 			cfg.Columns |= 1 << i
 		}
 	}
-	for _, k := range c.Classes {
+	for i, k := range c.Classes {
+		at := fmt.Sprintf("classes[%d].", i)
 		cfg.Classes = append(cfg.Classes, balance.Class{
-			Aim: time.Duration(k.Aim), AimStretch: k.AimStretch, Deadline: time.Duration(k.Deadline),
-			Effect: balance.Effect(pick("effect", k.Effect, "side_effect", "token", "pure")),
-			Scope:  balance.Scope(pick("keyScope", k.KeyScope, "cell", "zone", "all")),
-			Window: time.Duration(k.Window), LateWorth: k.LateWorth, Points: k.Points, Stream: k.Stream,
+			Aim: span(k.Aim), AimStretch: k.AimStretch, Deadline: span(k.Deadline),
+			Effect: balance.Effect(pick(at+"effect", k.Effect, "side_effect", "token", "pure")),
+			Scope:  balance.Scope(pick(at+"keyScope", k.KeyScope, "cell", "zone", "all")),
+			Window: span(k.Window), LateWorth: k.LateWorth, Points: k.Points, Stream: k.Stream,
 		})
 	}
 	for _, t := range c.Tenants {
@@ -202,8 +289,8 @@
 	l, p, o := c.Limits, c.Prices, c.Obligations
 	cfg.Limits = balance.Limits{
 		Cancelling: l.Cancelling, Probing: l.Probing, Peers: l.Peers, SecondCopies: l.SecondCopies,
-		RetryAfter: l.RetryAfter, MaxAttempts: l.MaxAttempts, MaxRetryAfter: time.Duration(l.MaxRetryAfter),
-		ConnectTimeout: time.Duration(l.ConnectTimeout), IdleClose: time.Duration(l.IdleClose),
+		RetryAfter: l.RetryAfter, MaxAttempts: l.MaxAttempts, MaxRetryAfter: span(l.MaxRetryAfter),
+		ConnectTimeout: span(l.ConnectTimeout), IdleClose: span(l.IdleClose),
 		StreamsPerConn: l.StreamsPerConn, MaxOpen: l.MaxOpen,
 		CPUPerSecond:  time.Duration(l.CPUPerSecond * float64(time.Microsecond)),
 		CPUPerRequest: time.Duration(l.CPUPerRequest * float64(time.Microsecond)),
@@ -212,11 +299,11 @@
 		Probe: p.Probe, Peer: p.Peer, Handshake: p.Handshake,
 		Connection: p.Connection, Discovery: p.Discovery}
 	cfg.Rules = balance.Rules{
-		GraceToAnswer: time.Duration(o.GraceToAnswer), DrainGrace: time.Duration(o.DrainGrace),
-		AskEvery: time.Duration(o.AskEvery), ColdShare: o.ColdShare, WarmWithin: time.Duration(o.WarmWithin),
-		FallMultiple: o.FallMultiple, OverloadFor: time.Duration(o.OverloadFor),
+		GraceToAnswer: span(o.GraceToAnswer), DrainGrace: span(o.DrainGrace),
+		AskEvery: span(o.AskEvery), ColdShare: o.ColdShare, WarmWithin: span(o.WarmWithin),
+		FallMultiple: o.FallMultiple, OverloadFor: span(o.OverloadFor),
 	}
 	cfg.Goal = balance.Goal{Whole: c.Goal.Whole, WorstClass: c.Goal.WorstClass,
 		WorstTenant: c.Goal.WorstTenant, WorstWindow: c.Goal.WorstWindow}
-	return cfg, errors.Join(errs...)
+	return cfg, wrong
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -42,3 +43,73 @@
 		}
 	}
 }
+
+const sound = `{"nInstances":2,"index":1,"zone":1,"zones":["a","b"],"tiers":["t"],
+ "classes":[{"name":"x","deadline":5,"effect":"token","keyScope":"zone","window":3},{"name":"y"}],
+ "tenants":[{"name":"p","quotaPerS":2,"share":0.5},{"name":"q"}],"limits":{"maxAttempts":4,"idleClose":7},
+ "obligations":{"coldShare":0.1,"fallMultiple":3,"drainGrace":5},"prices":{"probe":0.1},"loadReport":{"columns":["cpu"]}}`
+
+// Settings that can mean nothing, or two things, are refused in one line that says where, what, and what to write instead.
+func TestWhatCanMeanNothingIsRefused(t *testing.T) {
+	if s, err := Parse([]byte(sound)); err != nil || s.Check() != nil {
+		t.Fatal(err, s.Check())
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{`{"name":"y"}`, `{"name":"x"}`, "classes[1].name: x is given twice: give"},
+		{`{"name":"y"}`, `{}`, "classes[1].name: empty: give"},
+		{`{"name":"y"}`, `null`, "classes[1].name: empty: give"},
+		{`{"name":"q"}`, `{"name":"p"}`, "tenants[1].name: p is given twice: give"},
+		{`{"name":"q"}`, `{"share":0.1}`, "tenants[1].name: empty: give"},
+		{`["a","b"]`, `["a","a"]`, "zones[1]: a is given twice: give"},
+		{`["a","b"]`, `["","b"]`, "zones[0]: empty: give"},
+		{`"token"`, `"tokens"`, `classes[0].effect: "tokens" is not known: give one of side_effect, token, pure`},
+		{`"keyScope":"zone"`, `"keyScope":"rack"`, `classes[0].keyScope: "rack" is not known: give one of cell, zone, all`},
+		{`"deadline":5`, `"deadline":-5`, "classes[0]: aim, deadline or window is negative: give"},
+		{`"window":3`, `"window":-3`, "classes[0]: aim, deadline or window is negative: give"},
+		{`"deadline":5`, `"deadline":"5"`, "classes.deadline"},
+		{`"deadline":5`, `"deadline":1e300`, "classes.deadline"},
+		{`"quotaPerS":2`, `"quotaPerS":-2`, "tenants[0]: quotaPerS or share is negative: give"},
+		{`"share":0.5`, `"share":1e999`, "tenants.share"},
+		{`"coldShare":0.1`, `"coldShare":1.5`, "obligations.coldShare: 1.5 is no part of a capacity: give"},
+		{`"coldShare":0.1`, `"coldShare":NaN`, "invalid character"},
+		{`"fallMultiple":3`, `"fallMultiple":-3`, "obligations.fallMultiple: -3 is negative: give"},
+		{`"drainGrace":5`, `"drainGrace":-5`, "obligations: a time is negative: give"},
+		{`"maxAttempts":4`, `"maxAttempts":-4`, "limits.maxAttempts: -4: a count can't be negative: give"},
+		{`"maxAttempts":4`, `"maxAttempts":4,"maxAttempts":1`, "limits.maxAttempts: given twice: give"},
+		{`"name":"y"`, `"name":"y","deadline":1,"deadline":2`, "classes[1].deadline: given twice: give"},
+		{`"probe":0.1`, `"probe":-0.1`, "prices.probe: -0.1: a price can't be negative: give"},
+		{`"index":1`, `"index":2`, "index: 2 is not below nInstances, 2: give"},
+		{`"zone":1`, `"zone":2`, "zone: 2 is not one of the 2 zones: give"},
+		{`"tiers"`, `"stage":1,"tiers"`, "stage: 1 is not one of the 1 tiers: give"},
+		{`["cpu"]`, `["a","b","c","d","e"]`, "loadReport.columns: 5 of them: give"},
+		{`"columns"`, `"source":"there","columns"`, `loadReport.source: "there" is not known: give`},
+		{`"index"`, `"membershipMode":"pull","index"`, `membershipMode: "pull" is not known: give`},
+	} {
+		text := strings.Replace(sound, c.old, c.new, 1)
+		s, err := Parse([]byte(text))
+		if err == nil {
+			err = s.Check()
+		}
+		if text == sound || err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want a line with %q", c.new, err, c.want)
+		}
+	}
+}
+
+// Times without end are as long as any process lives: what is added to them or taken times ten stays a time.
+func TestHugeTimesDoNotOverflow(t *testing.T) {
+	s, err := Parse([]byte(`{"classes":[{"name":"x","aim":9223372036854775807,"deadline":9223372036854775807,"window":9223372036854775807}],
+		"limits":{"idleClose":9223372036854775807,"connectTimeout":9223372036854775807,"maxRetryAfter":9223372036854775807},
+		"obligations":{"drainGrace":9223372036854775807,"askEvery":9223372036854775807,"warmWithin":9223372036854775807,
+		"overloadFor":9223372036854775807,"graceToAnswer":9223372036854775807}}`))
+	if err != nil || s.Check() != nil {
+		t.Fatal(err, s.Check())
+	}
+	c := s.Config
+	for _, d := range []time.Duration{c.Classes[0].Aim, c.Classes[0].Deadline, c.Classes[0].Window, c.Limits.IdleClose, c.Limits.ConnectTimeout,
+		c.Limits.MaxRetryAfter, c.Rules.DrainGrace, c.Rules.AskEvery, c.Rules.WarmWithin, c.Rules.OverloadFor, c.Rules.GraceToAnswer} {
+		if d < 30*24*time.Hour || d > math.MaxInt64/20 {
+			t.Errorf("%v", d)
+		}
+	}
+}
