Two reloads in a row: the second follows on the first, not on what the loop has come to

Cause: internal/node/reload.go Reload took n.front.tuning as the settings in use, which the loop stores when it comes to the change it was posted. A second file that came first was set against the settings before the first one: where it equalled those nothing was posted, and the first file stayed in force; else a new class got a number that the first file had given to another.

Change: the last settings taken in are kept where files are taken in, by the one goroutine that does it (Node.taken).

TestTheLastOfTwoReloadsHolds holds the loop over three files. Without the change gold stays in use. 200 times, 20 with the race detector.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 	pool     *pool
 	loop     *engine.Engine
 	front    *front
+	taken    *tuning // the last settings taken in, of the goroutine that calls Reload
 	disco    *registry.Source
 	door     net.Listener    // for operators; nil: none
 	place    *handover.Place // where this process stands beside another; nil: there is none
@@ -66,6 +67,7 @@
 		Transport: newExchanges(n.pool, cfg.Settings.Config.Reports == balance.InlineReports, log)})
 	n.front = newFront(n.loop, cfg.Settings, most, backends, n.figures, log)
 	n.front.held.left.Store(n.bounds.held)
+	n.taken = n.front.tuning.Load()
 	n.disco = registry.New(cfg.Discovery, cfg.Settings, log,
 		func(list engine.List) {
 			kind := balance.MembersChanged
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -54,12 +54,12 @@
 }
 
 // Reload takes in a configuration that was read anew, or turns it down whole. Discovery moves to its address, and the settings
-// change, but for those that hold from start to end; those, and the other keys, are logged when they differ.
+// change, but for those that hold from start to end; those, and the other keys, are logged when they differ. One goroutine calls it.
 func (n *Node) Reload(cfg Config) error {
 	if at := settings.Missing(n.cfg.keys, cfg.keys); n.cfg.keys != nil && cfg.keys != nil && at != "" {
 		return n.NotReloaded(fmt.Errorf("configuration: %s: missing, the file in use has it", strings.TrimPrefix(at, ".")))
 	}
-	old := n.front.tuning.Load()
+	old := n.taken // the loop may not have come to the last file yet
 	if err := errors.Join(cfg.check(), cfg.Settings.CheckInService(old.Settings)); err != nil {
 		return n.NotReloaded(fmt.Errorf("configuration: settings: %w", err))
 	}
@@ -93,6 +93,7 @@
 	next := old.adopt(cfg.Settings, n.figures, time.Now())
 	if !reflect.DeepEqual(old.Config, next.Config) || !slices.Equal(old.Classes, next.Classes) {
 		n.log.Info("settings change", "classes", next.inUse())
+		n.taken = next
 		// The Balancer knows a class before any request can be of it.
 		n.loop.Post(func() {
 			n.loop.Handle(balance.Event{Kind: balance.SettingsChanged, Settings: &next.Config})
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -117,3 +117,38 @@
 		t.Errorf("no %s in %s", want, &log)
 	}
 }
+
+// Of two files in a row the second holds, also where the loop has not come to the first one yet: back to what was in use is a
+// change, and a class that the first brought goes. Numbers that the first gave are not given again.
+func TestTheLastOfTwoReloadsHolds(t *testing.T) {
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("x") }))
+	text := listText(1, true, listed{ID: "s", Addr: b.Addr().String(), Phase: "ready", Up: 0})
+	reg := newRegistry(t, text)
+	n := start(t, testConfig(t, reg.Addr, text))
+	file := func(name string) Config {
+		more := []string{}
+		if name != "" {
+			more = []string{`"classes":[`, `"classes":[{"name":"` + name + `","aim":1000000000,"deadline":9000000000,"effect":"side_effect","points":1},`}
+		}
+		return testConfig(t, reg.Addr, text, more...)
+	}
+	free, held := make(chan struct{}), make(chan struct{})
+	n.loop.Post(func() { close(held); <-free })
+	receive(t, "the held loop", held)
+	for _, name := range []string{"gold", "silver", ""} {
+		if err := n.Reload(file(name)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(free)
+	n.onLoop(t, func() {})
+	tuned := n.front.tuning.Load()
+	if got := strings.Join(tuned.inUse(), " "); got != "read order token" || len(tuned.Classes) != 5 {
+		t.Errorf("in use: %q of %q", got, tuned.Classes)
+	}
+	for _, class := range []string{"gold", "silver"} {
+		if resp, _ := do(t, ask(t, n.url+"/api/x", class)); resp.StatusCode != 400 {
+			t.Errorf("%s: %d", class, resp.StatusCode)
+		}
+	}
+}
