node: look at the client before each attempt, and while its request waits

Cause: serve() (internal/node/client.go) learned that a client had left from the library's background read alone. That read takes one byte and stops (net/http, connReader.backgroundRead): a client that sent one byte or a further request and closed was never missed, and all its attempts were sent, up to its deadline. Where the library saw it, the word stood behind everything that waited for the loop (Post), and exchange() (backend.go) wrote whatever was on its way.

Change: exchange() looks at the state of the client's connection (TCP_INFO) in the instant before it writes, one system call an attempt; what can't be looked at has not left. Who sees it first takes it in once (message.went): the loop hears ahead of its queue (PostFirst), a request that still waits to be taken in never is, and the handler ends. A request that waits is looked at each 100 ms by its own handler, so that its place and its attempt end too. A half-close counts as leaving, as it did.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"glencart/balance"
+	"glencart/internal/clients"
 	"glencart/internal/engine"
 	"glencart/internal/lograte"
 	"glencart/internal/settings"
@@ -73,6 +74,11 @@
 	held   int64         // bytes that the budget counts
 	budget *budget
 
+	client *clients.Conn // whose it is; nil: nobody's, or it can't be looked at
+	gone   atomic.Bool   // it has left
+	went   func()        // takes that in, once
+	lost   chan struct{} // closed by that
+
 	mu      sync.Mutex
 	left    bool         // the client's goroutine is gone
 	streams chan *stream // takes an answer that is still coming; it has room for one
@@ -192,7 +198,7 @@
 		return engine.Result{Status: balance.DialFailed, Refused: errors.Is(err, syscall.ECONNREFUSED)}, false
 	}
 	text := m.wire(to.Addr, time.Until(deadline))
-	if ctx.Err() != nil || !c.state.CompareAndSwap(callQueued, callWriting) {
+	if ctx.Err() != nil || m.clientGone() || !c.state.CompareAndSwap(callQueued, callWriting) {
 		m.up.giveBack()
 		x.pool.discard(cn)
 		return ended(balance.Unused)
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,9 @@
 	early = 8 * time.Millisecond
 	// defaultDeadline stands for a class's deadline that is not told.
 	defaultDeadline = time.Minute
+	// goneEvery is how often it is looked at whether a client that waits has left. The library sees that only as long as nothing
+	// has come after the request; each attempt's write is looked at by itself.
+	goneEvery = 100 * time.Millisecond
 	// fullRetry is when a client may come back that was refused because the node is full.
 	fullRetry = 250 * time.Millisecond
 )
@@ -198,7 +202,15 @@
 // serve has the loop decide on a request and passes on the one final answer.
 func (f *front) serve(w http.ResponseWriter, ctx context.Context, r *engine.Request) {
 	m := r.Message.(*message)
+	m.went = sync.OnceFunc(func() {
+		m.gone.Store(true)
+		f.loop.PostFirst(func() { f.loop.Gone(r) }) // where the loop has not taken it in yet, it never will
+		close(m.lost)
+	})
 	f.loop.Post(func() {
+		if m.gone.Load() {
+			return // its client left while this waited for the loop
+		}
 		if !m.tuning.holds(f.tuning.Load(), r.Class) {
 			// Nothing has run: read again, it is of the class that its name means now.
 			r.Reply <- engine.Answer{Kind: engine.Refused}
@@ -206,34 +218,53 @@
 		}
 		f.loop.Arrive(r)
 	})
-	select {
-	case a := <-r.Reply:
-		if f.closing.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		if a.Kind == engine.Failed && replyOf(a.Body).neverRan {
-			a.Kind = engine.Refused // the only attempt broke before its last byte
-		}
-		f.write(w, a)
-		m.count.answered(a.Kind)
-	case s := <-m.streams:
-		if f.closing.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		f.pass(w, s, m.count)
-	case <-ctx.Done():
-		f.loop.Post(func() { f.loop.Gone(r) })
-		if m.up != nil {
-			m.up.gone.Store(true)
+	look := time.NewTicker(goneEvery)
+	defer look.Stop()
+	for {
+		select {
+		case a := <-r.Reply:
+			if f.closing.Load() {
+				w.Header().Set("Connection", "close")
+			}
+			if a.Kind == engine.Failed && replyOf(a.Body).neverRan {
+				a.Kind = engine.Refused // the only attempt broke before its last byte
+			}
+			f.write(w, a)
+			m.count.answered(a.Kind)
+			return
+		case s := <-m.streams:
+			if f.closing.Load() {
+				w.Header().Set("Connection", "close")
+			}
+			f.pass(w, s, m.count)
+			return
+		case <-look.C:
+			m.clientGone()
+		case <-ctx.Done():
+			m.went()
+		case <-m.lost:
+			if m.up != nil {
+				m.up.gone.Store(true)
+			}
+			// Returning would have the library word an empty 200.
+			panic(http.ErrAbortHandler)
+		case <-f.loop.Done(): // the node is ending
+			fail(w, http.StatusBadGateway)
+			m.count.failed.Add(1)
+			return
 		}
-		// Returning would have the library word an empty 200.
-		panic(http.ErrAbortHandler)
-	case <-f.loop.Done(): // the node is ending
-		fail(w, http.StatusBadGateway)
-		m.count.failed.Add(1)
 	}
 }
 
+// clientGone tells whether the client has left. It is asked in the instant before each attempt's write: the loop, and the library
+// that reads on, may not have seen so yet, or, behind a byte that came after the request, never would.
+func (m *message) clientGone() bool {
+	if !m.gone.Load() && m.client.Gone() {
+		m.went()
+	}
+	return m.gone.Load()
+}
+
 // write words an answer, and times that while the node ends.
 func (f *front) write(w http.ResponseWriter, a engine.Answer) {
 	if !f.timed.Load() {
@@ -346,7 +377,7 @@
 		r.Key, r.HasKey = sum.Sum64()>>11, true
 	}
 	m := &message{tuning: t, count: t.counts[r.Class], method: method, url: hr.URL, host: hr.Host, header: h, left0: left - early,
-		streams: make(chan *stream, 1)}
+		streams: make(chan *stream, 1), client: clients.FromContext(hr.Context()), lost: make(chan struct{})}
 	reads := time.Now()
 	switch err := f.body(w, hr, m); {
 	case errors.Is(err, errTooLong):
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -29,6 +29,22 @@
 	return n, err
 }
 
+// Gone tells whether the other side of a TCP connection has ended its sending or reset it, by the connection's state: unlike with
+// Peek, what stands unread before that hides nothing. One that can't be looked at is not gone.
+func Gone(c net.Conn) (is bool) {
+	control(c, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			switch info.State {
+			case unix.BPF_TCP_CLOSE, unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_CLOSING, unix.BPF_TCP_TIME_WAIT:
+				is = true
+			}
+		}
+		return err
+	})
+	return is
+}
+
 // Waiting tells whether somebody stands in a listener's queue. known is false where that can't be told.
 func Waiting(l net.Listener) (some, known bool) {
 	fds := []unix.PollFd{{Events: unix.POLLIN}}
