Settings: zones need no names of their own; a start is not refused for them

Cause: Settings.Check turned down a zone of no name and two of one name. Two of one name are one zone, which guesses nothing of a request's effect.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -173,13 +173,13 @@
 	return nil
 }
 
-// Check reports the first thing that a node can't serve by: names that do not tell classes, tenants or zones apart, and figures
+// Check reports the first thing that a node can't serve by: names that do not tell classes or tenants apart, and figures
 // that mean nothing. The simulator's wire, which names classes by number, needs none of it.
 func (s Settings) Check() error {
 	for _, k := range []struct {
 		list  string
 		names []string
-	}{{"classes[%d].name", s.Classes}, {"tenants[%d].name", s.Tenants}, {"zones[%d]", s.Zones}} {
+	}{{"classes[%d].name", s.Classes}, {"tenants[%d].name", s.Tenants}} {
 		for i, name := range k.names {
 			switch at := fmt.Sprintf(k.list, i); {
 			case name == "":
