A client's connection ends its sending side first, and drops what crosses

Cause: internal/clients/conn.go, closeUnasked and Close. A resting connection was looked at (MSG_PEEK) and then closed: bytes that came between the two made close(2) send a reset. The same where net/http closed after an answer with Connection: close while a further request stood unread, and after its idle timeout. Read gave a deadline that had passed before it looked (internal/poll's prepareRead) although a request stood on the socket: net/http's IdleTimeout and ReadHeaderTimeout then closed over it.

Now every end goes one way. Who sets `ended`, under `taking`, owns it: nothing is read for net/http from there on. It drops what stands, ends the sending side (FIN), drops what comes until the client has ended its side, at most 256 KiB and 0.4 s (40 ms where the place is wanted), and then closes. Read looks once more at a deadline on a connection that rests.

--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -41,7 +41,7 @@
 		})
 		wg.Go(func() {
 			for !out && !c.asking() {
-				out = c.closeUnasked(true)
+				out = c.closeUnasked(true, lingerFor)
 				if out {
 					break
 				}
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -124,8 +124,8 @@
 type Conn struct {
 	net.Conn // the socket
 	framing
-	release func()   // its place at the listener
-	known   net.Conn // as the server knows it: itself, or the one of TLS over it
+	home  *Listener // where it has a place
+	known net.Conn  // as the server knows it: itself, or the one of TLS over it
 
 	// taking is held from when bytes leave the socket until they are marked, and while the connection is looked at and closed:
 	// between the two a whole request is neither unread nor asking.
@@ -139,12 +139,19 @@
 	// Zero once a request has been taken.
 	notBefore time.Time
 
-	ended bool // by taking: closed as unasked. Nothing more is read: its client asks again elsewhere
+	ended bool // by taking: it is ending, and linger is its owner. Nothing more is read: its client asks again elsewhere
 }
 
+const (
+	// lingerFor and lingerMost bound how long, and how much of what comes, an ending connection is read and dropped. Its client
+	// ends its side as soon as it has read that this one has ended. lingerCrowd is for where the place is wanted.
+	lingerFor, lingerCrowd = 400 * time.Millisecond, 40 * time.Millisecond
+	lingerMost             = 256 << 10
+)
+
 // watch returns a connection of a client under watch.
-func watch(c net.Conn, release func()) *Conn {
-	f := &Conn{Conn: c, release: release, framing: framing{length: -1}}
+func watch(c net.Conn, home *Listener) *Conn {
+	f := &Conn{Conn: c, home: home, framing: framing{length: -1}}
 	if sc, ok := c.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
 			f.raw, f.take = raw, f.takeBytes
@@ -153,11 +160,69 @@
 	return f
 }
 
-// Close closes it and gives its place back.
+// Close ends the connection, and doesn't wait for its client. What comes from here on has crossed the end: nobody reads it.
 func (c *Conn) Close() error {
-	err := c.Conn.Close()
-	c.release()
-	return err
+	c.taking.Lock()
+	was := c.ended
+	c.ended = true
+	c.taking.Unlock() // the socket's Close waits for a Read under way, and that one for taking
+	if !was {
+		c.linger(lingerFor)
+	}
+	return nil
+}
+
+// linger ends the sending side, drops what comes until the client has ended its own, to a bound, and gives the place back. A close
+// over unread bytes makes a reset, and what was written last can go with it. Only who has set ended may call it.
+func (c *Conn) linger(within time.Duration) {
+	left, over := lingerMost, false
+	take := func(fd uintptr) bool {
+		over = drop(fd, &left)
+		return over
+	}
+	if c.raw == nil || c.raw.Control(func(fd uintptr) { take(fd) }) != nil || over {
+		c.Conn.Close()
+		c.home.left(false)
+		return
+	}
+	c.CloseWrite()
+	c.Conn.SetReadDeadline(time.Now().Add(c.home.lingers(within)))
+	go func() {
+		c.raw.Read(take) // after a Read under way, which finds that it has ended
+		c.Conn.Close()
+		c.home.left(true)
+	}()
+}
+
+// dropped is what is read of ending connections.
+var dropped = sync.Pool{New: func() any { return new([4 << 10]byte) }}
+
+// drop reads what stands on a socket and forgets it. It tells whether nothing more is to be waited for.
+func drop(fd uintptr, left *int) (over bool) {
+	into := dropped.Get().(*[4 << 10]byte)
+	defer dropped.Put(into)
+	for *left > 0 {
+		switch n, err := syscall.Read(int(fd), into[:]); {
+		case err == syscall.EINTR:
+		case err == syscall.EAGAIN:
+			return false
+		case err != nil || n == 0:
+			return true
+		default:
+			*left -= n
+		}
+	}
+	return true
+}
+
+// SetReadDeadline is net/http's: once the connection is ending, linger's own holds.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.taking.Lock()
+	defer c.taking.Unlock()
+	if c.ended {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
 // takeBytes takes what stands on the socket, and marks it. It tells whether there was anything, an end or an error.
@@ -198,6 +263,15 @@
 	}
 	c.into, c.took, c.failed = p, 0, nil
 	err := c.raw.Read(c.take)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.asking() && !c.begun.Load() {
+		// Nothing was read in time; but a request that came meanwhile ends the rest. package net doesn't look again.
+		some := false
+		if c.raw.Control(func(fd uintptr) { some = c.takeBytes(fd) }) == nil && some {
+			err = nil
+		} else {
+			c.took, c.failed = 0, nil
+		}
+	}
 	n, failed := max(c.took, 0), c.failed
 	c.into, c.took, c.failed = nil, 0, nil
 	if err == nil && failed == nil {
@@ -258,16 +332,18 @@
 }
 
 // closeUnasked closes the connection unless a whole request has been read from it, or something stands unread; unless half, nor
-// if some of one has been read. It tells whether it did. What comes in the very instant of the close has crossed it, unread.
-func (c *Conn) closeUnasked(half bool) bool {
+// if some of one has been read. It tells whether it is ending. What comes in that very instant has crossed the end, unread.
+// It lingers for so long at the most.
+func (c *Conn) closeUnasked(half bool, within time.Duration) bool {
 	if !c.taking.TryLock() {
 		return false // something is being read
 	}
-	c.ended = !c.asking() && (half || !c.begun.Load()) && !c.unread()
-	ended := c.ended
-	c.taking.Unlock() // Close waits for a Read under way, and that one for taking
-	if ended {
-		c.Close()
+	was := c.ended
+	ended := was || !c.asking() && (half || !c.begun.Load()) && !c.unread()
+	c.ended = ended
+	c.taking.Unlock()
+	if ended && !was {
+		c.linger(within)
 	}
 	return ended
 }
--- a/internal/clients/listener.go
+++ b/internal/clients/listener.go
@@ -24,6 +24,7 @@
 	mu         sync.Mutex
 	free       sync.Cond
 	open, most int // accepted and not closed, and how many may be
+	lingering  int // of the open, those that are ending
 	closed     bool
 	emptyAt    time.Time // when the queue was known to be empty last; of Accept alone
 }
@@ -38,6 +39,35 @@
 	return l.open
 }
 
+// Lingering is how many of them are ending, and only wait for their clients to end too.
+func (l *Listener) Lingering() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lingering
+}
+
+// lingers takes in that a connection is ending, and tells how long it may wait for its client: within, where there is room.
+func (l *Listener) lingers(within time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lingering++
+	if l.open >= l.most {
+		return min(within, lingerCrowd)
+	}
+	return within
+}
+
+// left gives a place back, of one that lingered or did not.
+func (l *Listener) left(lingered bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open--
+	if lingered {
+		l.lingering--
+	}
+	l.free.Signal()
+}
+
 // Waits tells whether nobody can be let in now: it is full, or closed.
 func (l *Listener) Waits() bool {
 	l.mu.Lock()
@@ -82,12 +112,7 @@
 	l.mu.Lock()
 	l.open++
 	l.mu.Unlock()
-	w := watch(c, sync.OnceFunc(func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.open--
-		l.free.Signal()
-	}))
+	w := watch(c, l)
 	w.opaque, w.notBefore = l.Opaque, l.emptyAt
 	return w, nil
 }
--- a/internal/clients/table.go
+++ b/internal/clients/table.go
@@ -100,7 +100,7 @@
 		if w := Of(c); w != nil && w.opaque && e.state == waits && time.Since(t.moved(c)) > opaqueQuiet {
 			w.asked.Store(0) // a handshake, and nothing after it: a request would have come to its handler by now
 		}
-		if e.state != open && closeUnasked(c, half) {
+		if e.state != open && closeUnasked(c, half, lingerFor) {
 			t.remove(c)
 		}
 	}
@@ -108,9 +108,9 @@
 
 // closeUnasked closes a connection if no request stands on it that has been taken. The socket is closed, not what TLS is on it:
 // saying so could wait for a client that does not read.
-func closeUnasked(c net.Conn, half bool) bool {
+func closeUnasked(c net.Conn, half bool, within time.Duration) bool {
 	if w := Of(c); w != nil {
-		return w.closeUnasked(half)
+		return w.closeUnasked(half, within)
 	}
 	c.Close()
 	return true
@@ -198,7 +198,7 @@
 		if out == nil {
 			return false
 		}
-		if !closeUnasked(out, true) {
+		if !closeUnasked(out, true, lingerCrowd) {
 			t.conns[out].since = time.Now() // the last to be looked at again
 			continue
 		}
