serve waits for connections that linger before it ends

internal/front/http/life.go, see: it counts those that net/http knows of. One that lingers has left its table and still waits for its client: ending the process then would reset it.

--- a/internal/front/http/life.go
+++ b/internal/front/http/life.go
@@ -62,7 +62,7 @@
 	ev := life.Event{Kind: life.Seen}
 	for _, l := range v.listeners {
 		ev.Queued = ev.Queued || accepting && l.Queued()
-		ev.Conns += l.table.Counts().Open
+		ev.Conns += l.table.Counts().Open + l.Lingering() // tunnels of upgraded connections are not waited for
 		ev.Asked += l.table.Asked()
 	}
 	for _, p := range v.gen.Load().pools {
