A refused call to discovery is repeated in time for what it missed, in fleets of any size

Fault: where lists are asked for, the wait after a refused call or a broken watch went up to 2 x AskEvery (balance/members.go, onMembers): 20 s at 10 s, 120 s at 60 s, and the call after it. What discovery has counts as told 6 s after it can be reached, whatever call failed before. Change: the wait is 4 s at most; with the 2 s that a call may stand in line, the list is here by the 6 s. It still spreads by the size of the fleet, and from the second refusal on nodes keep the spread that they have. TestARefusedNodeHearsInTime fails without the change (122 s).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -61,9 +61,10 @@
 	idleEntry, freeEntry, baseWeight = 0.1, 1.0, 0.03
 	// fallWeight and riseWeight draw the time between reports to a shorter or longer one.
 	fallWeight, riseWeight = 0.3, 0.01
-	// rewatchParts: a refused call is repeated no sooner than AskEvery over this. For each rewatchNodes nodes
-	// of a fleet the mean wait is as much longer.
-	rewatchParts, rewatchNodes = 20, 8
+	// A refused call is repeated after AskEvery/rewatchParts, later in large fleets, rewatchMost at most: with the
+	// callMost of the next in line it is 6 s, when news counts as told. Longer only after vainMost in vain.
+	rewatchParts, rewatchNodes      = 20, 8
+	rewatchMost, callMost, vainMost = 4 * time.Second, 2 * time.Second, 2
 )
 
 // ---- State ----
@@ -80,28 +81,25 @@
 	timers                     map[uint64]timer
 	held                       []*request // arrivals that wait for the probes of their tick
 	refused                    int        // requests that no server was good enough for
-	asked                      int        // probes of held requests that are out
-	pairs                      int        // servers asked twice in a row
+	asked, pairs               int        // probes of held requests that are out, servers asked twice in a row
 	lastMark                   uint64
 	probedAt                   time.Duration // the last tick that sent probes
 	classes                    []classStats
 	warmRate                   float64 // this node's part, of all, in the work a second of one warm server
-	rolledAt                   time.Duration
+	rolledAt, judgedAt         time.Duration
 	probeDue                   float64     // probes that arrivals have paid for
 	part                       float64     // part of the slack that queues may take up
 	partSize                   int         // servers of a zone that this node keeps to
 	listed                     map[int]int // and how many a zone has, but for those that fail
 	gap                        float64     // mean time between answers, seconds
-	judgedAt                   time.Duration
 	shares                     []share
-	crowded                    bool    // answers come late, as logged
-	blind                      bool    // discovery was refused, as logged
-	refusals                   int     // and how often since it last answered
-	allFail                    float64 // rate of failures over all servers
-	allBroke                   float64 // and of those that were no time-out
-	meanValue                  float64 // running mean of what requests are worth for each unit of work
-	meanAim                    float64 // mean aim of the classes, seconds
-	peerPace                   float64 // pace over all answers, and the means that it comes from
+	crowded, blind             bool          // answers come late, and discovery was refused, as logged
+	refusals, vain             int           // and how often since; of them, after a wait in line
+	freedAt, watchedAt         time.Duration // watchedAt: when discovery was asked again
+	allFail, allBroke          float64       // failures over all servers, and those that were no time-out
+	meanValue                  float64       // running mean of what requests are worth for each unit of work
+	meanAim                    float64       // mean aim of the classes, seconds
+	peerPace                   float64       // pace over all answers, and the means that it comes from
 	allTime, allDepth, answers float64
 	all                        crowd // what other nodes have at a server, over all and by zone
 	zones                      map[int]*crowd
@@ -113,9 +111,8 @@
 	complainedAt               time.Duration      // of a peer's message
 	cold                       crowd              // and at those that are cold
 	retries                    float64            // attempts that may be sent again
-	freedAt                    time.Duration
-	probes                     float64 // probes sent
-	refresh                    float64 // seconds between two reports of a server that differ
+	probes                     float64            // probes sent
+	refresh                    float64            // seconds between two reports of a server that differ
 }
 
 // server is one backend in the list.
@@ -147,18 +144,16 @@
 
 // request is one client request that this node has taken.
 type request struct {
-	id       string
-	class    *Class
-	stats    *classStats
-	tenant   int
-	hint     time.Duration
-	arrived  time.Duration
-	deadline time.Duration
-	attempts []attempt
-	pending  int
-	ended    bool // the final answer is out
-	streamed bool // the answer has started: it belongs to the client
-	mark     uint64
+	id                      string
+	class                   *Class
+	stats                   *classStats
+	tenant                  int
+	hint, arrived, deadline time.Duration
+	attempts                []attempt
+	pending                 int
+	ended                   bool // the final answer is out
+	streamed                bool // the answer has started: it belongs to the client
+	mark                    uint64
 }
 
 // timer is what is due then: the end of a request or of its hold, another probe, or a call to discovery.
@@ -333,6 +328,7 @@
 			b.do(Action{Kind: Probe, Backend: t.again.Backend})
 		}
 	case t.end == nil:
+		b.watchedAt = b.now
 		b.do(Action{Kind: Watch})
 	case !t.end.ended && !t.end.streamed:
 		b.answer(t.end)
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -56,6 +56,49 @@
 	}
 }
 
+// What a node misses counts as told 6 s after discovery had it and could be reached, whatever call failed, was refused or given up
+// before. So discovery comes back at each instant of the waits, and the call that reaches it stands in line for its 2 s: the
+// list is here within those 6 s. How calls end until then: turned away or reset at once, late, after 2 s in line, once, or given
+// up. Fleets and customers of any figures; after the first refusal no quarter of a second has more than its part of a fleet.
+func TestARefusedNodeHearsInTime(t *testing.T) {
+	const told, step = 6 * time.Second, 100 * ms
+	worst := time.Duration(0)
+	for _, ends := range [][]time.Duration{{0}, {2 * time.Second, 2 * time.Second, 0}, {time.Second}, {6 * time.Second}, {0, 22 * time.Second, ms}} {
+		for _, nodes := range []int{1, 3, 16, 80, 350} {
+			for _, every := range []time.Duration{500 * ms, 10 * time.Second, time.Minute} {
+				begun := map[time.Duration]int{}
+				for i := range 240 {
+					cfg := site()
+					cfg.AskDiscovery, cfg.Instances, cfg.Rules.AskEvery = true, nodes, every
+					b, _ := New(cfg, uint64(i))
+					r := &rig{t: t, b: b, now: time.Hour}
+					r.do(Event{Kind: MembersRemembered, Members: []Member{member(1, 0, 0)}})
+					back := r.now + time.Duration(i)*step // discovery has it, and can be reached
+					for call := 0; r.now <= back; call++ {
+						r.now += ends[min(call, len(ends)-1)]
+						s := of(SetTimer, r.do(Event{Kind: MembersRefused}))[0]
+						back = max(back, r.now) // until then it did not answer
+						if r.now += s.In; call == 0 {
+							begun[s.In/(250*ms)]++
+						}
+						r.do(Event{Kind: Timer, Mark: s.Mark})
+					}
+					worst = max(worst, r.now+callMost-back)
+				}
+				for in, n := range begun {
+					if nodes >= 80 && every >= 10*time.Second && n > 240/5 {
+						t.Errorf("%d nodes, askEvery %v: %d of 240 come back after %v", nodes, every, n, in*250*ms)
+					}
+				}
+			}
+		}
+	}
+	t.Logf("%v at worst", worst)
+	if worst > told {
+		t.Errorf("%v at worst, %v wanted", worst, told)
+	}
+}
+
 // All hear a report; few take it at its word, or all would rush to the server that was idle then.
 func TestFewTakeAReportAtItsWord(t *testing.T) {
 	taken := 0
--- a/balance/members.go
+++ b/balance/members.go
@@ -9,21 +9,25 @@
 
 func (b *Balancer) onMembers(ev *Event) {
 	if ev.Kind == MembersRefused {
-		// A refused or broken subscription leaves the node blind to drains: ask again.
 		if b.cfg.AskDiscovery {
 			b.state(&b.blind, true, false, "discovery refused: asking again", "")
-			// All nodes ask one discovery, which works through calls in turn: as long as they come faster than it works,
-			// each waits until it is too late, and none is answered. So they spread over a time in which one call of
-			// each can be taken, and over up to four times that after further refusals.
-			least := b.cfg.Rules.AskEvery / rewatchParts
-			wait := least * time.Duration(max(1, b.cfg.Instances/rewatchNodes)<<min(b.refusals, 2))
-			b.refusals++
-			in := 2 * b.rng.Float64() * float64(min(wait, b.cfg.Rules.AskEvery))
-			b.setTimer(max(least, time.Duration(in)), timer{})
+			// A refused call or broken subscription leaves the node blind to drains: ask again, by when a change counts as told.
+			// All nodes ask one discovery, in turn: they spread. Where calls stand in line in vain, more is asked than it can
+			// do, and as long as that lasts none is answered: only then the spread goes beyond that.
+			least := min(b.cfg.Rules.AskEvery/rewatchParts, rewatchMost/8)
+			span := 2 * min(least*time.Duration(max(1, b.cfg.Instances/rewatchNodes)<<min(b.refusals, 2)), b.cfg.Rules.AskEvery)
+			from := max(least, min(span/8*time.Duration(min(b.refusals, 1)), rewatchMost*3/4))
+			if b.refusals > 0 && (b.now-b.watchedAt).Round(time.Second) == callMost {
+				b.vain++
+			}
+			if b.refusals++; b.vain < vainMost {
+				span = min(span, rewatchMost)
+			}
+			b.setTimer(from+time.Duration(b.rng.Float64()*float64(span-from)), timer{})
 		}
 		return
 	}
-	b.blind, b.refusals = false, 0
+	b.blind, b.refusals, b.vain = false, 0, 0
 	if ev.Kind != MembersChanged {
 		for _, s := range b.servers {
 			s.Phase = Gone // unless the full list names it, also one that this node does not keep to
--- a/internal/members/registry/pace/pace.go
+++ b/internal/members/registry/pace/pace.go
@@ -63,6 +63,7 @@
 	open     []openCall         // oldest first
 	last     int                // the last call's id
 	next     time.Duration      // when the next call begins
+	by       time.Duration      // when it does at the latest, since a call beside a silent one failed; Never: none did
 	fails    int                // since something was heard
 	lostAt   time.Duration      // when that was told last; -1: something was heard since
 	answered time.Duration      // when the last answer came
@@ -71,7 +72,7 @@
 // New returns a Pace that has begun nothing. holds tells that a list is held, as a remembered one: where a call costs
 // nothing, the first reads the whole list all the same.
 func New(t Terms, holds bool, rng *rand.Rand) *Pace {
-	p := &Pace{terms: t, rng: rng, want: balance.Watch, holds: holds && t.asked, lostAt: -1}
+	p := &Pace{terms: t, rng: rng, want: balance.Watch, holds: holds && t.asked, by: Never, lostAt: -1}
 	if t.asked {
 		p.want, p.next = balance.Unwatch, Never
 	}
@@ -86,12 +87,13 @@
 		if ev.Ask != balance.Fetch || p.want == balance.Unwatch {
 			p.want = ev.Ask
 		}
-		if len(p.open) == 0 && p.next == Never && p.want != balance.Unwatch {
+		// After a failure sooner than by itself; else a call is under way, or about to be.
+		if len(p.open) == 0 && (p.next == Never || p.fails > 0) && p.want != balance.Unwatch {
 			p.next = now
 		}
 	case Moved:
 		out = p.drop(out, 0)
-		p.holds, p.fails, p.lostAt, p.next = false, 0, -1, now
+		p.holds, p.fails, p.lostAt, p.next, p.by = false, 0, -1, now, Never
 		if p.want == balance.Unwatch {
 			p.want = balance.Fetch
 		}
@@ -163,8 +165,14 @@
 	switch {
 	case p.terms.rolls:
 		p.next = min(p.next, now+p.pause()) // no later than beside it, had it been silent
-	case len(p.open) == 0 && p.terms.asked:
-		p.next = Never
+	case p.terms.asked:
+		// Where none is open the module asks again, by then. Beside a silent one nobody else would.
+		if len(p.open) > 0 {
+			p.by = min(p.by, now+rewatchMost)
+			p.next = min(p.next, p.by)
+		} else {
+			p.next = p.by
+		}
 	case len(p.open) == 0:
 		p.next = now + p.pause()
 	}
@@ -233,7 +241,7 @@
 		over, beside = p.terms.Wait+p.terms.overWatch, p.terms.Wait+p.terms.besideWatch
 	}
 	p.open = append(p.open, openCall{id: p.last, began: now, over: now + over})
-	if p.next = Never; p.terms.most > 1 {
+	if p.next, p.by = Never, Never; p.terms.most > 1 {
 		p.next = now + beside
 	}
 	return append(out, Action{Kind: Begin, Call: p.last, Whole: whole})
--- a/internal/members/registry/pace/terms.go
+++ b/internal/members/registry/pace/terms.go
@@ -14,6 +14,9 @@
 	// watchPatience beyond a watch's wait: by then the news counts as told.
 	CallSlack                   = time.Second
 	listPatience, watchPatience = 6 * time.Second, 2 * time.Second
+	// callMost is how long a call may stand in line there; then it fails. So one that begins rewatchMost after a failure brings what
+	// was missed by listPatience, when it counts as told.
+	callMost, rewatchMost = 2 * time.Second, listPatience - callMost
 	// watchGap is the longest time between two calls of a watch for which nothing can have been missed; it
 	// stays below the 200 ms after which discovery ends one.
 	watchGap = 150 * time.Millisecond
@@ -45,7 +48,7 @@
 	// it in step: each waits half of it to one and a half times.
 	least, longest time.Duration
 	lostEvery      time.Duration // the least time between two words that calls fail
-	asked          bool          // calls begin on the module's behalf; a failure ends them until it asks again
+	asked          bool          // calls begin on the module's behalf: a failure of the last one open ends them until it asks again
 }
 
 // Near returns the terms of an agent on the node's own machine. What it has counts as told, whether or not a call is open, and
@@ -68,10 +71,10 @@
 // Asked returns those of a registry that each call costs work, and that works through calls in turn. One that is given up
 // while it waits there is worked through all the same, and another waits in its stead. What a silent call misses counts as
 // told listPatience after it began, or watchPatience after its wait, whether or not it came; grace later a drain is kept. So
-// just before that, and no sooner, one other call is made beside it, and one more when it is given up.
+// one other call is made beside it, no sooner than needed for that to stand in line for its callMost, and one more when it is
+// given up. Half of the grace beyond its wait is left to a watch that brings nothing.
 func Asked(grace time.Duration) Terms {
-	ahead := min(2*graceOr(grace), watchPatience/2)
-	return Terms{Wait: longWait, besideList: listPatience - ahead, besideWatch: watchPatience - ahead,
+	return Terms{Wait: longWait, besideList: listPatience - callMost, besideWatch: watchPatience - callMost + min(graceOr(grace)/2, watchPatience/4),
 		overList: listPatience, overWatch: watchPatience, most: 2, asked: true}
 }
 
