Repeats of keyed requests keep to their window and group until the write

Cause 1: balance.mayGo judged the window at the choice of a backend; a dial may last for connectTimeout and the write came after the window (balance/balance.go send, internal/node/backend.go exchange). The action now carries Within, the attempt WriteBy; the transport asks TooLate in the instant before the write (Unused), and the write itself, also that of a body that is passed on, ends with the window: its last byte has not left, so it never ran. Cause 2: the group was read from the backend's present line. A line that takes a backend out may come without locality and cell (registry/list.go takes such), and then the repeat went to another group. The attempt keeps zone and cell of its send. Two localities that the settings don't name (zone -1) are no group. Cause 3: mayRefuse looked at now, while the refusal calls the client back RetryIn later, which may be past the window.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -164,13 +164,14 @@
 
 // attempt is one copy of a request at a server.
 type attempt struct {
-	to      *server
-	at      time.Duration
-	met     float64 // the entry when it was sent
-	wait    float64 // and the time that it took to clear, seconds
-	pending bool
-	mayRun  bool // it may have run, or may still run
-	open    bool // a stream whose answer has begun
+	to         *server
+	zone, cell int // its group when it was sent: a list may move it, or name it last without one
+	at         time.Duration
+	met        float64 // the entry when it was sent
+	wait       float64 // and the time that it took to clear, seconds
+	pending    bool
+	mayRun     bool // it may have run, or may still run
+	open       bool // a stream whose answer has begun
 }
 
 // classStats is what a node has learned of a class.
@@ -455,8 +456,12 @@
 
 func (b *Balancer) send(r *request, s *server) {
 	met := b.entry(s)
-	r.attempts = append(r.attempts, attempt{
-		to: s, at: b.now, met: met, wait: met * b.pace(s), pending: true, mayRun: true})
+	var within time.Duration
+	if first := r.firstRun(); first != nil && r.class.Effect == Keyed {
+		within = first.at + r.class.Window - b.now
+	}
+	r.attempts = append(r.attempts, attempt{to: s, zone: s.Zone, cell: s.Cell,
+		at: b.now, met: met, wait: met * b.pace(s), pending: true, mayRun: true})
 	if s.out == s.open {
 		s.owesAt = b.now
 	}
@@ -465,7 +470,7 @@
 	b.spend(s)
 	s.credit -= b.work(r) / max(b.meanBase(), 1e-6)
 	r.pending++
-	b.do(Action{Kind: Send, Request: r.id, Backend: s.Backend, Attempt: len(r.attempts) - 1})
+	b.do(Action{Kind: Send, Request: r.id, Backend: s.Backend, Attempt: len(r.attempts) - 1, Within: within})
 }
 
 // pending finds the attempt that an event tells of, if it is still out.
@@ -530,11 +535,11 @@
 	if r.ended {
 		return
 	}
-	kind := Fail
-	if b.mayRefuse(r) {
+	kind, in := Fail, b.comeBack()
+	if b.mayRefuse(r, in) {
 		kind = Refuse
 	}
-	b.do(Action{Kind: kind, Request: r.id, RetryIn: b.comeBack()})
+	b.do(Action{Kind: kind, Request: r.id, RetryIn: in})
 	b.end(r)
 }
 
@@ -560,22 +565,17 @@
 // mayGo tells whether another attempt may go to s without an effect happening twice.
 func (b *Balancer) mayGo(r *request, s *server) bool {
 	first := r.firstRun()
-	if first == nil || r.class.Effect == Safe {
-		return true
-	}
-	if r.class.Effect == Unsafe || b.now >= first.at+r.class.Window {
-		return false
-	}
-	return r.class.Scope == ScopeAll ||
-		r.class.Scope == ScopeZone && s.Zone == first.to.Zone ||
-		r.class.Scope == ScopeCell && s.Cell == first.to.Cell
+	return first == nil || r.class.Effect == Safe ||
+		r.class.Effect == Keyed && b.now < first.at+r.class.Window && (r.class.Scope == ScopeAll ||
+			r.class.Scope == ScopeZone && s.Zone == first.zone && s.Zone >= 0 ||
+			r.class.Scope == ScopeCell && s.Cell == first.cell)
 }
 
-// mayRefuse tells whether it is harmless for the client to try again.
-func (b *Balancer) mayRefuse(r *request) bool {
+// mayRefuse tells whether it is harmless for the client to try again, in so long.
+func (b *Balancer) mayRefuse(r *request, in time.Duration) bool {
 	first := r.firstRun()
 	return first == nil || r.class.Effect == Safe ||
-		r.class.Effect == Keyed && r.class.Scope == ScopeAll && b.now < first.at+r.class.Window
+		r.class.Effect == Keyed && r.class.Scope == ScopeAll && b.now+in < first.at+r.class.Window
 }
 
 // ---- The estimate ----
--- a/balance/types.go
+++ b/balance/types.go
@@ -279,7 +279,7 @@
 
 // Kinds of actions, with the Action fields each one uses.
 const (
-	Send     ActionKind = iota // Request, Backend, Limit: launch the next attempt
+	Send     ActionKind = iota // Request, Backend, Limit, Within: launch the next attempt
 	Cancel                     // Request, Attempt: stop waiting for an attempt
 	Refuse                     // Request, RetryIn: final; trying again is harmless
 	Fail                       // Request: final; promises nothing
@@ -304,6 +304,7 @@
 	Backend BackendID
 	Attempt int
 	Limit   time.Duration // the attempt's time-out; 0: until the client quits
+	Within  time.Duration // a write that would begin later is not made, and the attempt Unused; 0: at any time
 	RetryIn time.Duration // advice to the client; 0: none
 	In      time.Duration
 	Mark    uint64
--- /dev/null
+++ b/internal/engine/repeats_test.go
@@ -0,0 +1,42 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"glencart/balance"
+)
+
+// A repeat of a keyed request says until when it may be written, by the engine's clock.
+func TestRepeatsTellWhenTheyAreTooLate(t *testing.T) {
+	w := newWorld(t)
+	w.e.TakeList(balance.MembersAll, List{Complete: true, Members: []Member{
+		{ID: "a", Addr: "10.0.0.1:1", Member: balance.Member{Weight: 1}}, {ID: "b", Addr: "10.0.0.2:1", Member: balance.Member{Weight: 1}}}})
+	for i := range 20 { // earn a retry budget
+		r := &Request{ID: string(rune('a' + i)), Deadline: w.clock.Add(time.Second), Reply: make(chan Answer, 1)}
+		w.e.Arrive(r)
+		w.out[r.ID+"/0"].Done(Result{Status: balance.Delivered})
+		w.e.Step()
+	}
+	began := w.clock
+	w.e.Arrive(&Request{ID: "x", Class: 2, Deadline: began.Add(2 * time.Second), Reply: make(chan Answer, 1)})
+	first := w.out["x/0"]
+	w.clock = began.Add(900 * time.Millisecond)
+	if first.TooLate() || !first.WriteBy.IsZero() {
+		t.Errorf("the first may be written until %v", first.WriteBy)
+	}
+	first.Done(Result{Status: balance.Dropped})
+	w.e.Step()
+	again := w.out["x/1"]
+	if again == nil {
+		t.Fatal("no repeat")
+	}
+	w.clock = began.Add(time.Second - 1)
+	if again.TooLate() {
+		t.Error("too late within the window")
+	}
+	w.clock = began.Add(time.Second)
+	if !again.TooLate() {
+		t.Error("not too late at the end of the window")
+	}
+}
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -116,6 +116,9 @@
 			a.Deadline = limit
 		}
 	}
+	if act.Within > 0 {
+		a.WriteBy = e.Now().Add(act.Within)
+	}
 	a.begun = true
 	e.Transport.Send(a)
 }
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -22,7 +22,8 @@
 // are for any but the loop's.
 type Transport interface {
 	// Send begins an attempt on a.To. It owes exactly one a.Done, at a.Deadline or soon after it at the latest. An
-	// attempt is one write on one connection, and is never sent again by the transport or by a library below it.
+	// attempt is one write on one connection, and is never sent again by the transport or by a library below it. One that
+	// a.TooLate tells of in the instant before its write is not written, and is Unused.
 	Send(a *Attempt)
 	// Bar keeps an attempt that has not begun to write from ever doing so: a send counts for a drain from its first
 	// byte, and a dial may outlast the grace. It tells whether it came in time.
@@ -77,6 +78,7 @@
 	Request  *Request
 	To       Endpoint
 	Deadline time.Time // by Config.Now's clock
+	WriteBy  time.Time // a repeat after that may have its effect twice: it is not written; zero: at any time
 	// State is the transport's own. The engine never looks at it.
 	State any
 
@@ -91,6 +93,10 @@
 // Number counts the attempts of a request from 0.
 func (a *Attempt) Number() int { return a.number }
 
+// TooLate tells whether the attempt may not be written any more. The transport asks in the instant before its write: a
+// dial or a queue may last from the choice of a backend to the end of the time in which backends drop repeats.
+func (a *Attempt) TooLate() bool { return !a.WriteBy.IsZero() && !a.engine.Now().Before(a.WriteBy) }
+
 // Done tells how the attempt ended. It counts once; what comes after the attempt was given up changes nothing.
 func (a *Attempt) Done(res Result) {
 	a.engine.Post(func() { a.engine.outcome(a, res) })
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -198,7 +198,7 @@
 		return engine.Result{Status: balance.DialFailed, Refused: errors.Is(err, syscall.ECONNREFUSED)}, false
 	}
 	text := m.wire(to.Addr, time.Until(deadline))
-	if ctx.Err() != nil || m.clientGone() || !c.state.CompareAndSwap(callQueued, callWriting) {
+	if ctx.Err() != nil || c.own != nil && c.own.TooLate() || m.clientGone() || !c.state.CompareAndSwap(callQueued, callWriting) {
 		m.up.giveBack()
 		x.pool.discard(cn)
 		return ended(balance.Unused)
@@ -207,6 +207,9 @@
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	defer stop()
 	cn.SetDeadline(deadline)
+	if c.own != nil && !c.own.WriteBy.IsZero() && c.own.WriteBy.Before(deadline) {
+		cn.SetWriteDeadline(c.own.WriteBy) // it is sent with its last byte
+	}
 	if n, all, err := m.send(cn, text); err != nil {
 		m.up.giveBack()
 		x.pool.discard(cn)
@@ -218,7 +221,7 @@
 	if m.up != nil {
 		// From here on this attempt is the last one.
 		c.own.Started()
-		if err := m.up.pass(cn, m.up.length-m.size()); err != nil {
+		if err := m.up.pass(cn, m.up.length-m.size(), c.own.WriteBy); err != nil {
 			x.pool.discard(cn)
 			r := engine.Result{Status: balance.DialFailed, Body: &reply{neverRan: true}}
 			if errors.Is(err, errClient) {
--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -228,8 +228,9 @@
 }
 
 // pass writes what is left of an upload to a backend, as it comes. left counts its bytes where the length was told. errClient
-// stands before what the client did. An error means that the last byte has not been written.
-func (u *upload) pass(cn *conn, left int64) error {
+// stands before what the client did. An error means that the last byte has not been written: none is from by on, if that is not
+// zero.
+func (u *upload) pass(cn *conn, left int64, by time.Time) error {
 	chunked := u.length < 0
 	var to io.WriteCloser = plainWriter{cn}
 	if chunked {
@@ -239,7 +240,11 @@
 	for {
 		n, err := u.read(buf)
 		if n > 0 {
-			cn.SetWriteDeadline(time.Now().Add(backendSilent))
+			end := time.Now().Add(backendSilent)
+			if !by.IsZero() && by.Before(end) {
+				end = by
+			}
+			cn.SetWriteDeadline(end)
 			if _, err := to.Write(buf[:n]); err != nil {
 				return err
 			}
--- /dev/null
+++ b/internal/node/retries_test.go
@@ -0,0 +1,160 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"glencart/balance"
+	"glencart/internal/engine"
+)
+
+// pair is an engine over exchanges, with two backends and a clock that the test may put forward.
+type pair struct {
+	x     *exchanges
+	e     *engine.Engine
+	ahead atomic.Int64
+	saw   chan engine.Result
+}
+
+func newPair(t *testing.T, window time.Duration, addrs ...string) *pair {
+	p := &pair{x: exchangesFor(t), saw: make(chan engine.Result, 8)}
+	bal, err := balance.New(balance.Config{
+		Classes: []balance.Class{{Aim: time.Second, Deadline: patience, Effect: balance.Keyed, Window: window, Scope: balance.ScopeAll, Points: 1}},
+		Limits:  balance.Limits{MaxAttempts: 2, FreeRetries: 10},
+	}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.e = engine.New(engine.Config{Balancer: bal, Transport: p.x, Saw: func(_ string, r engine.Result) { p.saw <- r },
+		Now: func() time.Time { return time.Now().Add(time.Duration(p.ahead.Load())) }})
+	var l engine.List
+	for _, a := range addrs {
+		l.Members = append(l.Members, engine.Member{ID: a, Addr: a, Member: balance.Member{Weight: 1}})
+	}
+	p.e.TakeList(balance.MembersChanged, l)
+	quit := make(chan struct{})
+	go p.e.Run(quit)
+	t.Cleanup(func() { close(quit); <-p.e.Done() })
+	return p
+}
+
+func (p *pair) ask(m *message) *engine.Request {
+	r := &engine.Request{ID: "x", Deadline: p.e.Now().Add(patience), Message: m, Reply: make(chan engine.Answer, 1)}
+	p.e.Place(r)
+	return r
+}
+
+// The window in which backends drop repeats may end while a repeat is dialed. It is looked at again before the write.
+func TestNoRepeatIsWrittenAfterTheWindow(t *testing.T) {
+	for name, late := range map[string]bool{"in the window": false, "after the window": true} {
+		t.Run(name, func(t *testing.T) {
+			var ran atomic.Int32
+			serve := func(c net.Conn, br *bufio.Reader) {
+				if _, err := http.ReadRequest(br); err != nil {
+					return
+				}
+				if ran.Add(1) == 1 {
+					reset(c) // it may have run
+					return
+				}
+				io.WriteString(c, ok200("again"))
+			}
+			a, b := newRawBackend(t, "127.0.0.1:0", serve), newRawBackend(t, "127.0.0.1:0", serve)
+			p := newPair(t, patience/2, a.Addr().String(), b.Addr().String())
+			var dials atomic.Int32
+			dialing, proceed := make(chan struct{}), make(chan struct{})
+			p.x.pool.dialer.Control = func(_, _ string, _ syscall.RawConn) error {
+				if dials.Add(1) == 2 {
+					close(dialing)
+					<-proceed
+				}
+				return nil
+			}
+			r := p.ask(get("x"))
+			if got := receive(t, "the first outcome", p.saw); got.Status != balance.Dropped {
+				t.Fatalf("the first: %v", got.Status)
+			}
+			receive(t, "the second dial", dialing)
+			if late {
+				p.ahead.Store(int64(patience / 2))
+			}
+			close(proceed)
+			ans := receive(t, "the answer", r.Reply)
+			if late && (ans.Kind != engine.Failed || ran.Load() != 1) || !late && (ans.Kind != engine.Served || ran.Load() != 2) {
+				t.Errorf("answer %v, ran %d times", ans.Kind, ran.Load())
+			}
+			if got := receive(t, "the second outcome", p.saw); late && got.Status != balance.Unused {
+				t.Errorf("the second: %v", got.Status)
+			}
+		})
+	}
+}
+
+// A repeat is sent with its last byte: one that a backend is slow to take ends with the window, and never ran.
+func TestRepeatIsNotWrittenOnPastTheWindow(t *testing.T) {
+	small := func(_, _ string, rc syscall.RawConn) error {
+		return rc.Control(func(fd uintptr) {
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096)
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, 4096)
+		})
+	}
+	for name, grow := range map[string]func(m *message){
+		"held":      func(m *message) { m.body = make([]byte, bodyMost) },
+		"in pieces": func(m *message) { m.body = make([]byte, 1); m.more = [][]byte{make([]byte, bodyMost)} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var met atomic.Int32
+			end := make(chan struct{})
+			var addrs []string
+			for range 2 {
+				l, err := (&net.ListenConfig{Control: small}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer l.Close()
+				go func() {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					defer c.Close()
+					if met.Add(1) == 1 {
+						if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+							io.Copy(io.Discard, r.Body)
+						}
+						reset(c)
+						return
+					}
+					<-end // reads nothing
+				}()
+				addrs = append(addrs, l.Addr().String())
+			}
+			defer close(end)
+			p := newPair(t, patience/80, addrs...)
+			p.x.pool.dialer.Control = small
+			m := get("x")
+			m.method = "POST"
+			grow(m)
+			r := p.ask(m)
+			if got := receive(t, "the first outcome", p.saw); got.Status != balance.Dropped {
+				t.Fatalf("the first: %v", got.Status)
+			}
+			if got := receive(t, "the second outcome", p.saw); got.Status != balance.DialFailed {
+				t.Errorf("the second: %v", got.Status)
+			}
+			if left := time.Until(r.Deadline); left < patience/4 {
+				t.Errorf("it was written on until %v before the deadline", left)
+			}
+			if ans := receive(t, "the answer", r.Reply); ans.Kind != engine.Failed {
+				t.Errorf("answer %v", ans.Kind)
+			}
+		})
+	}
+}
