A connection to a backend is looked at in the instant before the write

Cause: pool.get looked at a kept connection, then the request was worded, timers and deadlines were set and only then it was written (internal/node/pool.go get, backend.go exchange). What came in between was read as the next answer, or the request was written on a connection that had ended, and may have run. Now exchanges.ready does all of that first and looks last; one that is not quiet is ended and another taken; a new one that is not quiet never took the request. Long requests go out in pieces and take time: the look is repeated before the last piece (bulk.go send, pass): what stood readable before our last byte left is no answer to it, and the request never ran. No further system call for usual requests. Also (backend.go answer): an answer without a length that met the bound on what is read looked like one that had ended, and was served cut; one that switches protocols left its connection in the pool. What is left open: noise between this look and the write, two system calls that follow one another. HTTP/1.1 answers name no request, so nothing that comes then can be told from an answer.

Tests: TestKeptConnectionIsLookedAtBeforeTheWrite (a second answer, half a line, close, reset, both, forced after the choice and before the write), TestNewConnectionThatSpeaksFirst, TestNoiseBeforeTheLastByte, TestAnswersThatEndElsewhere.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -187,7 +187,7 @@
 	if m.up != nil && (m.up.begun.Load() || !m.up.taken.CompareAndSwap(false, true)) {
 		return ended(balance.Unused) // a part of the body has gone elsewhere
 	}
-	cn, err := x.pool.get(ctx, to, m.probe)
+	cn, text, stop, err := x.ready(ctx, c, to, m, deadline)
 	if err != nil {
 		m.up.giveBack()
 	}
@@ -197,19 +197,12 @@
 	case err != nil:
 		return engine.Result{Status: balance.DialFailed, Refused: errors.Is(err, syscall.ECONNREFUSED)}, false
 	}
-	text := m.wire(to.Addr, time.Until(deadline))
+	defer stop()
 	if ctx.Err() != nil || c.own != nil && c.own.TooLate() || m.clientGone() || !c.state.CompareAndSwap(callQueued, callWriting) {
 		m.up.giveBack()
 		x.pool.discard(cn)
 		return ended(balance.Unused)
 	}
-	// Given up means closed, at once: nothing that comes later can reach anyone.
-	stop := context.AfterFunc(ctx, func() { cn.Close() })
-	defer stop()
-	cn.SetDeadline(deadline)
-	if c.own != nil && !c.own.WriteBy.IsZero() && c.own.WriteBy.Before(deadline) {
-		cn.SetWriteDeadline(c.own.WriteBy) // it is sent with its last byte
-	}
 	if n, all, err := m.send(cn, text); err != nil {
 		m.up.giveBack()
 		x.pool.discard(cn)
@@ -266,6 +259,32 @@
 	return r, false
 }
 
+// ready returns a connection and the words to write on it. Nothing is left to do before the write, so the look at the connection
+// is the last thing: what was readable before the request is no answer to it, and one that has ended would swallow it.
+func (x *exchanges) ready(ctx context.Context, c *call, to engine.Endpoint, m *message, deadline time.Time) (*conn, []byte, func() bool, error) {
+	for {
+		cn, err := x.pool.get(ctx, to, m.probe)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		text := m.wire(to.Addr, time.Until(deadline))
+		cn.SetDeadline(deadline)
+		if c.own != nil && !c.own.WriteBy.IsZero() && c.own.WriteBy.Before(deadline) {
+			cn.SetWriteDeadline(c.own.WriteBy) // it is sent with its last byte
+		}
+		// Given up means closed, at once: nothing that comes later can reach anyone.
+		stop := context.AfterFunc(ctx, func() { cn.Close() })
+		if cn.usable() || ctx.Err() != nil { // the latter closes it
+			return cn, text, stop, nil
+		}
+		stop()
+		x.pool.discard(cn)
+		if !cn.kept {
+			return nil, nil, nil, errSpoke
+		}
+	}
+}
+
 // broken tells how an attempt ended that was written whole and got no whole answer. It may have run.
 func (x *exchanges) broken(ctx context.Context, err error) balance.Status {
 	switch {
@@ -335,6 +354,9 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, nil, errors.New("an answer that switches protocols") // nobody asked for it
+		}
 		if resp.ContentLength > bodyMost && !long {
 			return nil, nil, errTooLongAnswer
 		}
@@ -362,7 +384,7 @@
 		switch {
 		case err != nil && !errors.Is(err, io.EOF):
 			return nil, nil, err
-		case err == nil && !long:
+		case err == nil && !long, resp.ContentLength < 0 && c.limit.N <= 0: // the bound looks like the connection's end
 			return nil, nil, errTooLongAnswer
 		case err == nil:
 			c.limit.N = math.MaxInt64
--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httputil"
 	"strconv"
@@ -245,6 +244,9 @@
 				end = by
 			}
 			cn.SetWriteDeadline(end)
+			if !chunked && left == int64(n) && !cn.usable() {
+				return errEarly
+			}
 			if _, err := to.Write(buf[:n]); err != nil {
 				return err
 			}
@@ -254,6 +256,9 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF) && chunked:
+			if !cn.usable() {
+				return errEarly
+			}
 			if err := to.Close(); err != nil {
 				return err
 			}
@@ -378,16 +383,25 @@
 }
 
 // send writes a message with its body to a backend, whole where all of it is held. It returns how many bytes of what is held
-// are out, and how many there are.
-func (m *message) send(cn net.Conn, text []byte) (n, all int64, err error) {
+// are out, and how many there are. Writing them may last: what comes before the last piece is no answer.
+func (m *message) send(cn *conn, text []byte) (n, all int64, err error) {
 	if len(m.more) == 0 || m.up != nil && m.up.length < 0 { // the first chunk has all that is held
 		k, err := cn.Write(text)
 		return int64(k), int64(len(text)), err
 	}
-	pieces := append(net.Buffers{text}, m.more...)
+	pieces := append([][]byte{text}, m.more...)
 	for _, p := range pieces {
 		all += int64(len(p))
 	}
-	n, err = pieces.WriteTo(cn)
-	return n, all, err
+	for i, p := range pieces {
+		if i == len(pieces)-1 && !cn.usable() {
+			return n, all, errEarly
+		}
+		k, err := cn.Write(p)
+		n += int64(k)
+		if err != nil {
+			return n, all, err
+		}
+	}
+	return n, all, nil
 }
--- /dev/null
+++ b/internal/node/lastlook_test.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"glencart/balance"
+	"glencart/internal/engine"
+	"glencart/internal/sock"
+)
+
+// late is a connection that has something done to it in the last call before a request is written on it.
+type late struct {
+	*net.TCPConn
+	then func(c net.Conn)
+}
+
+func (l *late) SetDeadline(t time.Time) error {
+	if then := l.then; then != nil {
+		l.then = nil
+		then(l.TCPConn)
+	}
+	return l.TCPConn.SetDeadline(t)
+}
+
+// stirs waits until a connection has something to read, or has ended.
+func stirs(t *testing.T, c net.Conn) {
+	eventually(t, "something on the connection", func() bool { return !sock.Quiet(c) })
+}
+
+// What the backend does with a kept connection between its choice and the write: the request goes on another.
+func TestKeptConnectionIsLookedAtBeforeTheWrite(t *testing.T) {
+	for name, stir := range map[string]func(c net.Conn){
+		"a second answer":          func(c net.Conn) { io.WriteString(c, ok200("noise")) },
+		"half a line":              func(c net.Conn) { io.WriteString(c, "HTTP/1.1 2") },
+		"closed":                   func(c net.Conn) { c.Close() },
+		"reset":                    func(c net.Conn) { reset(c) },
+		"an answer, and its close": func(c net.Conn) { io.WriteString(c, ok200("noise")); c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			conns := make(chan net.Conn, 4)
+			serve := answering(func(r *http.Request) string { return ok200(r.Header.Get("X-Trace-Id")) })
+			b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) { conns <- c; serve(c, br) })
+			x, to := exchangesFor(t), engine.Endpoint{Addr: b.Addr().String()}
+			if r := try(t, x, to, get("one")); r.Status != balance.Delivered {
+				t.Fatalf("the first: %v", r.Status)
+			}
+			peer := receive(t, "the connection", conns)
+			kept := x.pool.idle[to][0]
+			kept.Conn = &late{kept.Conn.(*net.TCPConn), func(c net.Conn) { stir(peer); stirs(t, c) }}
+			if r := try(t, x, to, get("two")); r.Status != balance.Delivered || string(replyOf(r.Body).body) != "two" {
+				t.Errorf("%v %q", r.Status, replyOf(r.Body).body)
+			}
+			if n := b.Accepted.Load(); n != 2 || x.pool.open != 1 {
+				t.Errorf("%d connections, %d counted", n, x.pool.open)
+			}
+		})
+	}
+}
+
+// A new connection on which something comes before the request has not taken it, and what came is no answer.
+func TestNewConnectionThatSpeaksFirst(t *testing.T) {
+	conns := make(chan net.Conn, 4)
+	serve := answering(func(r *http.Request) string { return ok200("x") })
+	b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) { conns <- c; serve(c, br) })
+	x, to := exchangesFor(t), engine.Endpoint{Addr: b.Addr().String()}
+	if r := try(t, x, to, get("one")); r.Status != balance.Delivered {
+		t.Fatalf("the first: %v", r.Status)
+	}
+	peer := receive(t, "the connection", conns)
+	c := x.pool.idle[to][0]
+	c.kept = false // as if it had just been dialed
+	c.Conn = &late{c.Conn.(*net.TCPConn), func(c net.Conn) { io.WriteString(peer, ok200("noise")); stirs(t, c) }}
+	if r := try(t, x, to, get("two")); r.Status != balance.DialFailed || x.pool.open != 0 {
+		t.Errorf("%v, %d connections", r.Status, x.pool.open)
+	}
+}
+
+// Writing a long request takes time. What comes on the connection before its last piece is no answer to it, and the request never ran.
+func TestNoiseBeforeTheLastByte(t *testing.T) {
+	for name, m := range map[string]*message{
+		"held in pieces": {more: [][]byte{make([]byte, 10), make([]byte, 10)}},
+		"told length":    {up: &upload{length: 20}},
+		"chunks":         {up: &upload{length: -1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			nc, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer nc.Close()
+			peer, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer peer.Close()
+			cn := &conn{Conn: nc}
+			cn.read = bufio.NewReader(nc)
+			noise := func() { io.WriteString(peer, ok200("noise")); stirs(t, nc) }
+			if m.up == nil {
+				noise()
+				if n, all, err := m.send(cn, []byte("head")); err != errEarly || n >= all {
+					t.Errorf("%d of %d: %v", n, all, err)
+				}
+				return
+			}
+			w := &http.ResponseController{}
+			m.up.from = &patient{body: io.MultiReader(strings.NewReader("0123456789"), stirring(noise), strings.NewReader("0123456789")), rc: w}
+			m.up.within = 1000
+			if err := m.up.pass(cn, m.up.length, time.Time{}); err != errEarly {
+				t.Errorf("%v", err)
+			}
+			cn.Close()
+			got, _ := io.ReadAll(peer)
+			if strings.HasSuffix(string(got), "0\r\n\r\n") || strings.Count(string(got), "9") > 1 && m.up.length > 0 {
+				t.Errorf("the last byte left: %q", got)
+			}
+		})
+	}
+}
+
+// stirring has something done where it is read, and is empty.
+type stirring func()
+
+func (s stirring) Read([]byte) (int, error) { s(); return 0, io.EOF }
+
+// An answer with no stated length that is cut by the bound on what is read has not ended; one that switches protocols leaves
+// a connection that speaks another.
+func TestAnswersThatEndElsewhere(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nX-A: " + strings.Repeat("a", answerMost-1000) + "\r\n\r\n"
+	b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			if r.Header.Get("X-Trace-Id") == "switch" {
+				fmt.Fprint(c, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n")
+				continue
+			}
+			io.WriteString(c, head+strings.Repeat("b", 5000))
+			return
+		}
+	})
+	x, to := exchangesFor(t), engine.Endpoint{Addr: b.Addr().String()}
+	if r := try(t, x, to, get("cut")); r.Status != balance.Dropped {
+		t.Errorf("cut by the bound: %v with %d bytes", r.Status, len(replyOf(r.Body).body))
+	}
+	if r := try(t, x, to, get("switch")); r.Status != balance.Dropped {
+		t.Errorf("switched: %v", r.Status)
+	}
+	x.pool.mu.Lock()
+	defer x.pool.mu.Unlock()
+	if x.pool.open != 0 {
+		t.Errorf("%d connections kept", x.pool.open)
+	}
+}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -21,10 +21,17 @@
 	read   *bufio.Reader
 	idleAt time.Time
 	age    time.Duration // how long it had been idle when it was taken
+	kept   bool          // it has carried an answer before
 }
 
-// errNoRoom says that the node may open no more connections now.
-var errNoRoom = errors.New("no descriptor left for a connection to a backend")
+var (
+	// errNoRoom says that the node may open no more connections now.
+	errNoRoom = errors.New("no descriptor left for a connection to a backend")
+	// errSpoke says that a new connection ended, or had something to read, before anything was written.
+	errSpoke = errors.New("a new connection was not quiet")
+	// errEarly says the same of one before the last byte of a request.
+	errEarly = errors.New("something came before the last byte of the request")
+)
 
 // pool keeps the connections to backends: the idle ones, and a count of all.
 type pool struct {
@@ -57,17 +64,11 @@
 }
 
 // get returns an idle connection, or dials one. A probe takes the one that has been idle longest, however worn: it
-// may break, and shows at no cost how those fare. A request takes the one used last, unless that is worn.
+// may break, and shows at no cost how those fare. A request takes the one used last, unless that is worn. Whether it is
+// usable is for the caller to see, in the instant before it writes.
 func (p *pool) get(ctx context.Context, to engine.Endpoint, probe bool) (*conn, error) {
-	for {
-		c := p.take(to, probe)
-		if c == nil {
-			break
-		}
-		if c.usable() {
-			return c, nil
-		}
-		p.discard(c)
+	if c := p.take(to, probe); c != nil {
+		return c, nil
 	}
 	if !p.reserve() {
 		return nil, errNoRoom
@@ -162,7 +163,7 @@
 
 // put takes back a connection whose last answer came whole.
 func (p *pool) put(c *conn) {
-	c.idleAt = time.Now()
+	c.idleAt, c.kept = time.Now(), true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open > p.most { // there were more places when it was dialed
