A request that was read behind another one is answered, also near the end

Cause: internal/node/client.go, ServeHTTP and serve. net/http reads ahead (4 KiB); where the answer to the first carried Connection: close, since the node was closing, crowded or full, it dropped the whole requests that it had read behind it. They had been taken, were not unread, and had no answer.

Now an answer does not close while a further whole request has been read on its connection (asked > 1, internal/clients/conn.go); the last one does. It is looked at again in the instant before the answer is written. A client that closes by itself, a body in chunks and a length that is not certain still close at once: what stands behind can't be told there.

TestWhatIsReadBehindIsAnswered: without it all three cases have "closes: true" and then an unexpected EOF in the place of the second answer.

--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -315,6 +315,9 @@
 // asking tells whether a whole request has been read that has no answer yet.
 func (f *framing) asking() bool { return f.asked.Load() > 0 }
 
+// Behind tells whether a further whole request has been read behind the one that is under way: an answer that closes would lose it.
+func (f *framing) Behind() bool { return f.asked.Load() > 1 && !f.Chunked.Load() && !f.Unsure.Load() }
+
 // answered takes in that a request has had its answer. Reading may add to them meanwhile.
 func (f *framing) answered() {
 	if f.asked.Load() > 0 {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -107,10 +107,8 @@
 	}()
 	// The last request's would hold on.
 	http.NewResponseController(w).SetWriteDeadline(received.Add(headWithin + answerWithin))
-	if f.closing.Load() || f.table.Crowded() {
-		// Closing after an answer crosses no request, as closing an idle connection may.
-		w.Header().Set("Connection", "close")
-	}
+	// Closing after an answer crosses no request, as closing an idle connection may.
+	closes(w, hr.Context(), f.closing.Load() || f.table.Crowded())
 	if frame := clients.FromContext(hr.Context()); frame != nil {
 		received = received.Add(-frame.Stood(received))
 		switch {
@@ -162,7 +160,7 @@
 	// Only whole requests count: else a few clients that send theirs slowly would have the rest refused.
 	if f.inFlight.Add(1) > f.most.Load() {
 		f.inFlight.Add(-1)
-		w.Header().Set("Connection", "close")
+		closes(w, hr.Context(), true)
 		refuse(w, fullRetry)
 		count.refused.Add(1)
 		answered = true
@@ -199,6 +197,16 @@
 	io.WriteString(w, text)
 }
 
+// closes has an answer close its connection, if that is wanted and nothing that has been read stands behind it: net/http would drop that.
+func closes(w http.ResponseWriter, ctx context.Context, want bool) {
+	switch c := clients.FromContext(ctx); {
+	case c != nil && c.Behind():
+		w.Header().Del("Connection")
+	case want:
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // serve has the loop decide on a request and passes on the one final answer.
 func (f *front) serve(w http.ResponseWriter, ctx context.Context, r *engine.Request) {
 	m := r.Message.(*message)
@@ -223,9 +231,7 @@
 	for {
 		select {
 		case a := <-r.Reply:
-			if f.closing.Load() {
-				w.Header().Set("Connection", "close")
-			}
+			closes(w, ctx, f.closing.Load())
 			if a.Kind == engine.Failed && replyOf(a.Body).neverRan {
 				a.Kind = engine.Refused // the only attempt broke before its last byte
 			}
@@ -233,9 +239,7 @@
 			m.count.answered(a.Kind)
 			return
 		case s := <-m.streams:
-			if f.closing.Load() {
-				w.Header().Set("Connection", "close")
-			}
+			closes(w, ctx, f.closing.Load())
 			f.pass(w, s, m.count)
 			return
 		case <-look.C:
--- /dev/null
+++ b/internal/node/shutdown_behind_test.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// A request that was read with the one before it is answered, also where answers close their connections: only the last one does.
+func TestWhatIsReadBehindIsAnswered(t *testing.T) {
+	for name, c := range map[string]struct{ before, within func(*front) }{
+		"closing since before":     {before: func(f *front) { f.closing.Store(true) }},
+		"closing while it is open": {within: func(f *front) { f.closing.Store(true) }},
+		"more than may be open":    {before: func(f *front) { f.most.Store(0) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			came, hold := make(chan struct{}, 2), make(chan struct{})
+			b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string {
+				came <- struct{}{}
+				<-hold
+				return ok200("x")
+			}))
+			n := startOn(t, b.Addr().String())
+			eventually(t, "clients let in", n.running.Load)
+			n.onLoop(t, func() {})
+			if c.before != nil {
+				c.before(n.front)
+			}
+			conn := n.dial(t)
+			post := orderHead + "X-Trace-Id: ID\r\nContent-Length: 3\r\n\r\nabc"
+			io.WriteString(conn, strings.Replace(post, "ID", "first", 1)+strings.Replace(post, "ID", "behind", 1))
+			if n.front.most.Load() > 0 {
+				receive(t, "the first at the backend", came)
+			}
+			if c.within != nil {
+				c.within(n.front)
+			}
+			close(hold)
+			r := bufio.NewReader(conn)
+			for _, last := range []bool{false, true} {
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close != last {
+					t.Errorf("answered %d, %v, closes: %t", resp.StatusCode, err, resp.Close)
+				}
+			}
+			if _, err := r.ReadByte(); err != io.EOF {
+				t.Errorf("after the last: %v", err)
+			}
+		})
+	}
+}
