What waits to be written to an earlier process of a backend is chosen anew

Cause: engine.unsend (internal/engine/backends.go) barred only attempts at backends that take nothing new. One that hung in a dial while its backend moved or restarted was written to whoever had the address by then, on the credit of a warm process. Now it is barred as for a drain, and placed anew. Test: TestWhatWaitsForAnEarlierProcessIsChosenAnew; without the change nothing is barred (seen).

--- a/internal/engine/backends.go
+++ b/internal/engine/backends.go
@@ -101,13 +101,14 @@
 	}
 }
 
-// unsend stops attempts that have not begun to write to a backend that takes nothing new. Left alone, one that
-// hangs in a dial would go out when the grace is long over.
+// unsend stops attempts that have not begun to write to a backend that takes nothing new, or to a process of it that has been
+// followed by another. Left alone, one that hangs in a dial would go out when the grace is long over, or to whoever has
+// the address by now.
 func (e *Engine) unsend() {
 	var out []*Attempt
 	for _, r := range e.requests {
 		for _, a := range r.attempts {
-			if !a.over && a.to.phase != balance.Ready && a.begun && e.Transport.Bar(a) {
+			if !a.over && (a.to.phase != balance.Ready || a.To != a.to.to) && a.begun && e.Transport.Bar(a) {
 				out = append(out, a)
 			}
 		}
--- a/internal/engine/repeats_test.go
+++ b/internal/engine/repeats_test.go
@@ -12,12 +12,7 @@
 	w := newWorld(t)
 	w.e.TakeList(balance.MembersAll, List{Complete: true, Members: []Member{
 		{ID: "a", Addr: "10.0.0.1:1", Member: balance.Member{Weight: 1}}, {ID: "b", Addr: "10.0.0.2:1", Member: balance.Member{Weight: 1}}}})
-	for i := range 20 { // earn a retry budget
-		r := &Request{ID: string(rune('a' + i)), Deadline: w.clock.Add(time.Second), Reply: make(chan Answer, 1)}
-		w.e.Arrive(r)
-		w.out[r.ID+"/0"].Done(Result{Status: balance.Delivered})
-		w.e.Step()
-	}
+	w.earn()
 	began := w.clock
 	w.e.Arrive(&Request{ID: "x", Class: 2, Deadline: began.Add(2 * time.Second), Reply: make(chan Answer, 1)})
 	first := w.out["x/0"]
@@ -40,3 +35,40 @@
 		t.Error("not too late at the end of the window")
 	}
 }
+
+// earn fills the retry budget a little.
+func (w *world) earn() {
+	for i := range 20 {
+		r := &Request{ID: string(rune('A' + i)), Deadline: w.clock.Add(time.Second), Reply: make(chan Answer, 1)}
+		w.e.Arrive(r)
+		w.out[r.ID+"/0"].Done(Result{Status: balance.Delivered})
+		w.e.Step()
+	}
+}
+
+// A backend that is another process than the one that an attempt was meant for, at its address or at another, gets nothing that
+// waits to be written there: it is chosen anew, as what it is now. What has begun to be written is let be.
+func TestWhatWaitsForAnEarlierProcessIsChosenAnew(t *testing.T) {
+	for name, now := range map[string]Member{
+		"moved":     {ID: "a", Addr: "10.0.0.2:1", Member: balance.Member{Weight: 1}},
+		"restarted": {ID: "a", Addr: "10.0.0.1:1", Member: balance.Member{Weight: 1, Launched: time.Duration(1_799_999_000) * time.Second}},
+	} {
+		for _, written := range []bool{false, true} {
+			w := newWorld(t)
+			w.e.TakeList(balance.MembersAll, List{Complete: true, Members: []Member{{ID: "a", Addr: "10.0.0.1:1", Member: balance.Member{Weight: 1}}}})
+			w.earn()
+			r := &Request{ID: "x", Class: 1, Deadline: w.clock.Add(time.Second), Reply: make(chan Answer, 1)}
+			w.e.Arrive(r)
+			w.late["x/0"] = written
+			w.e.TakeList(balance.MembersAll, List{Complete: true, Members: []Member{now}})
+			w.e.Step()
+			a := w.out["x/0"]
+			if a.over == written {
+				t.Errorf("%s, written %t: over %t", name, written, a.over)
+			}
+			if len(r.Reply) == 0 == !written {
+				t.Errorf("%s, written %t: %d answers", name, written, len(r.Reply))
+			}
+		}
+	}
+}
