An upload has one owner, which changes on the engine's loop

Cause: an upload's body was taken in the attempt's goroutine (internal/node/backend.go exchange) and given back when that ended. A drain that met a dial barred the attempt and sent the next one at once, which found the body taken: all attempts were used up in one instant and the request was refused. Now Send takes it for the attempt and Bar gives it back, both on the loop; the goroutine gives back only what is still its own. Test: TestUploadGoesOnWhileABarredDialLasts (the first dial waits at a barrier); without Bar's part it fails (seen).

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -103,6 +103,7 @@
 type call struct {
 	cancel context.CancelFunc
 	own    *engine.Attempt // nil for a probe
+	up     *upload         // what is still to come of the body, if it is this call's
 	state  atomic.Int32
 }
 
@@ -122,8 +123,15 @@
 	a.State = x.begin(a, a.To, a.Request.Message.(*message), a.Deadline, a.Done)
 }
 
-// Bar is call.bar.
-func (x *exchanges) Bar(a *engine.Attempt) bool { return a.State.(*call).bar() }
+// Bar is call.bar. What is barred reads nothing of the client's body: the next attempt, which follows at once, has it.
+func (x *exchanges) Bar(a *engine.Attempt) bool {
+	c := a.State.(*call)
+	barred := c.bar()
+	if barred {
+		c.up.giveBack(c)
+	}
+	return barred
+}
 
 // GiveUp closes the attempt's connection.
 func (x *exchanges) GiveUp(a *engine.Attempt) { a.State.(*call).cancel() }
@@ -145,7 +153,8 @@
 		cancel()
 		ctx, cancel = context.WithCancel(context.Background())
 	}
-	c := &call{cancel: cancel, own: own}
+	c := &call{cancel: cancel, own: own, up: m.up}
+	m.up.take(c)
 	x.work(func() {
 		defer cancel()
 		if r, handed := x.exchange(ctx, c, to, m, deadline); !handed {
@@ -184,12 +193,12 @@
 // told the engine.
 func (x *exchanges) exchange(ctx context.Context, c *call, to engine.Endpoint, m *message, deadline time.Time) (engine.Result, bool) {
 	ended := func(st balance.Status) (engine.Result, bool) { return engine.Result{Status: st}, false }
-	if m.up != nil && (m.up.begun.Load() || !m.up.taken.CompareAndSwap(false, true)) {
-		return ended(balance.Unused) // a part of the body has gone elsewhere
+	if m.up != nil && m.up.owner.Load() != c {
+		return ended(balance.Unused) // a part of the body has gone elsewhere, or another has it
 	}
 	cn, text, stop, err := x.ready(ctx, c, to, m, deadline)
 	if err != nil {
-		m.up.giveBack()
+		m.up.giveBack(c)
 	}
 	switch {
 	case errors.Is(err, errNoRoom):
@@ -199,12 +208,12 @@
 	}
 	defer stop()
 	if ctx.Err() != nil || c.own != nil && c.own.TooLate() || m.clientGone() || !c.state.CompareAndSwap(callQueued, callWriting) {
-		m.up.giveBack()
+		m.up.giveBack(c)
 		x.pool.discard(cn)
 		return ended(balance.Unused)
 	}
 	if n, all, err := m.send(cn, text); err != nil {
-		m.up.giveBack()
+		m.up.giveBack(c)
 		x.pool.discard(cn)
 		if n < all || m.up != nil {
 			return ended(balance.DialFailed) // the last byte never left
--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -176,9 +176,9 @@
 	length int64 // of the whole body; -1: not told
 	within int64 // bytes that may come yet
 
-	taken atomic.Bool // by an attempt that may read from it
-	begun atomic.Bool // some of it has been read
-	gone  atomic.Bool // its client has gone, or has been silent for too long
+	owner atomic.Pointer[call] // the attempt that may read from it; set on the engine's loop, given back by the attempt or its Bar
+	begun atomic.Bool          // some of it has been read
+	gone  atomic.Bool          // its client has gone, or has been silent for too long
 
 	mu      sync.Mutex // held while it is read
 	stopped atomic.Bool
@@ -204,10 +204,17 @@
 	return n, err
 }
 
-// giveBack lets another attempt have an upload of which nothing has been read. A nil upload is none.
-func (u *upload) giveBack() {
+// take lets an attempt have an upload that no other has and of which nothing has been read.
+func (u *upload) take(c *call) {
 	if u != nil && !u.begun.Load() {
-		u.taken.Store(false)
+		u.owner.CompareAndSwap(nil, c)
+	}
+}
+
+// giveBack lets another attempt have an upload, if this one has it and has read nothing of it. A nil upload is none.
+func (u *upload) giveBack(c *call) {
+	if u != nil && !u.begun.Load() {
+		u.owner.CompareAndSwap(c, nil)
 	}
 }
 
--- a/internal/node/retries_test.go
+++ b/internal/node/retries_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -158,3 +159,43 @@
 		})
 	}
 }
+
+// A drain meets an upload whose attempt is still dialing. The next attempt has the body, though the first one's goroutine has not
+// come back yet, and that one does not take it when it does.
+func TestUploadGoesOnWhileABarredDialLasts(t *testing.T) {
+	const body = "0123456789"
+	got := make(chan string, 2)
+	serve := answering(func(r *http.Request) string {
+		b, _ := io.ReadAll(r.Body)
+		got <- string(b)
+		return ok200("done")
+	})
+	a, b := newRawBackend(t, "127.0.0.1:0", serve), newRawBackend(t, "127.0.0.1:0", serve)
+	p := newPair(t, patience, a.Addr().String(), b.Addr().String())
+	var dials atomic.Int32
+	dialing, proceed := make(chan string, 1), make(chan struct{})
+	p.x.pool.dialer.Control = func(_, addr string, _ syscall.RawConn) error {
+		if dials.Add(1) == 1 {
+			dialing <- addr
+			<-proceed
+		}
+		return nil
+	}
+	m := get("x")
+	m.method, m.left0, m.streams = "POST", patience, make(chan *stream, 1)
+	m.up = &upload{from: &patient{body: strings.NewReader(body), rc: &http.ResponseController{}}, length: int64(len(body)), within: 100}
+	r := p.ask(m)
+	addr := receive(t, "the first dial", dialing)
+	p.e.Post(func() {
+		p.e.TakeList(balance.MembersChanged, engine.List{Members: []engine.Member{{ID: addr, Addr: addr,
+			Member: balance.Member{Weight: 1, Phase: balance.Draining}}}})
+	})
+	ans := receive(t, "the answer", r.Reply)
+	close(proceed)
+	if ans.Kind != engine.Served || len(got) != 1 || <-got != body {
+		t.Errorf("answer %v, %d bodies", ans.Kind, len(got))
+	}
+	if n := dials.Load(); n != 2 {
+		t.Errorf("%d dials", n)
+	}
+}
