--- /dev/null
+++ b/internal/node/descriptors_test.go
@@ -0,0 +1,248 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// cramped names the variable by which a process of the tests is a node with this configuration and no more descriptors than it
+// names. It tells its addresses, and, when its input ends, the most descriptors that it has had open.
+const cramped = "GLENCART_TEST_CRAMPED"
+
+func init() {
+	text := os.Getenv(cramped)
+	if text == "" {
+		return
+	}
+	fail := func(err error) {
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "cramped:", err)
+			os.Exit(1)
+		}
+	}
+	cfg, err := ParseConfig([]byte(text))
+	fail(err)
+	fail(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: leastSockets, Max: leastSockets}))
+	n, err := New(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	fail(err)
+	ctx, stop := context.WithCancel(context.Background())
+	go func() {
+		io.Copy(io.Discard, os.Stdin)
+		stop()
+	}()
+	most := atomic.Int64{}
+	go every(ctx, 3*time.Millisecond, func() {
+		if list, err := os.ReadDir("/proc/self/fd"); err == nil {
+			most.Store(max(most.Load(), int64(len(list)-1))) // but for the one that looks
+		}
+	})
+	go every(ctx, 20*time.Millisecond, func() { n.peers.tell(0, []byte("word")) })
+	fmt.Println(n.Addr(), n.door.Addr())
+	fail(n.Run(ctx))
+	fmt.Println(most.Load())
+	os.Exit(0)
+}
+
+// While clients fill a node's descriptors with connections that say nothing or half of something, operators' callers do the same, its
+// backends are held up and discovery refuses or hangs, it serves who asks, speaks to its peers, and hears of a drain as soon as
+// discovery is back.
+func TestCrowdsLeaveDescriptorsForTheRest(t *testing.T) {
+	peer, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	words := make(chan struct{}, 1)
+	go func() {
+		for b := make([]byte, 512); ; {
+			if _, _, err := peer.ReadFrom(b); err != nil {
+				return
+			}
+			select {
+			case words <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	hold, held := make(chan struct{}), make(chan struct{}, 64)
+	var oldLast atomic.Int64 // when the old backend got a request last
+	serve := func(name string) func(net.Conn, *bufio.Reader) {
+		return answering(func(r *http.Request) string {
+			if !strings.HasPrefix(r.URL.Path, "/api/") {
+				return ok200("{}")
+			}
+			if name == "old" {
+				oldLast.Store(time.Now().UnixNano())
+			}
+			if r.URL.Path == "/api/slow" {
+				held <- struct{}{}
+				<-hold
+			}
+			return ok200(name)
+		})
+	}
+	const many = 24 // more than there are connections for: each that a probe leaves open is kept for a while
+	var known, drained []listed
+	for i := range many {
+		old := listed{ID: fmt.Sprintf("s-old-%d", i), Addr: newRawBackend(t, "127.0.0.1:0", serve("old")).Addr().String(), Phase: "ready"}
+		known = append(known, old)
+		old.Phase = "draining"
+		drained = append(drained, old)
+	}
+	after := newRawBackend(t, "127.0.0.1:0", serve("new"))
+	var mode atomic.Value
+	mode.Store("refuses")
+	changed := make(chan struct{})
+	var toldAt atomic.Int64
+	calls := atomic.Int32{}
+	disco := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			calls.Add(1)
+			switch mode.Load() {
+			case "refuses":
+				reset(c)
+				return
+			case "hangs":
+				<-changed
+				return
+			}
+			text := listText(2, true, append(drained, listed{ID: "s-new", Addr: after.Addr().String(), Phase: "ready"})...)
+			if r.URL.RawQuery != "" && toldAt.Load() != 0 {
+				time.Sleep(100 * time.Millisecond)
+				text = listText(2, false)
+			}
+			toldAt.CompareAndSwap(0, time.Now().UnixNano())
+			io.WriteString(c, ok200(text))
+		}
+	})
+	raw, err := json.Marshal(map[string]any{
+		"name": "n1", "listen": "127.0.0.1:0", "discovery": disco.Addr().String(), "seed": "8c1f30d27a5be964",
+		"management": "127.0.0.1:0", "shared": t.TempDir(), "peer_listen": "127.0.0.1:0", "peers": []string{peer.LocalAddr().String()},
+		"limits": Limits{Cores: 1, MemoryMB: 192, Sockets: leastSockets}, "settings": json.RawMessage(testSettings),
+		"known": json.RawMessage(listText(1, true, known...)),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	child := exec.Command(os.Args[0], "-test.run=^$")
+	child.Env = append(os.Environ(), cramped+"="+string(raw))
+	var log strings.Builder
+	child.Stderr = &log
+	in, _ := child.StdinPipe()
+	out, _ := child.StdoutPipe()
+	if err := child.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := sync.OnceValue(func() error { in.Close(); return child.Wait() })
+	defer ended()
+	said := bufio.NewScanner(out)
+	var addr, door string
+	if !said.Scan() {
+		t.Fatalf("the node does not start: %v %s", ended(), log.String())
+	}
+	fmt.Sscan(said.Text(), &addr, &door)
+	call := func(to, path string) (status int, body string) {
+		resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(ask(t, "http://"+to+path, "read"))
+		if err != nil {
+			return 0, err.Error()
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(text)
+	}
+	eventually(t, "readiness", func() bool { status, _ := call(addr, "/health/ready"); return status == 200 })
+
+	b := boundsOf(Limits{MemoryMB: 192, Sockets: leastSockets}, 1)
+	var slow sync.WaitGroup
+	var answered atomic.Int32
+	for range b.requests - 1 {
+		slow.Go(func() {
+			if status, _ := call(addr, "/api/slow"); status != 0 {
+				answered.Add(1)
+			}
+		})
+	}
+	receive(t, "a request at the backend", held)
+	crowd := func(to string, many int) {
+		for i := range many {
+			c, err := net.Dial("tcp", to)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { c.Close() })
+			if i%2 == 1 {
+				io.WriteString(c, "POST /api/x HTTP/1.1\r\nHost:")
+			}
+		}
+	}
+	for _, m := range []string{"refuses", "hangs", "returns"} {
+		mode.Store(m)
+		if m == "returns" {
+			close(changed)
+		}
+		crowd(addr, 3*b.clients)
+		crowd(door, 2*doorLast)
+		for range many {
+			call(addr, "/api/x") // and the probes beside it
+		}
+		had := calls.Load()
+		began := time.Now()
+		if status, body := call(addr, "/api/x"); status != 200 {
+			t.Errorf("discovery %s: answered %d %s", m, status, body)
+		}
+		if d := time.Since(began); d > 2*time.Second {
+			t.Errorf("discovery %s: the client waited for %v", m, d)
+		}
+		if status, body := call(door, "/control/ready"); status != 200 {
+			t.Errorf("discovery %s: operators are answered %d %s", m, status, body)
+		}
+		eventually(t, "a call to discovery that "+m, func() bool { return calls.Load() > had })
+		select {
+		case <-words:
+		default:
+		}
+		receive(t, "a word to peers", words)
+	}
+	eventually(t, "the new backend", func() bool { _, body := call(addr, "/api/x"); return body == "new" })
+	for range 20 {
+		call(addr, "/api/x")
+	}
+	if d := time.Duration(oldLast.Load() - toldAt.Load()); d > 500*time.Millisecond {
+		t.Errorf("the drain was told, and %v later it got a request", d)
+	}
+	close(hold)
+	slow.Wait()
+	if got := int(answered.Load()); got != b.requests-1 {
+		t.Errorf("%d of %d open requests have their answer", got, b.requests-1)
+	}
+	in.Close()
+	most := 0
+	if said.Scan() {
+		fmt.Sscan(said.Text(), &most)
+	}
+	if err := ended(); err != nil {
+		t.Errorf("the node's end: %v", err)
+	}
+	t.Logf("most descriptors open: %d of %d; clients %d, backends %d, the rest %d", most, leastSockets, b.clients, b.backends, otherSockets)
+	if most == 0 || most >= leastSockets || strings.Contains(log.String(), "too many open files") {
+		t.Errorf("%d of %d descriptors were open; the node's log: %s", most, leastSockets, log.String())
+	}
+}
