node: an error of accept does not end the node

Cause: net/http's Serve goes on after EMFILE, ENFILE and ECONNABORTED alone. Any other error of accept(2), as ENOBUFS, ENOMEM, EPERM or a broken network of the client, ended it, and with it Run (internal/node/node.go, "accepting"); the operators' listener ended without a word.

Change: both listeners go on after 10 ms, with a line at a bounded rate, but for errors that say that the listener itself is none any more (closed, EBADF, EINVAL, ENOTSOCK, EOPNOTSUPP). After EMFILE the pause is 10 ms too, where the library's grew to 1 s.

TestAcceptErrorsEndNothing fails without the wrapper: the client's connection is reset, the node has ended. With it come tests of floods that held already: requests cut at every byte, clients that read nothing, peers that flood.

--- /dev/null
+++ b/internal/node/floods_test.go
@@ -0,0 +1,200 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// failing is a listener that fails so often, each time in another way, before it lets somebody in.
+type failing struct {
+	net.Listener
+	with []error
+	met  atomic.Int32
+}
+
+func (l *failing) Accept() (net.Conn, error) {
+	if i := int(l.met.Add(1)) - 1; i < len(l.with) {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", l.with[i])}
+	}
+	return l.Listener.Accept()
+}
+
+// A system that can let nobody in for a moment does not end the node, nor the operators' listener.
+func TestAcceptErrorsEndNothing(t *testing.T) {
+	with := []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EPERM,
+		syscall.EPROTO, syscall.ENETDOWN, syscall.EHOSTUNREACH}
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("x") }))
+	text := listText(1, true, listed{ID: "s", Addr: b.Addr().String(), Phase: "ready"})
+	cfg := testConfig(t, newRegistry(t, text).Addr, text)
+	cfg.Management = "127.0.0.1:0"
+	n := startAs(t, cfg, func(n *Node) {
+		n.listener.Listener = &failing{Listener: n.listener.Listener, with: with}
+		n.door = &failing{Listener: n.door, with: with}
+	})
+	if resp, body := do(t, ask(t, n.url+"/api/x", "read")); resp.StatusCode != 200 || body != "x" {
+		t.Errorf("answered %d %q", resp.StatusCode, body)
+	}
+	if resp, _ := do(t, ask(t, "http://"+n.door.Addr().String()+"/control/ready", "read")); resp.StatusCode != 200 {
+		t.Errorf("operators are answered %d", resp.StatusCode)
+	}
+}
+
+// descriptors is how many this process has open.
+func descriptors(t *testing.T) int {
+	t.Helper()
+	list, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Skip("no /proc")
+	}
+	return len(list)
+}
+
+// A request that is cut at any byte gets no answer or an error, reaches no backend, and leaves nothing behind.
+func TestRequestsCutAtEveryByte(t *testing.T) {
+	var begun atomic.Int32
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string {
+		if strings.HasPrefix(r.URL.Path, "/api/") {
+			begun.Add(1)
+		}
+		return ok200("{}")
+	}))
+	n := startOn(t, b.Addr().String())
+	eventually(t, "clients let in", n.running.Load)
+	before := descriptors(t)
+	texts := []string{
+		strings.Replace(leavesText(1), "leaves", "cut", 1),
+		orderHead + "X-Trace-Id: cut-2\r\nContent-Length: 9\r\n\r\n123456789",
+		orderHead + "X-Trace-Id: cut-3\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n1234\r\n0\r\n\r\n",
+	}
+	var wg sync.WaitGroup
+	some := make(chan struct{}, 16)
+	cuts := 0
+	for _, text := range texts {
+		for at := range len(text) {
+			cuts++
+			some <- struct{}{}
+			wg.Go(func() {
+				defer func() { <-some }()
+				c, err := net.Dial("tcp", n.Addr().String())
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer c.Close()
+				c.SetDeadline(time.Now().Add(patience))
+				io.WriteString(c, text[:at])
+				switch at % 3 {
+				case 0:
+					return // closes
+				case 1:
+					reset(c)
+					return
+				}
+				c.(*net.TCPConn).CloseWrite()
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if ne, ok := err.(net.Error); ok && ne.Timeout() {
+					t.Errorf("cut after %q: neither an answer nor an end", text[:at])
+				}
+				if err == nil && (resp.StatusCode < 400 || resp.StatusCode >= 500) {
+					t.Errorf("cut after %q: answered %d", text[:at], resp.StatusCode)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	eventually(t, "nothing left behind", func() bool {
+		return n.open(t) == 0 && n.front.inFlight.Load() == 0 && n.front.connections() == 0 && n.listener.Holds() == 0
+	})
+	eventually(t, "no descriptor left behind", func() bool { return descriptors(t) <= before+8 }) // probes and calls for lists come and go
+	if got := begun.Load(); got > 0 {
+		t.Errorf("%d of %d cut requests reached a backend", got, cuts)
+	}
+	if resp, _ := do(t, ask(t, n.url+"/api/x", "read")); resp.StatusCode != 200 {
+		t.Errorf("after them: %d", resp.StatusCode)
+	}
+}
+
+// Clients that ask for long answers and read none hold neither the loop nor other clients up, and leave nothing when they go.
+func TestReadersThatReadNothing(t *testing.T) {
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string {
+		if r.URL.Path == "/api/long" {
+			return ok200(strings.Repeat("x", 8<<20))
+		}
+		return ok200("x")
+	}))
+	n := startOn(t, b.Addr().String())
+	eventually(t, "clients let in", n.running.Load)
+	var silent []net.Conn
+	for i := range 4 { // one after the other; some may be refused: the backend is slow
+		c := n.dial(t)
+		c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		io.WriteString(c, strings.Replace(leavesText(i), "/api/x", "/api/long", 1))
+		line := make([]byte, len("HTTP/1.1 200"))
+		if _, err := io.ReadFull(c, line); err != nil {
+			t.Fatal(err)
+		}
+		if string(line) == "HTTP/1.1 200" { // the answer has begun
+			silent = append(silent, c)
+		}
+	}
+	if len(silent) == 0 {
+		t.Fatal("no answer has begun")
+	}
+	eventually(t, "their streams alone", func() bool { return int(n.front.inFlight.Load()) == len(silent) })
+	began := time.Now()
+	n.onLoop(t, func() {})
+	if resp, _ := do(t, ask(t, n.url+"/api/x", "read")); resp.StatusCode != 200 {
+		t.Errorf("beside them: %d", resp.StatusCode)
+	}
+	if d := time.Since(began); d > readerSilent/4 {
+		t.Errorf("the other client waited for %v", d)
+	}
+	for _, c := range silent {
+		c.Close()
+	}
+	eventually(t, "nothing of them", func() bool {
+		return n.open(t) == 0 && n.front.inFlight.Load() == 0 && n.front.connections() == 0
+	})
+}
+
+// A peer that floods a node whose loop is behind takes the room that it has and no more, and clients are served after it.
+func TestPeersThatFlood(t *testing.T) {
+	peer, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("x") }))
+	text := listText(1, true, listed{ID: "s", Addr: b.Addr().String(), Phase: "ready"})
+	cfg := testConfig(t, newRegistry(t, text).Addr, text)
+	cfg.PeerListen, cfg.Peers = "127.0.0.1:0", []string{peer.LocalAddr().String()}
+	n := start(t, cfg)
+	eventually(t, "clients let in", n.running.Load)
+	hold := make(chan struct{})
+	n.loop.Post(func() { <-hold })
+	most := int32(0)
+	eventually(t, "all room taken", func() bool {
+		for i := range 200 {
+			peer.WriteTo([]byte(fmt.Sprintf("noise %d", i)), n.peers.conn.LocalAddr())
+		}
+		most = max(most, n.hears.Load())
+		return int(most) >= n.bounds.hear
+	})
+	if int(most) > n.bounds.hear+1 { // the one that is being turned away
+		t.Errorf("%d messages wait, %d at most", most, n.bounds.hear)
+	}
+	close(hold)
+	if resp, _ := do(t, ask(t, n.url+"/api/x", "read")); resp.StatusCode != 200 {
+		t.Errorf("after it: %d", resp.StatusCode)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"glencart/internal/engine"
 	"glencart/internal/handover"
 	"glencart/internal/living"
+	"glencart/internal/lograte"
 	"glencart/internal/members/registry"
 	"glencart/internal/settings"
 	"glencart/life"
@@ -176,10 +177,10 @@
 			n.peers.run(work, n.hear)
 		})
 	}
-	srv := n.front.server()
+	srv, complain := n.front.server(), &lograte.Limited{Log: n.log}
 	if n.door != nil {
 		d := newDoor(n)
-		wg.Go(func() { d.srv.Serve(n.door) })
+		wg.Go(func() { d.srv.Serve(accepting{n.door, complain}) })
 		wg.Go(func() { n.countOften(work) })
 		defer d.srv.Close()
 	}
@@ -194,7 +195,7 @@
 	}
 	n.running.Store(true)
 	ended := make(chan error, 1)
-	go func() { ended <- srv.Serve(n.listener) }()
+	go func() { ended <- srv.Serve(accepting{n.listener, complain}) }()
 	wg.Go(func() { n.remember(work) })
 	n.log.Info("serving", "name", n.cfg.Name, "listen", n.Addr().String())
 	select {
