node: a request that is turned away is told the header and the remedy

Cause: front.read (internal/node/client.go) named the header and not what to do about it; a 405 had no Allow (RFC 9110, 15.5.6); 413 told no limit; 409 and the uncertain length named no header.

TestMalformedRequests asks for the words and for Allow now, beside the status as before. It fails with the words of before.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -115,7 +115,7 @@
 		case frame.Unsure.Load(), hr.ProtoMajor == 1 && hr.ProtoMinor == 0 && frame.Chunked.Load():
 			// Two lengths, or chunks that this version of HTTP does not have: it may hide another request.
 			w.Header().Set("Connection", "close")
-			http.Error(w, "the length of the body is not certain", http.StatusBadRequest)
+			http.Error(w, "Content-Length, Transfer-Encoding: the length of the body is not certain: send one of them, once", http.StatusBadRequest)
 			return
 		case frame.Chunked.Load():
 			w.Header().Set("Connection", "close")
@@ -303,7 +303,7 @@
 		}
 		fail(w, status)
 	case engine.Doubled:
-		http.Error(w, "another request with this id is open", http.StatusConflict)
+		http.Error(w, "X-Trace-Id: another request with this id is open: give each request an id of its own", http.StatusConflict)
 	}
 }
 
@@ -334,19 +334,19 @@
 	h, t := hr.Header, f.tuning.Load()
 	for _, name := range []string{"X-Trace-Id", "X-Qos", "X-Customer", "X-Expires-In", "Idempotency-Key"} {
 		if len(h[name]) > 1 {
-			return bad("%s: given more than once", name)
+			return bad("%s: given more than once: send it once", name)
 		}
 	}
 	r := &engine.Request{ID: h.Get("X-Trace-Id"), Reply: make(chan engine.Answer, 1), Repeat: h.Get("X-Second-Try") == "1"}
 	if r.ID == "" {
-		return bad("X-Trace-Id: missing")
+		return bad("X-Trace-Id: missing: give each request an id of its own")
 	}
 	if r.Class = t.Class(h.Get("X-Qos")); r.Class < 0 {
-		return bad("X-Qos: no such class")
+		return bad("X-Qos: no such class: name one of the settings")
 	}
 	if len(t.Tenants) > 0 {
 		if r.Tenant = slices.Index(t.Tenants, h.Get("X-Customer")); r.Tenant < 0 {
-			return bad("X-Customer: no such customer")
+			return bad("X-Customer: no such customer: name a tenant of the settings")
 		}
 	}
 	key := h.Get("Idempotency-Key")
@@ -360,15 +360,16 @@
 	}
 	switch {
 	case hr.Method != method:
-		return nil, http.StatusMethodNotAllowed, fmt.Errorf("requests of this class use %s", method)
+		w.Header().Set("Allow", method)
+		return nil, http.StatusMethodNotAllowed, fmt.Errorf("X-Qos: requests of this class use %s", method)
 	case keyed && key == "":
-		return bad("Idempotency-Key: missing")
+		return bad("Idempotency-Key: missing: requests of this class need one")
 	}
 	left := cmp.Or(class.Deadline, defaultDeadline)
 	if text := h.Get("X-Expires-In"); text != "" {
 		s, err := strconv.ParseFloat(text, 64)
 		if err != nil || math.IsNaN(s) || math.IsInf(s, 0) || s < 0 {
-			return bad("X-Expires-In: not a time in seconds")
+			return bad("X-Expires-In: not a time: send seconds, such as 0.480")
 		}
 		left = min(left, time.Duration(min(s, 1e6)*float64(time.Second)))
 	}
@@ -386,10 +387,10 @@
 	switch err := f.body(w, hr, m); {
 	case errors.Is(err, errTooLong):
 		m.release()
-		return nil, http.StatusRequestEntityTooLarge, err
+		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("%w: send at most %d bytes", err, f.bodyMost.Load())
 	case err != nil:
 		m.release()
-		return nil, http.StatusRequestTimeout, err
+		return nil, http.StatusRequestTimeout, fmt.Errorf("%w, or it came too slowly: send all that its head tells, without a pause", err)
 	}
 	// A request's time begins with its last byte.
 	if hr.ContentLength != 0 {
--- a/internal/node/client_test.go
+++ b/internal/node/client_test.go
@@ -54,30 +54,35 @@
 		class  string
 		change func(*http.Request)
 		want   int
+		words  string // the header at fault and what to do
 	}{
-		"no id":           {"read", set("X-Trace-Id", ""), 400},
-		"unknown class":   {"read", set("X-Qos", "gold"), 400},
-		"no class":        {"read", set("X-Qos", ""), 400},
-		"unknown tenant":  {"read", set("X-Customer", "nobody"), 400},
-		"no number":       {"read", set("X-Expires-In", "soon"), 400},
-		"NaN":             {"read", set("X-Expires-In", "NaN"), 400},
-		"infinite":        {"read", set("X-Expires-In", "Inf"), 400},
-		"negative time":   {"read", set("X-Expires-In", "-1"), 400},
-		"two ids":         {"read", func(r *http.Request) { r.Header.Add("X-Trace-Id", "again") }, 400},
-		"keyed, no key":   {"token", set("Idempotency-Key", ""), 400},
-		"unsafe as a GET": {"order", func(r *http.Request) { r.Method = "GET" }, 405},
-		"safe as a POST":  {"read", func(r *http.Request) { r.Method = "POST" }, 405},
-		"other method":    {"order", func(r *http.Request) { r.Method = "DELETE" }, 405},
+		"no id":           {"read", set("X-Trace-Id", ""), 400, "X-Trace-Id: missing"},
+		"unknown class":   {"read", set("X-Qos", "gold"), 400, "X-Qos: no such class: name"},
+		"no class":        {"read", set("X-Qos", ""), 400, "X-Qos: no such class: name"},
+		"unknown tenant":  {"read", set("X-Customer", "nobody"), 400, "X-Customer: no such customer: name"},
+		"no number":       {"read", set("X-Expires-In", "soon"), 400, "X-Expires-In: not a time: send"},
+		"NaN":             {"read", set("X-Expires-In", "NaN"), 400, "X-Expires-In: not a time: send"},
+		"infinite":        {"read", set("X-Expires-In", "Inf"), 400, "X-Expires-In: not a time: send"},
+		"negative time":   {"read", set("X-Expires-In", "-1"), 400, "X-Expires-In: not a time: send"},
+		"two ids":         {"read", func(r *http.Request) { r.Header.Add("X-Trace-Id", "again") }, 400, "X-Trace-Id: given more than once: send"},
+		"keyed, no key":   {"token", set("Idempotency-Key", ""), 400, "Idempotency-Key: missing: "},
+		"unsafe as a GET": {"order", func(r *http.Request) { r.Method = "GET" }, 405, "use POST"},
+		"safe as a POST":  {"read", func(r *http.Request) { r.Method = "POST" }, 405, "use GET"},
+		"other method":    {"order", func(r *http.Request) { r.Method = "DELETE" }, 405, "use POST"},
 		"body too long": {"order", func(r *http.Request) {
 			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", bodyMost+1))), bodyMost+1
-		}, 413},
+		}, 413, "send at most 65536 bytes"},
 		"chunked body too long": {"order", func(r *http.Request) {
 			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", bodyMost+1))), -1
-		}, 413},
+		}, 413, "send at most 65536 bytes"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if resp, _ := do(t, ask(t, n.url+"/api/x", tc.class, tc.change)); resp.StatusCode != tc.want {
-				t.Errorf("answered %d, want %d", resp.StatusCode, tc.want)
+			resp, body := do(t, ask(t, n.url+"/api/x", tc.class, tc.change))
+			if resp.StatusCode != tc.want || !strings.Contains(body, tc.words) {
+				t.Errorf("answered %d %q, want %d %q", resp.StatusCode, body, tc.want, tc.words)
+			}
+			if allow := resp.Header.Get("Allow"); (allow != "") != (tc.want == http.StatusMethodNotAllowed) {
+				t.Errorf("Allow: %q with %d", allow, tc.want)
 			}
 		})
 	}
