A tiny idleClose ends no node; a table of what odd settings do, each with a whole node

Cause: internal/node/pool.go run makes a ticker of keep/8, which is 0 for an idleClose under 12 ns, and time.NewTicker panics: the node ended. Now it looks every millisecond at the most.

--- /dev/null
+++ b/internal/node/odd_test.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+)
+
+// What a node does with settings that are zero, absent, tiny or huge where the page lets them be: it starts, and answers.
+func TestOddSettingsStartAndAnswer(t *testing.T) {
+	t.Parallel()
+	const huge = "9223372036854775807"
+	for name, c := range map[string]struct {
+		class  string
+		change []string
+		want   int
+	}{
+		"deadline 0: a minute":                  {"read", []string{`"deadline":10000000000,"effect":"pure"`, `"deadline":0,"effect":"pure"`}, 200},
+		"deadline absent: a minute":             {"read", []string{`"deadline":10000000000,"effect":"pure"`, `"effect":"pure"`}, 200},
+		"deadline huge: a year":                 {"read", []string{`"deadline":10000000000,"effect":"pure"`, `"deadline":` + huge + `,"effect":"pure"`}, 200},
+		"deadline below early: refused at once": {"read", []string{`"deadline":10000000000,"effect":"pure"`, `"deadline":1000000,"effect":"pure"`}, 503},
+		"effect absent: unsafe, so POST":        {"order", []string{`"effect":"side_effect",`, ``}, 200},
+		"keyScope absent: the cell":             {"token", []string{`"keyScope":"all",`, ``}, 200},
+		"window 0: no repeats":                  {"token", []string{`"window":5000000000`, `"window":0`}, 200},
+		"window huge":                           {"token", []string{`"window":5000000000`, `"window":` + huge}, 200},
+		"quotaPerS 0: no quota":                 {"read", []string{`"quotaPerS":1000`, `"quotaPerS":0`}, 200},
+		"share over 1: not used":                {"read", []string{`"share":1}`, `"share":7}`}, 200},
+		"no tenants: any customer":              {"read", []string{`[{"name":"acme","quotaPerS":1000,"share":1}]`, `[]`}, 200},
+		"no zones: all backends in one":         {"read", []string{`["a","b"]`, `[]`}, 200},
+		"maxAttempts 0: one":                    {"read", []string{`"maxAttempts":3`, `"maxAttempts":0`}, 200},
+		"connectTimeout 0: a second":            {"read", []string{`"connectTimeout":2000000000`, `"connectTimeout":0`}, 200},
+		"idleClose 0: five seconds":             {"read", []string{`"idleClose":5000000000`, `"idleClose":0`}, 200},
+		"idleClose 1 ns: none is kept":          {"read", []string{`"idleClose":5000000000`, `"idleClose":1`}, 200},
+		"idleClose huge":                        {"read", []string{`"idleClose":5000000000`, `"idleClose":` + huge}, 200},
+		"drainGrace 0":                          {"read", []string{`"drainGrace":500000000`, `"drainGrace":0`}, 200},
+		"overloadFor 0":                         {"read", []string{`"overloadFor":1500000000`, `"overloadFor":0`}, 200},
+		"warmWithin 0: always warm":             {"read", []string{`"warmWithin":22000000000`, `"warmWithin":0`}, 200},
+		"no obligations":                        {"read", []string{`"obligations"`, `"unknown"`}, 200},
+		"no limits":                             {"read", []string{`"limits":{"c`, `"unknown":{"c`}, 200},
+		"asked for":                             {"read", []string{`{"nInstances"`, `{"membershipMode":"ask","nInstances"`}, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("x") }))
+			text := listText(1, true, listed{ID: "s", Addr: b.Addr().String(), Phase: "ready", Up: 0})
+			n := start(t, testConfig(t, newRegistry(t, text).Addr, text, c.change...))
+			if resp, _ := do(t, ask(t, n.url+"/api/x", c.class, func(r *http.Request) { r.Header.Del("X-Expires-In") })); resp.StatusCode != c.want {
+				t.Errorf("%d, want %d", resp.StatusCode, c.want)
+			}
+		})
+	}
+}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -193,7 +193,7 @@
 
 // run ends connections that have been idle for long, until ctx ends, and then all idle ones.
 func (p *pool) run(ctx context.Context) {
-	t := time.NewTicker(p.keep / 8)
+	t := time.NewTicker(max(p.keep/8, time.Millisecond)) // a ticker of 0 panics
 	defer t.Stop()
 	for ctx.Err() == nil {
 		select {
