--- a/balance/balance.go
+++ b/balance/balance.go
@@ -61,8 +61,8 @@
 	idleEntry, freeEntry, baseWeight = 0.1, 1.0, 0.03
 	// fallWeight and riseWeight draw the time between reports to a shorter or longer one.
 	fallWeight, riseWeight = 0.3, 0.01
-	// A refused call is repeated after AskEvery/rewatchParts, later in large fleets, rewatchMost at most: with the
-	// callMost of the next in line it is 6 s, when news counts as told. Longer only after vainMost in vain.
+	// A refused call is repeated after AskEvery/rewatchParts, later in large fleets, at most rewatchMost:
+	// with callMost in line that is 6 s, when news counts as told. Longer only after vainMost in vain.
 	rewatchParts, rewatchNodes      = 20, 8
 	rewatchMost, callMost, vainMost = 4 * time.Second, 2 * time.Second, 2
 )
@@ -81,7 +81,7 @@
 	timers                     map[uint64]timer
 	held                       []*request // arrivals that wait for the probes of their tick
 	refused                    int        // requests that no server was good enough for
-	asked, pairs               int        // probes of held requests that are out, servers asked twice in a row
+	asked, pairs               int        // probes of held requests that are out; servers asked twice
 	lastMark                   uint64
 	probedAt                   time.Duration // the last tick that sent probes
 	classes                    []classStats
