Cold grants: a warm server's work counts in requests, less chance, and is shared by two processes

Cause: rollRates (balance/balance.go) kept the highest window of what warm servers did. Where a node meets few requests that is chance, and each node has its highest window at another time: summed over 20 to 300 nodes up to ten times what such a server can do. It was kept in seconds of work, so a time learned among queues stayed in it after it had turned out to be wrong. InstancesCounted and Relearn left it as it was: two processes of one node granted twice its part.

Change: mean requests in place of seconds, rateStrays standard deviations taken off; scaled where the number of instances or the classes change; what is handed over says of how many instances it is a part. Old and new versions read each other's.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,8 +24,8 @@
 	holdMost, pairsMost = 0.05, 16
 	// coldMargin is the part of the cold-start budget that is spent: the rest is for uneven work. What comes
 	// in coldBurst seconds may be spent at once, and coldHold windows later. An old peak of the warm rate
-	// fades by rateDecay a window.
-	coldMargin, coldBurst, coldHold, rateDecay = 0.4, 0.1, 0.5, 0.97
+	// fades by rateDecay a window; rateStrays standard deviations of it are chance.
+	coldMargin, coldBurst, coldHold, rateDecay, rateStrays = 0.4, 0.1, 0.5, 0.97, 1.5
 	// A node keeps to partServers of each zone, or to as many as it has requests in partSpan seconds.
 	partServers, partSpan = 8, 0.5
 	// The mean of what a zone's servers hold is learned over meanSpan seconds, what is usual at one of them
@@ -85,7 +85,7 @@
 	lastMark                   uint64
 	probedAt                   time.Duration // the last tick that sent probes
 	classes                    []classStats
-	warmRate                   float64 // this node's part, of all, in the work a second of one warm server
+	warmRate                   float64 // this node's part of the mean requests a second of one warm server
 	rolledAt, judgedAt         time.Duration
 	probeDue                   float64     // probes that arrivals have paid for
 	part                       float64     // part of the slack that queues may take up
@@ -230,7 +230,7 @@
 
 // adopt takes in settings that follow on those in use. Requests under way hold on to their class as it was.
 func (b *Balancer) adopt(cfg *Config) {
-	was, known := b.cfg, b.classes
+	was, known, mean := b.cfg, b.classes, b.meanBase()
 	b.cfg = *cfg
 	b.cfg.Index, b.cfg.Instances, b.cfg.Zone = was.Index, was.Instances, was.Zone
 	b.cfg.Limits.MaxAttempts = max(cfg.Limits.MaxAttempts, 1)
@@ -240,6 +240,7 @@
 			b.classes[i] = known[i]
 		}
 	}
+	b.warmRate *= mean / max(b.meanBase(), 1e-6)
 	for i := len(b.shares); i < len(cfg.Tenants); i++ {
 		b.shares = append(b.shares, share{left: shareLeast, at: b.now})
 	}
@@ -288,6 +289,7 @@
 	case SettingsChanged:
 		b.adopt(ev.Settings)
 	case InstancesCounted: // what cold servers and tenants may be sent is divided by it from here on
+		b.warmRate *= float64(b.cfg.Instances) / float64(max(ev.Instances, 1))
 		b.cfg.Instances = max(ev.Instances, 1)
 	}
 	out, b.out = b.out, nil
@@ -516,7 +518,7 @@
 	b.report(a.to, ev.Load)
 	if ev.Status == Delivered {
 		b.learnBase(r, a, ev.Spent.Seconds())
-		a.to.served += b.work(r)
+		a.to.served += b.work(r) / max(b.meanBase(), 1e-6)
 		b.learn(a.to, r, a, ev.Spent)
 	}
 	r.ended = r.ended || ev.NoMore
@@ -662,8 +664,7 @@
 func (b *Balancer) slack() float64 { return max(b.meanAim-b.meanBase(), 0) }
 
 // bound is the longest wait at which a request is still sent: a part of the slack, or of the time without a
-// queue where that is more, since with all servers slow at once there is no slack, and shorter queues would
-// leave them idle and make no answer come sooner.
+// queue where that is more: with all servers slow there is no slack, and shorter ones would leave them idle.
 func (b *Balancer) bound(r *request) float64 {
 	lean := min(max(b.lean(r), 1/leanMost), leanMost)
 	return b.part * max(b.slack(), b.meanBase()) * lean
@@ -692,8 +693,7 @@
 	return r.class.Points * b.meanBase() / b.work(r)
 }
 
-// shareLeft returns how many requests this node's part of a tenant's share still holds, brought up to
-// now, or nil where there are no shares.
+// shareLeft returns what this node's part of a tenant's share holds by now, or nil where there are no shares.
 func (b *Balancer) shareLeft(r *request) *float64 {
 	if r.tenant < 0 || r.tenant >= len(b.shares) || b.cfg.Tenants[r.tenant].QuotaPerSecond <= 0 {
 		return nil
@@ -724,11 +724,10 @@
 		"answers come late: refusing early", "answers in time again")
 }
 
-// learnBase takes in the time of an answer that met no queue. Crowded servers drain under early refusal
-// and then show that they are quick, slow ones that they are slow: nothing else tells the two apart. Until
-// one is met, the hint stands for it: a node that starts among queues must not take them for the work.
+// learnBase takes in the time of an answer that met no queue: crowded servers drain under early refusal and
+// show that they are quick. Until one is met, the hint stands for it: a queue must not be taken for the work.
 func (b *Balancer) learnBase(r *request, a *attempt, spent float64) {
-	c, w := r.stats, baseWeight
+	c, w, mean := r.stats, baseWeight, b.meanBase()
 	switch {
 	case a.met > freeEntry && c.free > 0:
 		return
@@ -740,6 +739,9 @@
 	}
 	c.seen++
 	c.base += max(w, 1/c.seen) * (spent - c.base)
+	if c.seen == 1 { // with a class more, the mean request is another one
+		b.warmRate *= mean / max(b.meanBase(), 1e-6)
+	}
 }
 
 // learn takes in how long an answer took, against the time of its class, and the queue it met.
@@ -843,17 +845,19 @@
 	return m.value()
 }
 
-// rollRates measures, once a window, the work that warm servers do for this node.
-// Summed over the nodes it is at most what such a server can do, so each node may spend its own.
+// rollRates measures, once a window, what warm servers do for this node, in mean requests: in seconds, a time
+// found to be wrong would stay in it. Over all nodes it is at most what such a server can do: each may spend
+// its own. Of few requests the highest window is chance, for each node another one: that is taken off.
 func (b *Balancer) rollRates() {
 	span := (b.now - b.rolledAt).Seconds()
 	if span < max(b.cfg.Rules.OverloadFor.Seconds(), 1) {
 		return
 	}
-	var warm mean
+	var warm, count mean
 	for _, s := range b.ready {
 		if b.warmth(s) == 1 && s.since <= b.rolledAt && s.fails < failsHigh { // one that fails could do more
 			warm.add(s.served / span * b.reach(s))
+			count.add(s.served)
 		}
 		s.served = 0
 		s.fails -= failFade * s.fails
@@ -866,7 +870,7 @@
 		}
 	}
 	if warm.n > 0 {
-		b.warmRate = max(b.warmRate*rateDecay, warm.value())
+		b.warmRate = max(b.warmRate*rateDecay, warm.value()*(1-rateStrays/math.Sqrt(max(count.sum, 1))))
 	}
 	b.rolledAt = b.now
 	b.choose()
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -13,17 +13,15 @@
 	return rules.ColdShare + (1-rules.ColdShare)*max(0, age.Seconds())/rules.WarmWithin.Seconds()
 }
 
-// grantCold guards against pushing over a server that has just started: as time goes by it grants, in mean requests,
-// this node's part of what warm servers do, or of one request at a time. Grants by the window come in lumps, two
-// of them within one window. In a large fleet the part is less than one request a window, and one from each node
-// would push the server over: so each begins at a point of its own between two requests, and lets go again what
-// it has not used within coldHold of a window. Saved up, it would all come when all want the server at once.
+// grantCold guards against pushing over a server that has just started: as time goes by it grants, in mean requests, this
+// node's part of what warm servers do, or of one request at a time. Where that is less than one a window, nodes begin at
+// points of their own between two, and let go what is unused for coldHold of a window: saved up, it would come at once.
 func (b *Balancer) grantCold(s *server, first bool) {
 	if b.warmth(s) == 1 {
 		return
 	}
-	part := max(b.warmRate/b.reach(s), 1/float64(b.cfg.Instances)) / max(b.meanBase(), 1e-6)
-	rate := coldMargin * b.cfg.Rules.FallMultiple * b.warmth(s) * part
+	rate := max(b.warmRate/b.reach(s), 1/max(b.meanBase(), 1e-6)/float64(b.cfg.Instances))
+	rate *= coldMargin * b.cfg.Rules.FallMultiple * b.warmth(s)
 	if first {
 		s.credit, s.granted = b.rng.Float64()-0.5, b.now
 	}
@@ -34,10 +32,8 @@
 	s.credit, s.granted = min(s.credit, max(1, coldBurst*rate)), b.now
 }
 
-// coldAllows tells whether a server is warm, or has grant left for most of the request: two heavy ones on the
-// rests of two grants would be as much as two windows may hold. A light one waits for as much as a mean one: else
-// nearly all nodes of a large fleet could send one at once. One of up to twice the mean waits no longer: light
-// ones would take all that there is.
+// coldAllows tells whether a server is warm, or has grant left for most of the request. A light one waits for as much as
+// a mean one, else nearly all nodes of a large fleet could send one at once; one of up to twice the mean no longer.
 func (b *Balancer) coldAllows(r *request, s *server) bool {
 	b.grantCold(s, false)
 	return b.warmth(s) == 1 || s.credit > max(math.Floor(b.work(r)/max(b.meanBase(), 1e-6)), 1)/2
--- /dev/null
+++ b/balance/coldfleet_test.go
@@ -0,0 +1,439 @@
+package balance
+
+import (
+	"cmp"
+	"container/heap"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var wholeTable = flag.Bool("cold", false, "the whole table of cold servers, for docs/FLEET.md")
+
+// coldPlay is one way in which a fleet meets servers that have just started.
+type coldPlay struct {
+	name       string
+	warm, cold int
+	load       float64       // requests that come, of what the warm servers can do (all, where none is warm)
+	settle     time.Duration // of the fleet, before the servers start
+	aim        float64       // in times of a mean request; 0: 10
+	shape      string        // "": exponential; "pareto"
+	dear       bool          // one request in twenty costs five times as much
+	uneven     bool          // one process in ten gets five times what others get
+	restarts   bool          // a tenth of the processes starts anew, every 0.5 s
+	settings   bool          // new settings, with one class more, are adopted 2 s after the start
+	twice      bool          // from 2 s after the start on each node has two processes for 6 s
+	late       time.Duration // the start is told within this time
+	flood      float64       // times the load from the start on
+	wait       time.Duration // until the start is told to anyone
+	length     time.Duration // from then on; 0: 12 s
+}
+
+// happening is what comes at its time.
+type happening struct {
+	at time.Duration
+	n  int
+	do func()
+}
+type happenings []happening
+
+func (h happenings) Len() int { return len(h) }
+func (h happenings) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].n < h[j].n
+}
+func (h happenings) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *happenings) Push(x any)   { *h = append(*h, x.(happening)) }
+func (h *happenings) Pop() any {
+	x := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return x
+}
+
+// fleet is some processes and servers in virtual time: the shipped decisions, and servers that take work in turn.
+type fleet struct {
+	p       *coldPlay
+	n       int // nodes
+	rng     *rand.Rand
+	now     time.Duration
+	due     happenings
+	seq     int
+	cfg     Config
+	classes []float64 // work of each, in s
+	mean    float64   // of all requests, in s
+	cores   int
+	procs   []*process // of each node
+	servers []*stand
+	asked   int
+	served  int
+	worst   coldWorst
+}
+
+// coldWorst is the most that came to a cold server within a window, of what it bears then.
+type coldWorst struct{ ratio, sent, n float64 }
+
+type process struct {
+	f     *fleet
+	b     *Balancer
+	node  int
+	told  bool // of the starts
+	over  bool
+	class map[string]int
+}
+
+type stand struct {
+	id      BackendID
+	start   time.Duration // 0: long ago
+	busy    int
+	waiting []func()
+	came    []time.Duration
+	work    []float64
+	sum     float64
+}
+
+func (f *fleet) after(in time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.due, happening{f.now + max(in, 0), f.seq, do})
+}
+
+func (f *fleet) warmth(s *stand, at time.Duration) float64 {
+	if s.start == 0 {
+		return 1
+	}
+	r := f.cfg.Rules
+	return min(1, r.ColdShare+(1-r.ColdShare)*max(0, at-s.start).Seconds()/r.WarmWithin.Seconds())
+}
+
+// newProcess starts a process of a node.
+func (f *fleet) newProcess(node, instances int, told bool) *process {
+	cfg := f.cfg
+	cfg.Index, cfg.Instances = node, instances
+	b, err := New(cfg, f.rng.Uint64())
+	if err != nil {
+		panic(err)
+	}
+	p := &process{f: f, b: b, node: node, told: told, class: map[string]int{}}
+	p.list()
+	return p
+}
+
+func (p *process) list() {
+	var m []Member
+	for _, s := range p.f.servers {
+		x := Member{Backend: s.id}
+		if s.start > 0 {
+			if !p.told {
+				continue
+			}
+			x.Launched = s.start
+		}
+		m = append(m, x)
+	}
+	p.do(Event{Kind: MembersAll, Members: m})
+}
+
+func (p *process) do(ev Event) {
+	if p.over {
+		return
+	}
+	f := p.f
+	for _, a := range p.b.Handle(f.now, ev, nil) {
+		switch a.Kind {
+		case SetTimer:
+			f.after(a.In, func() { p.do(Event{Kind: Timer, Mark: a.Mark}) })
+		case Probe:
+			s := f.servers[a.Backend-1]
+			f.after(ms, func() {
+				p.do(Event{Kind: Probed, Backend: a.Backend, Spent: ms, Load: Load{Has: HasActive, Active: float64(s.busy + len(s.waiting))}})
+			})
+		case Send:
+			f.after(ms/2, func() { p.reach(a) })
+		}
+	}
+}
+
+// reach has a request arrive at its server.
+func (p *process) reach(a Action) {
+	f, s, sent := p.f, p.f.servers[a.Backend-1], p.f.now-ms/2
+	work := f.classes[p.class[a.Request]] * f.draw()
+	f.count(s, work, p.told)
+	answer := func(st Status) {
+		f.after(ms/2, func() {
+			if st == Delivered {
+				f.served++
+			}
+			p.do(Event{Kind: Outcome, Request: a.Request, Attempt: a.Attempt, Backend: a.Backend, Spent: f.now - sent, Status: st,
+				NoMore: st == Delivered, Load: Load{Has: HasActive, Active: float64(s.busy + len(s.waiting))}})
+		})
+	}
+	most := 16 * f.cores
+	if s.start > 0 {
+		most = 0 // it refuses at once what would wait, and tells of no queue
+	}
+	if len(s.waiting) >= most && s.busy >= f.cores {
+		answer(Shed)
+		return
+	}
+	run := func() {
+		s.busy++
+		f.after(time.Duration(work/f.warmth(s, f.now)*1e9), func() {
+			s.busy--
+			answer(Delivered)
+			if len(s.waiting) > 0 {
+				next := s.waiting[0]
+				s.waiting = s.waiting[1:]
+				next()
+			}
+		})
+	}
+	if s.busy < f.cores {
+		run()
+	} else {
+		s.waiting = append(s.waiting, run)
+	}
+}
+
+func (f *fleet) draw() float64 {
+	switch f.p.shape {
+	case "const":
+		return 1
+	case "pareto": // infinite variance, mean 1
+		return math.Pow(1-f.rng.Float64(), -1/1.5) / 3
+	}
+	return f.rng.ExpFloat64()
+}
+
+func (f *fleet) count(s *stand, work float64, told bool) {
+	if s.start == 0 || !told || f.warmth(s, f.now) == 1 {
+		return
+	}
+	from := f.now - f.cfg.Rules.OverloadFor
+	s.came, s.work, s.sum = append(s.came, f.now), append(s.work, work/f.mean), s.sum+work/f.mean
+	for s.came[0] < from {
+		s.sum -= s.work[0]
+		s.came, s.work = s.came[1:], s.work[1:]
+	}
+	r := f.cfg.Rules // what the server bears is reckoned by its warmth at the start of the window: the strictest reading
+	n := r.FallMultiple * f.warmth(s, from) * float64(f.cores) * r.OverloadFor.Seconds() / f.mean
+	if ratio := s.sum / coldFall(n); ratio > f.worst.ratio {
+		f.worst = coldWorst{ratio, s.sum, n}
+	}
+}
+
+// arrive has requests come, one after another.
+func (f *fleet) arrive(rate func() float64, until time.Duration, weight func(node int) float64, classOf func() int) {
+	var drawn []int // each node by its weight
+	for i := range f.n {
+		for range int(weight(i)) {
+			drawn = append(drawn, i)
+		}
+	}
+	var next func()
+	next = func() {
+		if f.now >= until {
+			return
+		}
+		node := drawn[f.rng.IntN(len(drawn))]
+		at := []*process{f.procs[node]}
+		if more := f.procs[f.n+node]; more != nil {
+			at = append(at, more)
+		}
+		p := at[f.rng.IntN(len(at))]
+		f.asked++
+		id, class := fmt.Sprint(f.asked), classOf()
+		p.class[id] = class
+		p.do(Event{Kind: RequestArrived, Request: id, Class: class, Budget: f.cfg.Classes[class].Deadline})
+		f.after(time.Duration(f.rng.ExpFloat64()/rate()*1e9), next)
+	}
+	f.after(0, next)
+}
+
+// play has a fleet meet cold servers that bear n requests of mean work in a window right after their start.
+func (c *coldPlay) play(nodes int, n float64, seed uint64) (coldWorst, float64) {
+	f := &fleet{p: c, n: nodes, rng: rand.New(rand.NewPCG(seed, uint64(nodes))), now: time.Hour}
+	rules := Rules{GraceToAnswer: 8 * ms, DrainGrace: time.Second, AskEvery: 10 * time.Second, ColdShare: 0.12,
+		WarmWithin: 22 * time.Second, FallMultiple: 3, OverloadFor: 1500 * ms}
+	f.cores = min(16, max(1, int(n/25)))
+	f.mean = rules.FallMultiple * rules.ColdShare * float64(f.cores) * rules.OverloadFor.Seconds() / n
+	aim := f.mean * 10
+	if c.aim > 0 {
+		aim = f.mean * c.aim
+	}
+	class := Class{Aim: time.Duration(aim * 1e9), Deadline: time.Duration(4 * aim * 1e9), Effect: Safe, Points: 1}
+	f.classes, f.cfg = []float64{f.mean}, Config{Classes: []Class{class}, Rules: rules, Reports: InlineReports, Columns: HasActive,
+		Limits: Limits{Probing: true, MaxAttempts: 3, RetryAfter: true, MaxRetryAfter: time.Second}, Prices: Prices{Probe: 0.01}}
+	if c.dear {
+		f.classes = []float64{f.mean / 1.2, 5 * f.mean / 1.2}
+		f.cfg.Classes = append(f.cfg.Classes, class)
+	}
+	for i := range c.warm + c.cold {
+		s := &stand{id: BackendID(i + 1)}
+		if i >= c.warm {
+			s.start = f.now + c.settle
+			if c.settle == 0 {
+				s.start++
+			}
+		}
+		f.servers = append(f.servers, s)
+	}
+	start := f.now + c.settle
+	f.procs = make([]*process, 2*nodes)
+	for i := range nodes {
+		f.procs[i] = f.newProcess(i, nodes, c.settle == 0)
+	}
+	for i := range nodes {
+		p := f.procs[i]
+		if c.settle > 0 {
+			f.after(c.settle+c.wait+time.Duration(f.rng.Float64()*float64(c.late+50*ms)), func() { p.told = true; p.list() })
+		}
+	}
+	if c.restarts {
+		for k := range 30 {
+			f.after(c.settle+time.Second+time.Duration(k)*500*ms, func() {
+				for i := k % 10; i < nodes; i += 10 {
+					f.procs[i].over = true
+					f.procs[i] = f.newProcess(i, nodes, true)
+				}
+			})
+		}
+	}
+	classOf := func() int {
+		if c.dear && f.rng.IntN(20) == 0 {
+			return 1
+		}
+		return 0
+	}
+	if c.settings {
+		f.after(c.settle+2*time.Second, func() {
+			for _, p := range f.procs[:nodes] {
+				cfg := f.cfg
+				cfg.Classes = append(append([]Class{}, cfg.Classes...), class)
+				p.do(Event{Kind: SettingsChanged, Settings: &cfg})
+			}
+			f.cfg.Classes = append(append([]Class{}, f.cfg.Classes...), class)
+			f.classes = []float64{f.mean, f.mean / 5}
+			classOf = func() int { return f.rng.IntN(2) }
+		})
+	}
+	if c.twice {
+		f.after(c.settle+2*time.Second, func() {
+			for i := range nodes {
+				p := f.newProcess(i, 2*nodes, true)
+				l := f.procs[i].b.Learned()
+				f.procs[i].do(Event{Kind: InstancesCounted, Instances: 2 * nodes})
+				p.b.Relearn(l)
+				f.procs[nodes+i] = p
+			}
+		})
+		f.after(c.settle+8*time.Second, func() {
+			for i := range nodes {
+				f.procs[i].over = true
+				f.procs[i], f.procs[nodes+i] = f.procs[nodes+i], nil
+				f.procs[i].do(Event{Kind: InstancesCounted, Instances: nodes})
+			}
+		})
+	}
+	serving := c.warm
+	if serving == 0 {
+		serving = c.cold
+	}
+	whole := c.load * float64(serving*f.cores) / f.mean
+	rate := func() float64 {
+		if c.flood > 0 && f.now >= start {
+			return c.flood * whole
+		}
+		return whole
+	}
+	weight := func(i int) float64 {
+		if c.uneven && i%10 == 0 {
+			return 5
+		}
+		return 1
+	}
+	length := cmp.Or(c.length, 12*time.Second)
+	end := start + c.wait + length
+	f.arrive(rate, end, weight, classOf)
+	for len(f.due) > 0 && f.due[0].at < end {
+		h := heap.Pop(&f.due).(happening)
+		f.now = h.at
+		h.do()
+	}
+	return f.worst, float64(f.served) / float64(f.asked)
+}
+
+const settled = 20 * time.Second
+
+var coldPlays = []coldPlay{
+	{name: "one cold beside three", warm: 3, cold: 1, load: 0.9, settle: settled, flood: 5},
+	{name: "one cold beside ten", warm: 10, cold: 1, load: 0.9, settle: settled, flood: 5},
+	{name: "half the load before", warm: 3, cold: 1, load: 0.5, settle: settled, flood: 10},
+	{name: "too much load before", warm: 3, cold: 1, load: 1.5, settle: settled, flood: 3},
+	{name: "three cold of six", warm: 3, cold: 3, load: 0.9, settle: settled, flood: 5},
+	{name: "all cold, processes just started", cold: 4, load: 0.7, flood: 5},
+	{name: "processes just started", warm: 3, cold: 1, load: 1.5, flood: 3},
+	{name: "the same, aims of two mean times", warm: 3, cold: 1, load: 1.5, aim: 2, flood: 3},
+	{name: "uneven over processes", warm: 3, cold: 1, load: 0.9, settle: settled, uneven: true, flood: 5},
+	{name: "a class 5 times dearer", warm: 3, cold: 1, load: 0.9, settle: settled, dear: true, shape: "const", flood: 5},
+	{name: "the same, exponential work", warm: 3, cold: 1, load: 0.9, settle: settled, dear: true, flood: 5},
+	{name: "heavy tails (Pareto, 1.5)", warm: 3, cold: 1, load: 0.9, settle: settled, shape: "pareto", flood: 5},
+	{name: "processes restart", warm: 3, cold: 1, load: 0.9, settle: settled, restarts: true, flood: 5},
+	{name: "settings with one class more", warm: 3, cold: 1, load: 0.9, settle: settled, settings: true, flood: 5},
+	{name: "two processes of each node", warm: 3, cold: 1, load: 0.9, settle: settled, twice: true, flood: 5},
+	{name: "told within 3 s", warm: 3, cold: 1, load: 0.9, settle: settled, late: 3 * time.Second, flood: 5},
+	{name: "told 5 s late", warm: 3, cold: 1, load: 0.9, settle: settled, wait: 5 * time.Second, flood: 5},
+}
+
+// Cold servers stay within what they bear under the sum of a whole fleet, also where each process meets so few requests that
+// what it takes for a warm server's work is chance. -cold prints the whole table of docs/FLEET.md, breaks included.
+func TestColdServersUnderTheSumOfAFleet(t *testing.T) {
+	if *wholeTable {
+		for _, nodes := range []int{3, 20, 30, 300} {
+			for _, c := range coldPlays {
+				line := fmt.Sprintf("| %s | %d |", c.name, nodes)
+				for _, n := range []float64{1, 10, 100} {
+					w, most := coldWorst{}, 0
+					for seed := range uint64(2) {
+						x, _ := c.play(nodes, n, seed)
+						if x.ratio > 1 {
+							most++
+						}
+						if x.ratio > w.ratio {
+							w = x
+						}
+					}
+					line += fmt.Sprintf(" %.0f of %.0f, %d |", w.sent, coldFall(w.n), most)
+				}
+				t.Log(line)
+			}
+		}
+		for _, nodes := range []int{3, 20, 30, 300} {
+			c := coldPlay{warm: 3, cold: 1, load: 0.9, settle: 5 * time.Second, flood: 3, length: 4 * time.Second}
+			x, _ := c.play(nodes, 1000, 1)
+			t.Logf("| N 1000 | %d | %.0f of %.0f |", nodes, x.sent, coldFall(x.n))
+		}
+		return
+	}
+	served, of := 0.0, 0.0
+	for _, c := range coldPlays {
+		if c.shape == "pareto" { // of infinite variance: nothing bounds the work of one request
+			continue
+		}
+		for _, nodes := range []int{20, 30, 300} {
+			w, part := c.play(nodes, 10, 1)
+			if served, of = served+part, of+1; w.ratio > 1 {
+				t.Errorf("%s, %d processes: the work of %.1f mean requests within a window, it falls at %.1f", c.name, nodes, w.sent, coldFall(w.n))
+			}
+		}
+	}
+	for _, nodes := range []int{3, 20} {
+		c := coldPlay{warm: 3, cold: 1, load: 0.9, settle: 4 * time.Second, flood: 2, length: 2 * time.Second}
+		if w, _ := c.play(nodes, 1000, 1); w.ratio > 1 || w.sent < 100 {
+			t.Errorf("%d processes, N 1000: %.1f, it falls at %.1f", nodes, w.sent, coldFall(w.n))
+		}
+	}
+	if served/of < 0.25 { // held back altogether, nothing would be broken
+		t.Errorf("%.2f served", served/of)
+	}
+}
--- a/balance/learned.go
+++ b/balance/learned.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Learned is what a Balancer has learned that another one of the same node can go on with. Nothing in it permits anything: what
 // is out, budgets and grants are each Balancer's own. Times are on the clock that both are given.
@@ -8,6 +11,7 @@
 	Part, Gap, PeerPace, AllTime, AllDepth, Answers float64
 	Refresh, WarmRate, MeanValue, AllFail, AllBroke float64
 	JudgedAt                                        time.Duration
+	Instances                                       int // WarmRate, in seconds of work a second, is the part of one of them
 	All, Cold                                       LearnedCrowd
 	Zones                                           map[int]LearnedCrowd
 	Classes                                         []LearnedClass // by number
@@ -36,7 +40,7 @@
 	of := func(c *crowd) LearnedCrowd { return LearnedCrowd{c.others, c.reports, c.at} }
 	l := Learned{
 		Part: b.part, Gap: b.gap, PeerPace: b.peerPace, AllTime: b.allTime, AllDepth: b.allDepth, Answers: b.answers,
-		Refresh: b.refresh, WarmRate: b.warmRate, MeanValue: b.meanValue, AllFail: b.allFail, AllBroke: b.allBroke,
+		Refresh: b.refresh, WarmRate: b.warmRate * b.meanBase(), Instances: b.cfg.Instances, MeanValue: b.meanValue, AllFail: b.allFail, AllBroke: b.allBroke,
 		JudgedAt: b.judgedAt, All: of(&b.all), Cold: of(&b.cold), Zones: map[int]LearnedCrowd{},
 	}
 	for zone, c := range b.zones {
@@ -81,7 +85,7 @@
 	of := func(c LearnedCrowd) crowd { return crowd{max(c.Others, 0), max(c.Reports, 0), min(c.At, b.now)} }
 	b.part, b.gap, b.peerPace = min(max(l.Part, partLeast), partMost), l.Gap, l.PeerPace
 	b.allTime, b.allDepth, b.answers = l.AllTime, l.AllDepth, l.Answers
-	b.refresh, b.warmRate, b.meanValue = l.Refresh, l.WarmRate, l.MeanValue
+	b.refresh, b.meanValue = l.Refresh, l.MeanValue
 	b.allFail, b.allBroke, b.judgedAt = l.AllFail, l.AllBroke, min(l.JudgedAt, b.now)
 	b.all, b.cold = of(l.All), of(l.Cold)
 	for zone, c := range l.Zones {
@@ -93,6 +97,8 @@
 	for i := range min(len(l.Classes), len(b.classes)) {
 		b.classes[i] = classStats{l.Classes[i].Base, l.Classes[i].Seen, l.Classes[i].Free}
 	}
+	part := float64(max(cmp.Or(l.Instances, b.cfg.Instances), 1)) / float64(b.cfg.Instances) // two processes of a node share its part
+	b.warmRate = l.WarmRate * part / max(b.meanBase(), 1e-6)
 	for _, x := range l.Servers {
 		s := b.names[x.Name&nameMask]
 		if s == nil || s.name() != x.Name || s.Launched != x.Launched {
