--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -80,3 +80,34 @@
 		t.Errorf("%d requests sent where it bears 20 and more each time", used)
 	}
 }
+
+// What a node may send cold servers is a part of what warm ones do. Two processes of one node share that part, the one that
+// takes over what was learned as well; and a part that is counted in mean requests follows when the mean request becomes another.
+func TestTheColdPartFollows(t *testing.T) {
+	r := newRig(t, site(), member(1, 0, 0))
+	r.serve(50, safe, steady)
+	r.b.warmRate = 8
+	near := func(what string, b *Balancer, want float64) {
+		t.Helper()
+		if math.Abs(b.warmRate-want) > 1e-9 {
+			t.Errorf("%s: a part of %v mean requests a second, want %v", what, b.warmRate, want)
+		}
+	}
+	l := r.b.Learned()
+	r.do(Event{Kind: InstancesCounted, Instances: 4})
+	near("another process of each node", r.b, 4)
+	next := newRig(t, site(), member(1, 0, 0))
+	next.do(Event{Kind: InstancesCounted, Instances: 4})
+	next.b.Relearn(l)
+	near("what was learned as one of two, at one of four", next.b, 4)
+	r.do(Event{Kind: InstancesCounted, Instances: 2})
+	near("alone again", r.b, 8)
+	r.arrive("dear", unsafe)
+	r.do(Event{Kind: Outcome, Request: "dear", Backend: 1, Spent: 100 * ms, NoMore: true})
+	mean := r.b.meanBase()
+	near("a class five times as dear is met", r.b, 8*r.b.classes[safe].base/mean)
+	cfg := site()
+	cfg.Classes[unsafe].Gone = true
+	r.do(Event{Kind: SettingsChanged, Settings: &cfg})
+	near("and is gone", r.b, 8)
+}
