Asked lists: a call beside a silent one leaves time for its turn, and a failure there is followed up

Faults (internal/members/registry/pace), where discovery works through calls in turn and one may stand in line for 2 s: - the call beside a silent one began 1 s before what the silent one misses counts as told (terms.go, Asked): answered after its 2 s it was up to 1 s late, with a grace of 500 ms. It begins so that the 2 s end half of the grace after that time. - it was turned away while the silent watch was still open: nobody asked again until the watch was given up, and then the module waited (pace.go, failed): up to 28 s, where 26.25 s counts.

Also here, each with its test: A lagging registry is believed only by a call that began after it was caught lagging

Fault: a list from the past is taken in when it comes a second time (internal/members/registry/registry.go, check), since a registry may count anew. Two calls that were open at once count as two, though both tell of the same instant: one lag of an agent, with a silent call and one beside it, brought back what drains. Change: the second one has to be a call that began after the first answer from the past came.

A list that can't be read: the log line says how long it was and what to do

Fault: the line on a list that can't be read had the address and what is wrong, and no remedy (internal/members/registry/call.go). Change: it names the length of the text, that the last list holds, and where to look.

--- a/internal/members/registry/call.go
+++ b/internal/members/registry/call.go
@@ -75,8 +75,9 @@
 	if a.known = a.text == known; a.known {
 		return a
 	}
-	a.list, a.err = Parse(body, r.names)
-	if a.err == nil && query == "" && !a.list.Complete {
+	if a.list, a.err = Parse(body, r.names); a.err != nil {
+		a.err = fmt.Errorf("a list of %d bytes can't be read: %w: the last one holds: look at what the registry wrote", len(body), a.err)
+	} else if query == "" && !a.list.Complete {
 		a.err = errNotWhole
 	}
 	return a
--- a/internal/members/registry/pace/pace_test.go
+++ b/internal/members/registry/pace/pace_test.go
@@ -78,3 +78,39 @@
 		}
 	})
 }
+
+// Where lists are asked for, a call that fails beside a silent watch is followed by another in time, though nobody else asks: the
+// module hears of a failure only when none is open any more.
+func TestAFailureBesideASilentWatch(t *testing.T) {
+	for _, wish := range []bool{false, true} {
+		p := New(Asked(500*time.Millisecond), true, rand.New(rand.NewPCG(1, 2)))
+		begun := map[int]time.Duration{}
+		handle := func(now time.Duration, ev Event) (lost bool) {
+			for _, a := range p.Handle(now, ev, nil) {
+				if a.Kind == Begin {
+					begun[a.Call] = now
+				}
+				lost = lost || a.Kind == Lost
+			}
+			return lost
+		}
+		handle(0, Event{Kind: Wanted, Ask: balance.Watch})
+		failed := p.Wake()
+		handle(failed, Event{Kind: Passed})
+		handle(failed, Event{Kind: Failed, Call: 2, TurnedAway: true}) // reached, and at once told no
+		over := p.Wake()
+		if lost := handle(over, Event{Kind: Passed}); !lost || over != longWait+watchPatience || begun[2] != failed {
+			t.Fatalf("given up at %v, lost %v, begun %v", over, lost, begun)
+		}
+		due := failed + rewatchMost
+		if wish { // the module's, sooner
+			due = over + time.Second
+			handle(due, Event{Kind: Wanted, Ask: balance.Watch})
+		} else {
+			handle(p.Wake(), Event{Kind: Passed})
+		}
+		if begun[3] != due {
+			t.Errorf("the next call begins at %v, %v wanted", begun[3], due)
+		}
+	}
+}
--- a/internal/members/registry/pace/terms.go
+++ b/internal/members/registry/pace/terms.go
@@ -71,10 +71,11 @@
 // Asked returns those of a registry that each call costs work, and that works through calls in turn. One that is given up
 // while it waits there is worked through all the same, and another waits in its stead. What a silent call misses counts as
 // told listPatience after it began, or watchPatience after its wait, whether or not it came; grace later a drain is kept. So
-// one other call is made beside it, no sooner than needed for that to stand in line for its callMost, and one more when it is
-// given up. Half of the grace beyond its wait is left to a watch that brings nothing.
+// one other call is made beside it, no sooner than needed for that to stand in line for its callMost and end half of the grace
+// after that, and one more when it is given up.
 func Asked(grace time.Duration) Terms {
-	return Terms{Wait: longWait, besideList: listPatience - callMost, besideWatch: watchPatience - callMost + min(graceOr(grace)/2, watchPatience/4),
+	late := min(graceOr(grace)/2, watchPatience/4) - callMost
+	return Terms{Wait: longWait, besideList: listPatience + late, besideWatch: watchPatience + late,
 		overList: listPatience, overWatch: watchPatience, most: 2, asked: true}
 }
 
--- a/internal/members/registry/registry.go
+++ b/internal/members/registry/registry.go
@@ -45,7 +45,8 @@
 	// named tells that a list has named a backend. A whole list of none after that is taken for a fault of the registry:
 	// boxes that are really gone answer no connection, and a pool emptied by mistake refuses everything.
 	named bool
-	// older counts the answers, one after another, of a revision before have. The second is believed: that registry counts anew.
+	// older is the last call that had begun when an answer came of a revision before have; 0: none did since. One that began after
+	// it and says so again is believed: that registry counts anew. Two that were open at once say it of the same instant.
 	older int
 	text  uint64    // a hash of the text that have was read from, if that was a whole list; 0: of none
 	heard time.Time // when news was called last
@@ -132,6 +133,7 @@
 	pace    *pace.Pace
 	out     []pace.Action
 	open    map[int]func() // calls under way, by id: gives one up
+	last    int            // the id of the one begun last
 	calls   sync.WaitGroup
 	answers chan answer
 
@@ -213,7 +215,7 @@
 // begin begins a call. What it brings comes to answers, unless it is given up.
 func (r *run) begin(a pace.Action) {
 	ctx, cancel := context.WithCancel(r.ctx)
-	r.open[a.Call] = cancel
+	r.open[a.Call], r.last = cancel, a.Call
 	query, known := "", r.text
 	if !a.Whole {
 		query = fmt.Sprintf("after=%d&wait_ms=%d", r.have, r.terms().Wait.Milliseconds())
@@ -240,7 +242,7 @@
 	}
 	delete(r.open, a.call)
 	if a.err == nil && !a.known {
-		a.err = r.check(a.list)
+		a.err = r.check(a.list, a.call)
 	}
 	if a.err != nil {
 		r.why = fmt.Errorf("http://%s: %w", r.addr, a.err)
@@ -269,7 +271,7 @@
 }
 
 // check tells what speaks against a list: the last good one holds.
-func (r *run) check(list engine.List) error {
+func (r *run) check(list engine.List, call int) error {
 	switch {
 	case list.Complete && len(list.Members) == 0 && r.named:
 		return errors.New("the whole list names no backend: the last one holds: look at the registry")
@@ -277,7 +279,10 @@
 		r.older = 0
 	default:
 		// From a replica that lags, it would bring back what drains. A registry that counts anew says it again.
-		if r.older++; r.older == 1 {
+		if r.older == 0 {
+			r.older = r.last
+		}
+		if call <= r.older {
 			return fmt.Errorf("revision %d came after %d: %w", list.Revision, r.have, errPast)
 		}
 	}
