serve: a repeat is not written after its window either

Cause: as in the node, a dial may outlast the window (internal/front/http/attempt.go, exchange). The same question to the attempt, in the instant before the write. No test of its own here: the node's TestNoRepeatIsWrittenAfterTheWindow forces the order; the tests of the package pass.

--- a/internal/front/http/attempt.go
+++ b/internal/front/http/attempt.go
@@ -107,7 +107,7 @@
 		return
 	}
 	// What streams can be taken by one attempt only, and is not taken while nothing of it has been read.
-	if ctx.Err() != nil || !c.state.CompareAndSwap(callQueued, callWriting) || m.rest != nil && !m.taken.CompareAndSwap(false, true) {
+	if ctx.Err() != nil || a.TooLate() || !c.state.CompareAndSwap(callQueued, callWriting) || m.rest != nil && !m.taken.CompareAndSwap(false, true) {
 		cn.Close()
 		end(balance.Unused, nil)
 		return
