--- a/internal/node/shutdown_ready_test.go
+++ b/internal/node/shutdown_ready_test.go
@@ -20,37 +20,31 @@
 		t.Fatal(err)
 	}
 	defer silent.Close()
-	gone, err := net.Listen("tcp", "127.0.0.1:0") // and this one refuses them
-	if err != nil {
-		t.Fatal(err)
-	}
-	gone.Close()
 	up := func(*testing.T) string { return newRegistry(t, list).Addr }
-	comesUp := func(t *testing.T) string { // a second after the node
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+	serving := func(answer http.HandlerFunc) func(*testing.T) string {
+		return func(t *testing.T) string {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			srv := &http.Server{Handler: answer}
+			go srv.Serve(l)
+			t.Cleanup(func() { srv.Close() })
+			return l.Addr().String()
 		}
-		addr := l.Addr().String()
-		l.Close()
-		srv := &http.Server{Addr: addr, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, list) })}
-		time.AfterFunc(time.Second, func() { srv.ListenAndServe() })
-		t.Cleanup(func() { srv.Close() })
-		return addr
 	}
-	slow := func(t *testing.T) string { // its list takes half of what a call may: an agent answers at once
-		srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			time.Sleep(500 * time.Millisecond)
-			io.WriteString(w, list)
-		})}
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+	failing := serving(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	began := time.Now()
+	comesUp := serving(func(w http.ResponseWriter, _ *http.Request) {
+		if time.Since(began) < time.Second {
+			panic(http.ErrAbortHandler) // a reset or an end
 		}
-		go srv.Serve(l)
-		t.Cleanup(func() { srv.Close() })
-		return l.Addr().String()
-	}
+		io.WriteString(w, list)
+	})
+	slow := serving(func(w http.ResponseWriter, _ *http.Request) { // half of what a call may take: an agent answers at once
+		time.Sleep(500 * time.Millisecond)
+		io.WriteString(w, list)
+	})
 	for _, c := range []struct {
 		name      string
 		discovery func(*testing.T) string
@@ -58,8 +52,8 @@
 		shared    bool // processes of the node share a socket: the longest wait of all
 	}{
 		{"a list, and discovery is up", up, true, false},
-		{"a list, and discovery refuses", func(*testing.T) string { return gone.Addr().String() }, true, false},
-		{"a list, and discovery refuses, shared", func(*testing.T) string { return gone.Addr().String() }, true, true},
+		{"a list, and discovery fails", failing, true, false},
+		{"a list, and discovery fails, shared", failing, true, true},
 		{"a list, and discovery is silent", func(*testing.T) string { return silent.Addr().String() }, true, false},
 		{"no list, and discovery is up", up, false, false},
 		{"no list, and discovery comes up", comesUp, false, false},
