--- a/internal/node/descriptors_test.go
+++ b/internal/node/descriptors_test.go
@@ -61,6 +61,7 @@
 // backends are held up and discovery refuses or hangs, it serves who asks, speaks to its peers, and hears of a drain as soon as
 // discovery is back.
 func TestCrowdsLeaveDescriptorsForTheRest(t *testing.T) {
+	t.Parallel()
 	peer, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/floods_test.go
+++ b/internal/node/floods_test.go
@@ -31,6 +31,7 @@
 
 // A system that can let nobody in for a moment does not end the node, nor the operators' listener.
 func TestAcceptErrorsEndNothing(t *testing.T) {
+	t.Parallel()
 	with := []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EPERM,
 		syscall.EPROTO, syscall.ENETDOWN, syscall.EHOSTUNREACH}
 	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("x") }))
@@ -126,6 +127,7 @@
 
 // Clients that ask for long answers and read none hold neither the loop nor other clients up, and leave nothing when they go.
 func TestReadersThatReadNothing(t *testing.T) {
+	t.Parallel()
 	b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string {
 		if r.URL.Path == "/api/long" {
 			return ok200(strings.Repeat("x", 8<<20))
@@ -169,6 +171,7 @@
 
 // A peer that floods a node whose loop is behind takes the room that it has and no more, and clients are served after it.
 func TestPeersThatFlood(t *testing.T) {
+	t.Parallel()
 	peer, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -168,6 +168,7 @@
 
 // A client that left while its request stood in the queue of a full listener gets no attempt either.
 func TestNothingIsBegunForAClientThatLeftTheQueue(t *testing.T) {
+	t.Parallel()
 	var begun atomic.Int32
 	b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string {
 		if strings.HasPrefix(r.URL.Path, "/api/") {
@@ -208,6 +209,7 @@
 
 // A client that leaves behind bytes that nobody reads is missed all the same: its attempt ends, and its place is free.
 func TestWhoLeavesBehindUnreadBytesIsMissed(t *testing.T) {
+	t.Parallel()
 	begun, over := make(chan struct{}, 1), make(chan struct{}, 1)
 	b := newRawBackend(t, "127.0.0.1:0", func(c net.Conn, br *bufio.Reader) {
 		if r, err := http.ReadRequest(br); err == nil && strings.HasPrefix(r.URL.Path, "/api/") {
