A reload's idleClose and connectTimeout hold for the connections to backends

Cause: internal/node/node.go New gave both to newPool once; Reload took the file (reloads_ok) and the pool kept the old ones. After a shorter idleClose requests went out on connections that backends were closing just then: resets that may have run, and for an unsafe class a failure each.

Change: pool.retune, on the loop in the step that brings the settings into force. A look at an idle connection's age asks the present figure, so one that stands too long by the new file is not used.

--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -46,21 +46,33 @@
 }
 
 func newPool(most int, connectTimeout, idleClose time.Duration) *pool {
+	connectTimeout, keep := poolTimes(connectTimeout, idleClose)
+	return &pool{
+		// A silent machine answers no SYN, and keep-alive packets notice nothing.
+		dialer: net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
+		most:   most,
+		keep:   keep,
+		idle:   map[engine.Endpoint][]*conn{},
+	}
+}
+
+// poolTimes returns how long a dial may take and how long a connection may stand idle. A backend closes an idle one at idleClose
+// at the latest, and a request that crosses that is a reset that may have run: stay well below.
+func poolTimes(connectTimeout, idleClose time.Duration) (dial, keep time.Duration) {
 	if connectTimeout <= 0 {
 		connectTimeout = time.Second
 	}
 	if idleClose <= 0 {
 		idleClose = 5 * time.Second
 	}
-	return &pool{
-		// A silent machine answers no SYN, and keep-alive packets notice nothing.
-		dialer: net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
-		most:   most,
-		// A backend closes an idle connection at idleClose at the latest, and a request that crosses that is
-		// a reset that may have run: stay well below.
-		keep: idleClose * 7 / 10,
-		idle: map[engine.Endpoint][]*conn{},
-	}
+	return connectTimeout, idleClose * 7 / 10
+}
+
+// retune takes in times that changed in service. Connections that are idle for too long by them are not used again.
+func (p *pool) retune(connectTimeout, idleClose time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialer.Timeout, p.keep = poolTimes(connectTimeout, idleClose)
 }
 
 // get returns an idle connection, or dials one. A probe takes the one that has been idle longest, however worn: it
@@ -73,7 +85,10 @@
 	if !p.reserve() {
 		return nil, errNoRoom
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp", to.Addr)
+	p.mu.Lock()
+	dialer := p.dialer
+	p.mu.Unlock()
+	nc, err := dialer.DialContext(ctx, "tcp", to.Addr)
 	if err != nil {
 		p.release()
 		return nil, err
@@ -193,16 +208,14 @@
 
 // run ends connections that have been idle for long, until ctx ends, and then all idle ones.
 func (p *pool) run(ctx context.Context) {
-	t := time.NewTicker(max(p.keep/8, time.Millisecond)) // a ticker of 0 panics
-	defer t.Stop()
 	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			p.sweep(0)
-		case <-t.C:
-			p.sweep(p.keep)
-		}
+		p.mu.Lock()
+		keep := p.keep
+		p.mu.Unlock()
+		pause(ctx, min(max(keep/8, time.Millisecond), time.Second)) // no busy loop, and a shorter keep is seen soon
+		p.sweep(keep)
 	}
+	p.sweep(0)
 }
 
 func (p *pool) sweep(keep time.Duration) {
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"glencart/internal/engine"
 )
 
 // A configuration that names another discovery moves the node there at once, twice in a row too, and disturbs
@@ -152,3 +154,34 @@
 		}
 	}
 }
+
+// A file that shortens idleClose holds for connections that are idle already: backends close them sooner now, and a request that
+// crosses that may have run.
+func TestReloadShortensHowLongConnectionsAreKept(t *testing.T) {
+	text := listText(1, true)
+	cfg := testConfig(t, "127.0.0.1:1", text)
+	n, err := New(cfg, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.close()
+	to := engine.Endpoint{ID: "s", Addr: newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("x") })).Addr().String()}
+	kept, err := n.pool.get(t.Context(), to, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.pool.put(kept)
+	kept.idleAt = kept.idleAt.Add(-time.Second) // in use under 5 s, too old under 1 s
+	if err := n.Reload(testConfig(t, "127.0.0.1:1", text, `"idleClose":5000000000`, `"idleClose":1000000000`, `"connectTimeout":2000000000`, `"connectTimeout":300000000`)); err != nil {
+		t.Fatal(err)
+	}
+	n.loop.Step()
+	next, err := n.pool.get(t.Context(), to, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.pool.discard(next)
+	if next == kept || n.pool.dialer.Timeout != 300*time.Millisecond {
+		t.Errorf("the old connection: %t; dials end after %v", next == kept, n.pool.dialer.Timeout)
+	}
+}
