A test of requests between their reading and a reload

Holds the loop while a file changes three classes: unsafe to safe is refused and does not run, safe to unsafe and a class that has gone are served.

--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -185,3 +186,45 @@
 		t.Errorf("the old connection: %t; dials end after %v", next == kept, n.pool.dialer.Timeout)
 	}
 }
+
+// Requests that were read under the old file and come to the loop after the new one: of a class that may now be repeated more freely
+// than its client was told, it is refused and nothing runs; of a class that has become stricter, or has gone, it is served.
+func TestRequestsBetweenTheirReadingAndAReload(t *testing.T) {
+	var ran atomic.Int64
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { ran.Add(1); return ok200("x") }))
+	text := listText(1, true, listed{ID: "s", Addr: b.Addr().String(), Phase: "ready", Up: 0})
+	reg := newRegistry(t, text)
+	n := start(t, testConfig(t, reg.Addr, text))
+	free, held := make(chan struct{}), make(chan struct{})
+	n.loop.Post(func() { close(held); <-free })
+	receive(t, "the held loop", held)
+	if err := n.Reload(testConfig(t, reg.Addr, text, `"effect":"pure"`, `"effect":"side_effect"`, `"effect":"side_effect"`, `"effect":"pure"`,
+		`"name":"token"`, `"name":"other"`)); err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]int{"order": 503, "read": 200, "token": 200}
+	type answer struct {
+		class  string
+		status int
+	}
+	answers := make(chan answer, len(want))
+	for class := range want {
+		go func() {
+			resp, _ := do(t, ask(t, n.url+"/api/x", class))
+			answers <- answer{class, resp.StatusCode}
+		}()
+	}
+	eventually(t, "all read and waiting", func() bool { return n.front.inFlight.Load() == int64(len(want)) })
+	close(free)
+	for range want {
+		if a := receive(t, "an answer", answers); a.status != want[a.class] {
+			t.Errorf("%s: %d, want %d", a.class, a.status, want[a.class])
+		}
+	}
+	if ran.Load() != 2 {
+		t.Errorf("%d ran, want 2", ran.Load())
+	}
+	if resp, _ := do(t, ask(t, n.url+"/api/x", "token")); resp.StatusCode != 400 {
+		t.Errorf("the class that has gone: %d", resp.StatusCode)
+	}
+}
