--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,7 +25,7 @@
 	// coldMargin is the part of the cold-start budget that is spent: the rest is for uneven work. What comes
 	// in coldBurst seconds may be spent at once, and coldHold windows later. An old peak of the warm rate
 	// fades by rateDecay a window; rateStrays standard deviations of it are chance.
-	coldMargin, coldBurst, coldHold, rateDecay, rateStrays = 0.4, 0.1, 0.5, 0.97, 1.5
+	coldMargin, coldBurst, coldHold, rateDecay, rateStrays = 0.4, 0.1, 0.5, 0.97, 1.75
 	// A node keeps to partServers of each zone, or to as many as it has requests in partSpan seconds.
 	partServers, partSpan = 8, 0.5
 	// The mean of what a zone's servers hold is learned over meanSpan seconds, what is usual at one of them
