Names: the operators' door is an admin endpoint, scouts are probes, boxes are backends

Need: private words hide the field's own. No public name changes: the key stays management. TestDoorAnswersInTime is TestAdminEndpointAnswersInTime.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -52,9 +52,9 @@
 	// silence is charged beyond silentQueues times what the queue should take.
 	failsHigh, failsLow, silentQueues = 0.11, 0.02, 2
 	// The part of the slack that queues may take up follows how answers come, at partSpeed a second but by
-	// partStep an answer at most, and rests where one in lateOnce is late. One in scoutOnce that would be
+	// partStep an answer at most, and rests where one in lateOnce is late. One in probeOnce that would be
 	// refused within its share is sent all the same: its answer shows whether the node is right to refuse.
-	partSpeed, partStep, lateOnce, scoutOnce = 2.0, 0.1, 20, 20
+	partSpeed, partStep, lateOnce, probeOnce = 2.0, 0.1, 20, 20
 	partFirst, partLeast, partMost           = 0.3, 0.12, 4.0
 	// idleEntry: a server whose entry is no higher is idle. An answer that met freeEntry or less tells the
 	// time without a queue, by baseWeight.
@@ -392,7 +392,7 @@
 		s = b.pick(r, b.bound(r))
 	}
 	if left := b.shareLeft(r); s == nil && !spent && !again && (left == nil || *left >= 1) {
-		if b.refused++; b.refused%scoutOnce == 0 {
+		if b.refused++; b.refused%probeOnce == 0 {
 			s = b.pick(r, math.Inf(1)) // refusing keeps a node from the answers that would correct it
 		}
 	}
--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -590,7 +590,7 @@
 	}
 }
 
-// A node that refuses everything has no answers to correct what it believes: one in scoutOnce goes out all the
+// A node that refuses everything has no answers to correct what it believes: one in probeOnce goes out all the
 // same, and no more, or overload would get through.
 func TestRefusalsSendScouts(t *testing.T) {
 	r := newRig(t, site(), member(1, 0, 0))
@@ -598,19 +598,19 @@
 	*r.b.zones[0] = crowd{others: 50, reports: 1e9, at: r.now}
 	r.wait(time.Second)
 	sent := 0
-	for i := range 10 * scoutOnce {
+	for i := range 10 * probeOnce {
 		r.wait(10 * ms)
 		r.arrive(fmt.Sprint(i), safe)
 		sent += len(of(Send, r.last))
 	}
 	if sent != 10 {
-		t.Errorf("%d of %d sent to a server that seems full", sent, 10*scoutOnce)
+		t.Errorf("%d of %d sent to a server that seems full", sent, 10*probeOnce)
 	}
 	r.b.cfg.Tenants[0].QuotaPerSecond, r.b.shares[0].left = 1e-6, 0
-	for i := range 10 * scoutOnce { // what floods beyond its share comes again and again: its scouts would fill the servers
+	for i := range 10 * probeOnce { // what floods beyond its share comes again and again: its probes would fill the servers
 		r.wait(10 * ms)
 		if r.arrive(fmt.Sprint("flood", i), safe); len(of(Send, r.last)) > 0 {
-			t.Fatal("a scout of what lies beyond its tenant's share")
+			t.Fatal("a probe of what lies beyond its tenant's share")
 		}
 	}
 }
--- a/balance/weights_test.go
+++ b/balance/weights_test.go
@@ -8,21 +8,21 @@
 	"time"
 )
 
-// Declared weights: shares hold at any load that the boxes can carry, and whatever small differences there are between
-// them; a box that is far slower gets less; one that was away gets no flood.
+// Declared weights: shares hold at any load that the backends can carry, and whatever small differences there are between
+// them; a backend that is far slower gets less; one that was away gets no flood.
 func TestDeclaredWeights(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		weights []float64
 		slow    []float64 // times slower
 		gap     time.Duration
-		within  float64 // of the share, at any box
+		within  float64 // of the share, at any backend
 		awayMid bool
 	}{
 		{"equal, one at a time", []float64{1, 1, 1}, nil, 30 * time.Millisecond, 0.01, false},
 		{"5:3:1, one at a time", []float64{5, 3, 1}, nil, 30 * time.Millisecond, 0.01, false},
 		{"5:3:1, many at once", []float64{5, 3, 1}, nil, 2 * time.Millisecond, 0.15, false},
-		{"a box 2 times slower keeps its share", []float64{1, 1}, []float64{1, 2}, 15 * time.Millisecond, 0.02, false},
+		{"a backend 2 times slower keeps its share", []float64{1, 1}, []float64{1, 2}, 15 * time.Millisecond, 0.02, false},
 		{"100:1", []float64{100, 1}, nil, 15 * time.Millisecond, 0.2, false},
 		{"one is 100 times slower for a while", []float64{1, 1}, []float64{100, 1}, 15 * time.Millisecond, 0.9, true},
 		{"one is away for a while", []float64{1, 1}, nil, 15 * time.Millisecond, 0.6, true},
@@ -100,7 +100,7 @@
 			for i, w := range c.weights {
 				share := sent[i] / float64(total) / (w / sum)
 				if math.Abs(share-1) > c.within {
-					t.Errorf("box %d of weight %v got %v of %d: %.3f of its share", i, w, sent[i], total, share)
+					t.Errorf("backend %d of weight %v got %v of %d: %.3f of its share", i, w, sent[i], total, share)
 				}
 			}
 		})
--- a/cmd/glencart/main.go
+++ b/cmd/glencart/main.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	// What this process was told wins: two processes may read one file, and each has a door of its own.
+	// What this process was told wins: two processes may read one file, and each has an admin endpoint of its own.
 	cfg.Management = cmp.Or(os.Getenv("BALANCER_MANAGEMENT"), cfg.Management)
 	if cfg.AcceptFD = os.Getenv("BALANCER_ACCEPT_FD"); cfg.AcceptFD != "" {
 		cfg.Shared = os.Getenv("TMPDIR")
--- a/internal/engine/scenario_test.go
+++ b/internal/engine/scenario_test.go
@@ -136,7 +136,7 @@
 //	answer-by in=..                    the process ends then
 //	left                               what the tables hold
 //	fleet nodes=.. quota=.. [alone]    all anew, at one of so many nodes, with so many requests a second over all of them
-//	probed id=.. active=..             a probe of a box comes back
+//	probed id=.. active=..             a probe of a backend comes back
 //	hear from=.. hex=..                a message of a peer
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
--- a/internal/members/registry/registry.go
+++ b/internal/members/registry/registry.go
@@ -43,7 +43,7 @@
 	have  int64 // the revision of the list that the module has, where holds
 	holds bool
 	// named tells that a list has named a backend. A whole list of none after that is taken for a fault of the registry:
-	// boxes that are really gone answer no connection, and a pool emptied by mistake refuses everything.
+	// backends that are really gone answer no connection, and a pool emptied by mistake refuses everything.
 	named bool
 	// older is the last call that had begun when an answer came of a revision before have; 0: none did since. One that began after
 	// it and says so again is believed: that registry counts anew. Two that were open at once say it of the same instant.
--- a/internal/node/bounds.go
+++ b/internal/node/bounds.go
@@ -11,7 +11,7 @@
 	// leastSockets is the smallest limit on descriptors that a node starts with, otherSockets what it keeps for all but clients
 	// and backends. At the worst that is 31: standard streams 3, the runtime's poller 2 and its look at the processors' limit 2,
 	// sockets for clients, operators and datagrams 3, the locks of a process beside another 2, files that are read or written 3,
-	// calls to discovery pace.NearMost and one given up that is not closed yet 5, silent operators doorLast and the one that
+	// calls to discovery pace.NearMost and one given up that is not closed yet 5, silent operators adminLast and the one that
 	// is let in 11. Clients and connections to backends, dials included, are counted before they are let in or dialed.
 	leastSockets, otherSockets = 64, 32
 	// backendPart of what is left is for backends, in hundredths. A request in flight holds a connection on each side; those
--- a/internal/node/descriptors_test.go
+++ b/internal/node/descriptors_test.go
@@ -51,7 +51,7 @@
 		}
 	})
 	go every(ctx, 20*time.Millisecond, func() { n.peers.tell(0, []byte("word")) })
-	fmt.Println(n.Addr(), n.door.Addr())
+	fmt.Println(n.Addr(), n.admin.Addr())
 	fail(n.Run(ctx))
 	fmt.Println(most.Load())
 	os.Exit(0)
@@ -155,11 +155,11 @@
 	ended := sync.OnceValue(func() error { in.Close(); return child.Wait() })
 	defer ended()
 	said := bufio.NewScanner(out)
-	var addr, door string
+	var addr, admin string
 	if !said.Scan() {
 		t.Fatalf("the node does not start: %v %s", ended(), log.String())
 	}
-	fmt.Sscan(said.Text(), &addr, &door)
+	fmt.Sscan(said.Text(), &addr, &admin)
 	call := func(to, path string) (status int, body string) {
 		resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(ask(t, "http://"+to+path, "read"))
 		if err != nil {
@@ -200,7 +200,7 @@
 			close(changed)
 		}
 		crowd(addr, 3*b.clients)
-		crowd(door, 2*doorLast)
+		crowd(admin, 2*adminLast)
 		for range many {
 			call(addr, "/api/x") // and the probes beside it
 		}
@@ -212,7 +212,7 @@
 		if d := time.Since(began); d > 2*time.Second {
 			t.Errorf("discovery %s: the client waited for %v", m, d)
 		}
-		if status, body := call(door, "/control/ready"); status != 200 {
+		if status, body := call(admin, "/control/ready"); status != 200 {
 			t.Errorf("discovery %s: operators are answered %d %s", m, status, body)
 		}
 		eventually(t, "a call to discovery that "+m, func() bool { return calls.Load() > had })
--- a/internal/node/floods_test.go
+++ b/internal/node/floods_test.go
@@ -40,12 +40,12 @@
 	cfg.Management = "127.0.0.1:0"
 	n := startAs(t, cfg, func(n *Node) {
 		n.listener.Listener = &failing{Listener: n.listener.Listener, with: with}
-		n.door = &failing{Listener: n.door, with: with}
+		n.admin = &failing{Listener: n.admin, with: with}
 	})
 	if resp, body := do(t, ask(t, n.url+"/api/x", "read")); resp.StatusCode != 200 || body != "x" {
 		t.Errorf("answered %d %q", resp.StatusCode, body)
 	}
-	if resp, _ := do(t, ask(t, "http://"+n.door.Addr().String()+"/control/ready", "read")); resp.StatusCode != 200 {
+	if resp, _ := do(t, ask(t, "http://"+n.admin.Addr().String()+"/control/ready", "read")); resp.StatusCode != 200 {
 		t.Errorf("operators are answered %d", resp.StatusCode)
 	}
 }
--- a/internal/node/management.go
+++ b/internal/node/management.go
@@ -17,20 +17,20 @@
 )
 
 const (
-	// doorMost bounds the connections of operators whose call is not whole: beyond it the oldest silent one gives way, and
-	// beyond doorLast the oldest. They stand in what otherSockets keeps aside.
-	doorMost, doorLast = 6, 10
-	// doorFresh is how long a caller has for the first byte before it counts as silent.
-	doorFresh = 20 * time.Millisecond
-	// doorWithin is how long a call may take to come, and its answer to be read. A call is answered after doorWaits even
+	// adminMost bounds the connections of operators whose call is not whole: beyond it the oldest silent one gives way, and
+	// beyond adminLast the oldest. They stand in what otherSockets keeps aside.
+	adminMost, adminLast = 6, 10
+	// adminFresh is how long a caller has for the first byte before it counts as silent.
+	adminFresh = 20 * time.Millisecond
+	// adminWithin is how long a call may take to come, and its answer to be read. A call is answered after adminWaits even
 	// where the loop has not got to it: operators are owed an answer within 1 s.
-	doorWithin, doorWaits = 5 * time.Second, 700 * time.Millisecond
+	adminWithin, adminWaits = 5 * time.Second, 700 * time.Millisecond
 	// idMost bounds a backend's id in a call.
 	idMost = 256
 )
 
-// door is where operators call: a listener of its own, one call to a connection.
-type door struct {
+// adminEndpoint is where operators call: a listener of its own, one call to a connection.
+type adminEndpoint struct {
 	node *Node
 	srv  *http.Server
 
@@ -40,8 +40,8 @@
 	open  int
 }
 
-func newDoor(n *Node) *door {
-	d := &door{node: n, conns: map[net.Conn]time.Time{}}
+func newAdminEndpoint(n *Node) *adminEndpoint {
+	d := &adminEndpoint{node: n, conns: map[net.Conn]time.Time{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /control/ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !n.canServe() {
@@ -57,41 +57,41 @@
 	mux.HandleFunc("POST /control/backends/{id}/online", func(w http.ResponseWriter, r *http.Request) { d.byHand(w, r, false) })
 	d.srv = &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			d.whole(connOfDoor(r.Context()))
+			d.whole(adminConn(r.Context()))
 			w.Header().Set("Connection", "close")
 			defer d.calls.Add(-1)
-			if d.calls.Add(1) > doorLast {
+			if d.calls.Add(1) > adminLast {
 				reply1(w, http.StatusServiceUnavailable, "too many calls at once\n")
 				return
 			}
 			mux.ServeHTTP(w, r)
 		}),
-		ReadTimeout: doorWithin, WriteTimeout: doorWithin, MaxHeaderBytes: 4 << 10,
+		ReadTimeout: adminWithin, WriteTimeout: adminWithin, MaxHeaderBytes: 4 << 10,
 		ErrorLog:  slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 		ConnState: d.track,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, doorKey{}, c)
+			return context.WithValue(ctx, adminKey{}, c)
 		},
 	}
 	return d
 }
 
-type doorKey struct{}
+type adminKey struct{}
 
-func connOfDoor(ctx context.Context) net.Conn {
-	c, _ := ctx.Value(doorKey{}).(net.Conn)
+func adminConn(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(adminKey{}).(net.Conn)
 	return c
 }
 
 // track has the oldest connection without a whole call give way where they are too many.
-func (d *door) track(c net.Conn, s http.ConnState) {
+func (d *adminEndpoint) track(c net.Conn, s http.ConnState) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch s {
 	case http.StateNew:
 		d.conns[c] = time.Now()
 		d.open++
-		for d.open > doorMost {
+		for d.open > adminMost {
 			out := d.silent(c)
 			if out == nil {
 				return
@@ -108,9 +108,9 @@
 	}
 }
 
-// silent returns the oldest connection but for one on which nothing stands unread, and beyond doorLast the oldest of all. A
+// silent returns the oldest connection but for one on which nothing stands unread, and beyond adminLast the oldest of all. A
 // call that came together with many silent callers has not been looked at when the last of them is let in.
-func (d *door) silent(but net.Conn) net.Conn {
+func (d *adminEndpoint) silent(but net.Conn) net.Conn {
 	var quiet, oldest net.Conn
 	for c, at := range d.conns {
 		if c == but {
@@ -119,18 +119,18 @@
 		if oldest == nil || at.Before(d.conns[oldest]) {
 			oldest = c
 		}
-		if n, _ := sock.Peek(c); n <= 0 && time.Since(at) > doorFresh && (quiet == nil || at.Before(d.conns[quiet])) {
+		if n, _ := sock.Peek(c); n <= 0 && time.Since(at) > adminFresh && (quiet == nil || at.Before(d.conns[quiet])) {
 			quiet = c
 		}
 	}
-	if quiet == nil && d.open > doorLast {
+	if quiet == nil && d.open > adminLast {
 		return oldest
 	}
 	return quiet
 }
 
 // whole marks a connection whose call has come: it is answered, and closed by that.
-func (d *door) whole(c net.Conn) {
+func (d *adminEndpoint) whole(c net.Conn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, waits := d.conns[c]; waits {
@@ -140,7 +140,7 @@
 }
 
 // byHand takes a backend out, or puts it back. The answer is yes once the Balancer has it.
-func (d *door) byHand(w http.ResponseWriter, r *http.Request, out bool) {
+func (d *adminEndpoint) byHand(w http.ResponseWriter, r *http.Request, out bool) {
 	id := r.PathValue("id")
 	if len(id) > idMost {
 		reply1(w, http.StatusBadRequest, "backend: the id is too long\n")
@@ -169,7 +169,7 @@
 		reply1(w, http.StatusServiceUnavailable, "the node is ending\n")
 		return
 	}
-	late := time.NewTimer(doorWaits)
+	late := time.NewTimer(adminWaits)
 	defer late.Stop()
 	select {
 	case known := <-done:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,7 +37,7 @@
 	front    *front
 	taken    *tuning // the last settings taken in, of the goroutine that calls Reload
 	disco    *registry.Source
-	door     net.Listener    // for operators; nil: none
+	admin    net.Listener    // for operators; nil: none
 	place    *handover.Place // where this process stands beside another; nil: there is none
 	hand     members.Hand    // of the loop
 	figures  *figures
@@ -105,7 +105,7 @@
 	n.listener = clients.Limit(l, most)
 	n.living.Tell(life.Event{Kind: life.Opened})
 	if cfg.Management != "" {
-		if n.door, err = net.Listen("tcp", cfg.Management); err != nil {
+		if n.admin, err = net.Listen("tcp", cfg.Management); err != nil {
 			n.close()
 			return nil, fmt.Errorf("management: %w", err)
 		}
@@ -144,8 +144,8 @@
 	if n.listener != nil {
 		n.listener.Close()
 	}
-	if n.door != nil {
-		n.door.Close()
+	if n.admin != nil {
+		n.admin.Close()
 	}
 }
 
@@ -178,9 +178,9 @@
 		})
 	}
 	srv, complain := n.front.server(), &lograte.Limited{Log: n.log}
-	if n.door != nil {
-		d := newDoor(n)
-		wg.Go(func() { d.srv.Serve(accepting{n.door, complain}) })
+	if n.admin != nil {
+		d := newAdminEndpoint(n)
+		wg.Go(func() { d.srv.Serve(accepting{n.admin, complain}) })
 		wg.Go(func() { n.countOften(work) })
 		defer d.srv.Close()
 	}
--- a/internal/node/operations_test.go
+++ b/internal/node/operations_test.go
@@ -16,10 +16,10 @@
 	"time"
 )
 
-// call makes one call at a node's door.
+// call makes one call at a node's admin endpoint.
 func (s *started) call(t *testing.T, method, path string) (int, string) {
 	t.Helper()
-	r, err := http.NewRequest(method, "http://"+s.door.Addr().String()+path, nil)
+	r, err := http.NewRequest(method, "http://"+s.admin.Addr().String()+path, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -71,8 +71,8 @@
 	return n.(*atomic.Int64).Load()
 }
 
-// startWithDoor starts a node with a door and two backends, a and b.
-func startWithDoor(t *testing.T, ran *sync.Map) *started {
+// startWithAdmin starts a node with an admin endpoint and two backends, a and b.
+func startWithAdmin(t *testing.T, ran *sync.Map) *started {
 	text := listText(1, true, listed{ID: "a", Addr: ledger(t, ran, "a"), Phase: "ready"},
 		listed{ID: "b", Addr: ledger(t, ran, "b"), Phase: "ready"})
 	cfg := testConfig(t, newRegistry(t, text).Addr, text)
@@ -82,14 +82,14 @@
 	return n
 }
 
-// A door under callers that say nothing, or half a call, while the loop is held: every real call is answered within 1 s, in the
+// An admin endpoint under callers that say nothing, or half a call, while the loop is held: every real call is answered within 1 s, in the
 // order of yes, no and, where the loop can't be reached, 5xx. What was called late counts all the same.
-func TestDoorAnswersInTime(t *testing.T) {
+func TestAdminEndpointAnswersInTime(t *testing.T) {
 	var ran sync.Map
-	n := startWithDoor(t, &ran)
+	n := startWithAdmin(t, &ran)
 	var gone atomic.Int64 // callers that gave way
-	for i := range 3 * doorLast {
-		c, err := net.Dial("tcp", n.door.Addr().String())
+	for i := range 3 * adminLast {
+		c, err := net.Dial("tcp", n.admin.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -117,8 +117,8 @@
 			t.Errorf("%s %.40s: %d after %v, want %d", tc.method, tc.path, status, time.Since(began), tc.want)
 		}
 	}
-	if n := gone.Load(); n < 2*doorLast {
-		t.Errorf("%d of %d silent callers gave way", n, 3*doorLast)
+	if n := gone.Load(); n < 2*adminLast {
+		t.Errorf("%d of %d silent callers gave way", n, 3*adminLast)
 	}
 	held, hold := make(chan bool), make(chan bool)
 	n.loop.Post(func() { close(held); <-hold })
@@ -137,7 +137,7 @@
 // Once all is quiet the figures are what clients and backends have seen, to the last one.
 func TestFiguresAreTrue(t *testing.T) {
 	var ran sync.Map
-	n := startWithDoor(t, &ran)
+	n := startWithAdmin(t, &ran)
 	var served, failed atomic.Int64
 	var wg sync.WaitGroup
 	for i := range 60 {
@@ -170,7 +170,7 @@
 // A backend that was taken out gets nothing from the yes on, and is in use again after the call back; with all out requests are refused.
 func TestOutByHand(t *testing.T) {
 	var ran sync.Map
-	n := startWithDoor(t, &ran)
+	n := startWithAdmin(t, &ran)
 	n.call(t, "POST", "/control/backends/a/offline")
 	before := count(&ran, "a")
 	for range 30 {
@@ -198,7 +198,7 @@
 // unknown one, and a broken file changes nothing.
 func TestReloadUnderLoad(t *testing.T) {
 	var ran sync.Map
-	n := startWithDoor(t, &ran)
+	n := startWithAdmin(t, &ran)
 	file := func(change ...string) Config {
 		cfg := testConfig(t, n.cfg.Discovery, listText(1, true), change...)
 		return cfg
@@ -271,7 +271,7 @@
 	}{{"freed", `"effect":"pure"`, 503}, {"stricter", `"effect":"side_effect","keyScope":"all"`, 200}} {
 		t.Run(tc.name, func(t *testing.T) {
 			var ran sync.Map
-			n := startWithDoor(t, &ran)
+			n := startWithAdmin(t, &ran)
 			class, effect := "order", `"effect":"side_effect"`
 			if tc.want == 200 {
 				class, effect = "token", `"effect":"token","keyScope":"all"`
@@ -295,7 +295,7 @@
 }
 
 // Processes of one node take over from one another on one inherited socket under load, three times: each request is answered once
-// and runs once, nobody is turned away at the door, and what was taken out by hand stays out.
+// and runs once, nobody is turned away at its admin endpoint, and what was taken out by hand stays out.
 func TestTakeOver(t *testing.T) {
 	var ran sync.Map
 	text := listText(1, true, listed{ID: "a", Addr: ledger(t, &ran, "a"), Phase: "ready"},
--- a/life/life.go
+++ b/life/life.go
@@ -41,7 +41,7 @@
 	// answered in that time.
 	ServeLeast = 900 * time.Millisecond
 	// RememberFor is how long a node that has a remembered list waits for a source's own before it calls itself ready: the list
-	// may name boxes that were replaced since.
+	// may name backends that were replaced since.
 	RememberFor = 300 * time.Millisecond
 )
 
