Refused calls to discovery: where no askEvery is told, the wait is 50 ms at least, not 0

Change: a second stands for less than a second. TestARefusedNodeWaitsWhereNoTimeIsTold fails without it (In is 0); 200 times, one verdict.

--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -99,6 +99,23 @@
 	}
 }
 
+// Where the settings tell no askEvery, or next to none, a refused call is not repeated in a loop that only the refusals pace.
+func TestARefusedNodeWaitsWhereNoTimeIsTold(t *testing.T) {
+	for _, every := range []time.Duration{0, 1, 10 * ms} {
+		cfg := site()
+		cfg.AskDiscovery, cfg.Rules.AskEvery = true, every
+		r := newRig(t, cfg)
+		for range 20 {
+			s := of(SetTimer, r.do(Event{Kind: MembersRefused}))
+			if len(s) != 1 || s[0].In < 25*ms || s[0].In > rewatchMost {
+				t.Fatalf("askEvery %v: %+v", every, s)
+			}
+			r.wait(s[0].In)
+			r.do(Event{Kind: Timer, Mark: s[0].Mark})
+		}
+	}
+}
+
 // All hear a report; few take it at its word, or all would rush to the server that was idle then.
 func TestFewTakeAReportAtItsWord(t *testing.T) {
 	taken := 0
--- a/balance/members.go
+++ b/balance/members.go
@@ -14,8 +14,8 @@
 			// A refused call or broken subscription leaves the node blind to drains: ask again, by when a change counts as told.
 			// All nodes ask one discovery, in turn: they spread. Where calls stand in line in vain, more is asked than it can
 			// do, and as long as that lasts none is answered: only then the spread goes beyond that.
-			least := min(b.cfg.Rules.AskEvery/rewatchParts, rewatchMost/8)
-			span := 2 * min(least*time.Duration(max(1, b.cfg.Instances/rewatchNodes)<<min(b.refusals, 2)), b.cfg.Rules.AskEvery)
+			least := min(max(b.cfg.Rules.AskEvery, time.Second)/rewatchParts, rewatchMost/8) // a time that is not told is no wait
+			span := 2 * min(least*time.Duration(max(1, b.cfg.Instances/rewatchNodes)<<min(b.refusals, 2)), max(b.cfg.Rules.AskEvery, time.Second))
 			from := max(least, min(span/8*time.Duration(min(b.refusals, 1)), rewatchMost*3/4))
 			if b.refusals > 0 && (b.now-b.watchedAt).Round(time.Second) == callMost {
 				b.vain++
