A reload's drain grace holds for the calls to discovery

Cause: internal/members/registry, terms(): calls to an agent followed the drain grace of the start for as long as the process ran. After a file that shortens it (500 ms to under 150 ms) a drain could be heard of after its grace.

--- a/internal/members/registry/pace/pace.go
+++ b/internal/members/registry/pace/pace.go
@@ -79,6 +79,9 @@
 	return p
 }
 
+// Retune has calls that begin from here on follow other terms of the same registry.
+func (p *Pace) Retune(t Terms) { p.terms = t }
+
 // Handle takes in an event at now and appends what is to be done to out, in that order. It wants to be told that time has
 // Passed at Wake, and once at the beginning.
 func (p *Pace) Handle(now time.Duration, ev Event, out []Action) []Action {
--- a/internal/members/registry/registry.go
+++ b/internal/members/registry/registry.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"glencart/balance"
@@ -34,6 +35,7 @@
 	near  bool              // the registry is an agent on this machine
 	news  func(engine.List) // takes in a list
 	lost  func()            // a call failed
+	grace atomic.Int64      // the drain grace of the settings in force, ns
 
 	// Where discovery is asked only on the module's behalf, its Watch, Unwatch and Fetch come here; nil where
 	// lists are pushed, and the node follows on its own.
@@ -60,6 +62,7 @@
 // while there are none; lost tells of calls that failed. Both are called from Run, which waits for them.
 func New(addr string, names settings.Settings, log *slog.Logger, news func(engine.List), lost func()) *Source {
 	d := &Source{addr: addr, names: names, log: log, news: news, lost: lost, moved: make(chan struct{}, 1), http: newClient()}
+	d.Grace(names.Config.Rules.DrainGrace)
 	if names.Config.AskDiscovery {
 		d.asked = make(chan balance.ActionKind, 16)
 	}
@@ -70,6 +73,9 @@
 // calls cost nothing there. Then it is called as often as the settings' drain grace wants. It says nothing where lists are asked for.
 func (d *Source) Near() { d.near = true }
 
+// Grace has the calls that begin from here on follow another drain grace. Any goroutine may call it.
+func (d *Source) Grace(grace time.Duration) { d.grace.Store(int64(grace)) }
+
 // Holds tells, before Run, which revision the module has already: a remembered one. It may be old, since a watch from
 // there brings all that came after it.
 func (d *Source) Holds(revision int64) { d.have, d.holds, d.named = revision, true, true }
@@ -105,7 +111,7 @@
 }
 
 func (d *Source) terms() pace.Terms {
-	switch grace := d.names.Config.Rules.DrainGrace; {
+	switch grace := time.Duration(d.grace.Load()); {
 	case d.asked != nil:
 		return pace.Asked(grace)
 	case d.near:
@@ -194,6 +200,7 @@
 
 // handle tells the pace of an event and does what it decides.
 func (r *run) handle(ev pace.Event) {
+	r.pace.Retune(r.terms()) // settings may have changed
 	r.out = r.pace.Handle(time.Since(r.began), ev, r.out[:0])
 	for _, a := range r.out {
 		switch a.Kind {
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -228,3 +228,31 @@
 		t.Errorf("the class that has gone: %d", resp.StatusCode)
 	}
 }
+
+// A file that shortens the drain grace has the agent called as often as that wants: watches ask for half of it.
+func TestReloadShortensHowLongWatchesWait(t *testing.T) {
+	waits := make(chan string, 64)
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("x") }))
+	text := listText(1, true, listed{ID: "s", Addr: b.Addr().String(), Phase: "ready", Up: 0})
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery == "" {
+			io.WriteString(w, text)
+			return
+		}
+		select {
+		case waits <- r.URL.Query().Get("wait_ms"):
+		default:
+		}
+		io.WriteString(w, listText(1, false))
+	}))
+	defer agent.Close()
+	addr := strings.TrimPrefix(agent.URL, "http://")
+	n := start(t, testConfig(t, addr, text))
+	if got := receive(t, "a watch", waits); got != "250" {
+		t.Errorf("a watch waits for %s ms", got)
+	}
+	if err := n.Reload(testConfig(t, addr, text, `"drainGrace":500000000`, `"drainGrace":120000000`)); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "a watch of the shorter grace", func() bool { return receive(t, "a watch", waits) == "60" })
+}
