check: reading a file grows with the file, no longer with its square

Cause: the index of lines asked the parser's Shape for each key, which counts lines from the start of the text each time; routes and tenants looked up what they name by going through all pools, classes and plans.

Change: line ends are found once and searched; names are looked up in sets.

TestIndexGrowsWithTheText (counts of steps) fails with a search that goes through the line ends one by one; TestReadingGrowsWithTheFile counts bytes.

--- a/internal/site/load.go
+++ b/internal/site/load.go
@@ -77,7 +77,7 @@
 		s.at["pool."+key] = line
 	}
 	s.fill()
-	c := &checker{Site: s}
+	c := newChecker(s)
 	c.pool("pool", &s.Pools[0])
 	return &s.Pools[0], m.Keep, errors.Join(c.errs...)
 }
@@ -134,6 +134,27 @@
 type checker struct {
 	*Site
 	errs []error
+	// What routes and tenants name, by name. A file may have tens of thousands of both.
+	pools, classes, plansByName, listeners map[string]bool
+}
+
+func newChecker(s *Site) *checker {
+	return &checker{
+		Site:        s,
+		pools:       names(s.Pools, func(p *Pool) string { return p.Name }),
+		classes:     names(s.Classes, func(c *Class) string { return c.Name }),
+		plansByName: names(s.Plans, func(p *Plan) string { return p.Name }),
+		listeners:   names(s.Listeners, func(l *Listener) string { return l.Name }),
+	}
+}
+
+// names returns the set of the names of some things.
+func names[T any](list []T, name func(*T) string) map[string]bool {
+	set := make(map[string]bool, len(list))
+	for i := range list {
+		set[name(&list[i])] = true
+	}
+	return set
 }
 
 func (c *checker) fault(path, format string, args ...any) {
@@ -167,7 +188,7 @@
 }
 
 func (s *Site) check() error {
-	c := &checker{Site: s}
+	c := newChecker(s)
 	c.named("listener", len(s.Listeners), func(i int) string { return s.Listeners[i].Name })
 	c.named("pool", len(s.Pools), func(i int) string { return s.Pools[i].Name })
 	c.named("class", len(s.Classes), func(i int) string { return s.Classes[i].Name })
@@ -365,7 +386,7 @@
 func (c *checker) server(path string, s *Server) {
 	c.oneOf(path+".slashes", s.Slashes, "merge", "keep")
 	for j, l := range s.Listeners {
-		if !slices.ContainsFunc(c.Site.Listeners, func(x Listener) bool { return x.Name == l }) {
+		if !c.listeners[l] {
 			c.fault(fmt.Sprintf("%s.listeners.%d", path, j), "no listener has the name %q: add one, or correct it", l)
 		}
 	}
@@ -399,12 +420,12 @@
 		switch {
 		case (r.Pool == "") == (r.Status == 0):
 			c.fault(at, "pool or status: give exactly one of them")
-		case r.Pool != "" && c.Pool(r.Pool) < 0:
+		case r.Pool != "" && !c.pools[r.Pool]:
 			c.fault(at+".pool", "no pool has the name %q: add one, or correct it", r.Pool)
 		case r.Status != 0 && (r.Status < 200 || r.Status > 599):
 			c.fault(at+".status", "%d is not a status from 200 to 599", r.Status)
 		}
-		if r.Class != "" && c.Class(r.Class) < 0 {
+		if r.Class != "" && !c.classes[r.Class] {
 			c.fault(at+".class", "no class has the name %q: add one, or correct it", r.Class)
 		}
 		if r.Rewrite != nil && regex {
--- a/internal/site/plan.go
+++ b/internal/site/plan.go
@@ -45,7 +45,7 @@
 	c.named("plan", len(c.Plans), func(i int) string { return c.Plans[i].Name })
 	had, ranks, lowest := map[string]bool{}, map[int]int{}, 0
 	for i, t := range c.Tenants {
-		if t.Plan != "" && c.Plan(t.Plan) < 0 {
+		if t.Plan != "" && !c.plansByName[t.Plan] {
 			c.fault(fmt.Sprintf("tenant.%d.plan", i), "no plan has the name %q: add one, or correct it", t.Plan)
 		}
 		had[t.Plan] = true
--- a/internal/tomlat/tomlat.go
+++ b/internal/tomlat/tomlat.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"sort"
 	"strconv"
 	"strings"
 
@@ -24,14 +25,46 @@
 // Lines tells at which line each key of a file stands: "pool.0.boxes.2.address" is 14.
 type Lines map[string]int
 
+// newlines holds the offsets of the line ends of a text, in order.
+type newlines struct {
+	offsets []int
+	steps   int // bytes read and offsets compared so far, for the test of growth
+}
+
+func newNewlines(text []byte) *newlines {
+	n := &newlines{steps: len(text)}
+	for offset, b := range text {
+		if b == '\n' {
+			n.offsets = append(n.offsets, offset)
+		}
+	}
+	return n
+}
+
+// line returns the line that an offset lies in, from 1 on. The parser's own Shape counts from the start of the text each
+// time, which makes the index of a large file quadratic.
+func (n *newlines) line(offset int) int {
+	before := sort.Search(len(n.offsets), func(i int) bool {
+		n.steps++
+		return n.offsets[i] >= offset
+	})
+	return before + 1
+}
+
 // Index reads where the keys stand. What can't be read has been reported by the decoder.
 func Index(text []byte) Lines {
+	at, _ := index(text)
+	return at
+}
+
+func index(text []byte) (Lines, *newlines) {
 	at := Lines{}
+	lines := newNewlines(text)
 	var p unstable.Parser
 	p.Reset(text)
 	count := map[string]int{} // tables of an array so far
 	table := ""
-	line := func(n *unstable.Node) int { return p.Shape(n.Raw).Start.Line }
+	line := func(n *unstable.Node) int { return lines.line(int(n.Raw.Offset)) }
 	var value func(path string, n *unstable.Node, near int)
 	value = func(path string, n *unstable.Node, near int) {
 		at[path] = near
@@ -79,7 +112,7 @@
 			at[table] = line(first)
 		}
 	}
-	return at
+	return at, lines
 }
 
 func join(a, b string) string {
