confsync: configuration as deltas through relays, and slopes of growth (scale)

Change: confsync, a pure package (events and time in, messages out): a store that takes a delta whole or not at all in the time of the change, a publisher that holds a few words for each subscriber and coalesces, a subscriber that resumes from its revision at any relay. Rejections name key, version and reason. Nothing links it yet. scale measures growth of reading, decisions, tenants, membership; asserted are bytes and allocations.

--- /dev/null
+++ b/confsync/subscriber.go
@@ -0,0 +1,163 @@
+package confsync
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+)
+
+// Subscriber keeps a store at the revision of a publisher: the first of its list that answers. While none does, the last
+// good revision stays in force.
+type Subscriber struct {
+	store     *Store
+	limits    Limits
+	sources   []string
+	rng       *rand.Rand
+	source    int
+	saidAt    time.Duration // the last message to a publisher
+	at        time.Duration // Tick is due
+	part      []Change
+	partSize  int
+	partsOf   Delta // head of the delta that part belongs to
+	nextPart  int
+	resumedAt time.Duration
+	refused   uint64 // revision
+	whole     bool   // what is held has drifted
+	Rejection *Rejection
+}
+
+// NewSubscriber makes a subscriber. sources are publishers, the nearest first; seed is its own.
+func NewSubscriber(store *Store, limits Limits, sources []string, seed uint64) *Subscriber {
+	return &Subscriber{store: store, limits: limits.withDefaults(), sources: sources, rng: rand.New(rand.NewPCG(seed, 0))}
+}
+
+// Source is the publisher that is listened to now.
+func (s *Subscriber) Source() string { return s.sources[s.source] }
+
+// Begin subscribes.
+func (s *Subscriber) Begin(now time.Duration, out []Send) []Send {
+	return s.subscribe(now, out)
+}
+
+func (s *Subscriber) subscribe(now time.Duration, out []Send) []Send {
+	s.drop()
+	s.saidAt = now
+	s.at = now + s.patience()
+	return append(out, Send{To: s.Source(), Message: Message{Kind: Subscribe, Revision: s.store.revision, Digest: s.store.digest, Whole: s.whole}})
+}
+
+// patience is how long a source that was asked may be silent. It is spread, or a region that is cut off would ask at once
+// when it is back, and not longer with each time in vain: a region has to catch up soon, and a question is short.
+func (s *Subscriber) patience() time.Duration {
+	wait := s.limits.KeepaliveEvery
+	return wait/2 + time.Duration(s.rng.Int64N(int64(wait/2)+1))
+}
+
+// Next tells when Tick is due.
+func (s *Subscriber) Next() time.Duration { return s.at }
+
+// Tick asks the next source, if the one asked is silent.
+func (s *Subscriber) Tick(now time.Duration, out []Send) []Send {
+	if now < s.at {
+		return out
+	}
+	s.source = (s.source + 1) % len(s.sources)
+	return s.subscribe(now, out)
+}
+
+// Receive takes in a message of a publisher. applied tells that the store has come to another revision.
+func (s *Subscriber) Receive(now time.Duration, from string, m Message, out []Send) (sends []Send, applied bool) {
+	if from != s.Source() {
+		return out, false // of a publisher that it has left
+	}
+	s.at = now + s.limits.SilentAfter
+	switch m.Kind {
+	case Keepalive:
+		out = s.ack(now, out)
+		if m.Revision == s.store.revision && m.Digest != s.store.digest {
+			s.whole = true
+			return s.subscribe(now, out), false
+		}
+		if m.Revision > s.store.revision && s.nextPart == 0 && m.Revision != s.refused {
+			return s.subscribe(now, out), false // an update is lost, or its publisher takes this one to be further
+		}
+	case Update:
+		return s.update(now, m, out)
+	}
+	return out, false
+}
+
+// update collects the parts of a delta and applies it once they are all there.
+func (s *Subscriber) update(now time.Duration, m Message, out []Send) ([]Send, bool) {
+	d := m.Delta
+	switch {
+	case d.To <= s.store.revision && !(d.Full && s.whole):
+		return s.ack(now, out), false // the acknowledgement was lost
+	case d.From != s.store.revision && !d.Full:
+		return s.subscribe(now, out), false
+	case d.To != s.partsOf.To || d.From != s.partsOf.From:
+		s.drop()
+		s.partsOf = Delta{From: d.From, To: d.To}
+	}
+	if m.Part != s.nextPart {
+		return s.resume(now, m, out), false
+	}
+	s.part, s.nextPart = append(s.part, d.Changes...), m.Part+1
+	if s.partSize += m.Size(); s.partSize > s.limits.DeltaMost {
+		s.drop()
+		return s.reject(&Rejection{Version: d.To, Reason: TooLarge, Detail: "more than a delta may hold"}, d.To, out), false
+	}
+	if s.nextPart < m.Parts {
+		if now-s.saidAt >= s.limits.KeepaliveEvery {
+			out = s.ack(now, out) // it is there: a long delta takes longer than a publisher waits for a word
+		}
+		return out, false
+	}
+	d.Changes = s.part
+	s.drop()
+	return s.apply(now, d, out)
+}
+
+// drop forgets the parts of a delta that is not whole.
+func (s *Subscriber) drop() {
+	s.part, s.partSize, s.partsOf, s.nextPart = nil, 0, Delta{}, 0
+}
+
+// resumeEvery bounds how often a lost part is asked for: those that were under way come first.
+const resumeEvery = 200 * time.Millisecond
+
+// resume asks for the part that is wanted next, if a later one came.
+func (s *Subscriber) resume(now time.Duration, m Message, out []Send) []Send {
+	if m.Part < s.nextPart || s.resumedAt > 0 && now-s.resumedAt < resumeEvery {
+		return out
+	}
+	s.resumedAt = now
+	return append(out, Send{To: s.Source(), Message: Message{Kind: Resume, Revision: m.Delta.To, Part: s.nextPart}})
+}
+
+func (s *Subscriber) reject(r *Rejection, revision uint64, out []Send) []Send {
+	s.refused, s.Rejection = revision, r
+	return append(out, Send{To: s.Source(), Message: Message{Kind: Reject, Revision: revision, Rejection: r}})
+}
+
+func (s *Subscriber) apply(now time.Duration, d Delta, out []Send) ([]Send, bool) {
+	err := s.store.Apply(d)
+	if err == nil {
+		s.whole, s.refused, s.Rejection = false, 0, nil
+		return s.ack(now, out), true
+	}
+	var r *Rejection
+	if !errors.As(err, &r) {
+		return out, false
+	}
+	if r.Reason == Drift && !d.Full {
+		s.whole = true
+		return s.subscribe(now, out), false
+	}
+	return s.reject(r, d.To, out), false
+}
+
+func (s *Subscriber) ack(now time.Duration, out []Send) []Send {
+	s.saidAt = now
+	return append(out, Send{To: s.Source(), Message: Message{Kind: Ack, Revision: s.store.revision}})
+}
--- /dev/null
+++ b/scale/scale.go
@@ -0,0 +1,88 @@
+// Package scale measures how what the node and serve hold and do grows with the size of an installation. Its tests are the
+// command: docs/CAPACITY.md says how they are run and what came of it.
+package scale
+
+import (
+	"fmt"
+	"math"
+	"strings"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Series is one quantity at several sizes.
+type Series struct {
+	Name   string    `json:"name"`
+	Unit   string    `json:"unit"`
+	Of     string    `json:"of"` // what the sizes count
+	Sizes  []float64 `json:"sizes"`
+	Values []float64 `json:"values"`
+	// Exponent is the slope of the logarithms: 1 is linear. Fit is the part of their variance that it explains.
+	Exponent float64 `json:"exponent"`
+	Fit      float64 `json:"r2"`
+}
+
+// Add takes in a measurement.
+func (s *Series) Add(size, value float64) {
+	s.Sizes = append(s.Sizes, size)
+	s.Values = append(s.Values, value)
+}
+
+// Solve sets the exponent, and how well it fits.
+func (s *Series) Solve() {
+	x, y := make([]float64, len(s.Sizes)), make([]float64, len(s.Values))
+	for i := range x {
+		x[i], y[i] = math.Log(s.Sizes[i]), math.Log(math.Max(s.Values[i], math.SmallestNonzeroFloat64))
+	}
+	alpha, beta := stat.LinearRegression(x, y, nil, false)
+	s.Exponent, s.Fit = beta, stat.RSquared(x, y, nil, alpha, beta)
+	if math.IsNaN(s.Fit) { // all values are the same
+		s.Fit = 1
+	}
+}
+
+// At is what the fit gives for a size.
+func (s *Series) At(size float64) float64 {
+	last := len(s.Sizes) - 1
+	return s.Values[last] * math.Pow(size/s.Sizes[last], s.Exponent)
+}
+
+func (s *Series) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s (%s) by %s:", s.Name, s.Unit, s.Of)
+	for i := range s.Sizes {
+		fmt.Fprintf(&b, " %.0f: %.4g;", s.Sizes[i], s.Values[i])
+	}
+	fmt.Fprintf(&b, " exponent %.2f, r2 %.3f", s.Exponent, s.Fit)
+	return b.String()
+}
+
+// Installation describes a generated installation.
+type Installation struct {
+	Pools, BackendsAPool, RoutesAPool, Tenants int
+}
+
+// Text words it as a file of serve.
+func (n Installation) Text() []byte {
+	var b strings.Builder
+	b.WriteString("[node]\nname = \"n\"\ntenant = \"X-Tenant\"\n\n[[listener]]\nname = \"web\"\naddress = \":8080\"\n")
+	backend := 0
+	for i := range n.Pools {
+		fmt.Fprintf(&b, "\n[[pool]]\nname = \"service-%d\"\nboxes = [", i)
+		for range n.BackendsAPool {
+			backend++
+			fmt.Fprintf(&b, "{ address = \"10.%d.%d.%d:80\" }, ", backend>>16, backend>>8&255, backend&255)
+		}
+		b.WriteString("]\n")
+	}
+	for i := range n.Tenants {
+		fmt.Fprintf(&b, "\n[[tenant]]\nname = \"tenant-%d\"\nquota = 5.0\n", i)
+	}
+	for i := range n.Pools {
+		fmt.Fprintf(&b, "\n[[server]]\nnames = [\"service-%d.example\"]\n", i)
+		for j := range n.RoutesAPool {
+			fmt.Fprintf(&b, "[[server.location]]\npath = \"/r%d/\"\n[[server.location.route]]\npool = \"service-%d\"\n", j, i)
+		}
+	}
+	return []byte(b.String())
+}
