--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,10 +20,10 @@
 	holdMost, pairsMost = 0.05, 16
 	// coldMargin is the part of the cold-start budget that is spent: the rest is for uneven work. What comes
 	// in coldBurst seconds may be spent at once, and coldHold windows later. An old peak of the warm rate
-	// fades by rateDecay a window; rateStrays standard deviations of it are chance.
-	coldMargin, coldBurst, coldHold, rateDecay, rateStrays = 0.4, 0.1, 0.5, 0.97, 1.75
-	// A node keeps to partServers of each zone, or to as many as it has requests in partSpan seconds.
-	partServers, partSpan = 8, 0.5
+	// fades by rateDecay a window; rateDeviations standard deviations of it are chance.
+	coldMargin, coldBurst, coldHold, rateDecay, rateDeviations = 0.4, 0.1, 0.5, 0.97, 1.75
+	// A node keeps to subsetServers of each zone, or to as many as it has requests in subsetSpan seconds.
+	subsetServers, subsetSpan = 8, 0.5
 	// The mean of what a zone's servers hold is learned over meanSpan seconds, what is usual at one of them
 	// over usualSpan, but by meanMost and usualMost a report at most: a single look is chance. Where reports
 	// of all nodes come together, the mean is that of the last meanLeast seconds at least.
@@ -35,24 +35,24 @@
 	firstPace, paceWeight, forget = 0.1, 0.05, 0.3
 	// failAims is what a certain failure costs, in aims. failWeight is the weight of a new outcome in a
 	// server's rate of failures; the rate also fades by failFade each window, so that traffic returns.
-	// Up to strays standard deviations above the rate of all are chance.
-	failAims, failWeight, failFade, strays = 3.0, 0.1, 0.25, 2.0
+	// Up to deviations standard deviations above the rate of all are chance.
+	failAims, failWeight, failFade, deviations = 3.0, 0.1, 0.25, 2.0
 	// crossAims is the wait, in aims, that costs as much as a request's whole worth.
 	crossAims = 1.5
 	// shareSpan is the time, in seconds, over which a share may be used unevenly, and shareLeast what may
 	// come at once: of a share spread over hundreds of nodes each sees a request now and then, by chance.
 	shareSpan, shareLeast = 1.0, 4.0
-	// valueWeight is the weight of a request in the mean worth, leanMost the most that the bound leans.
-	valueWeight, leanMost = 0.01, 2.0
+	// valueWeight is the weight of a request in the mean worth, weightMost the most that it moves the bound.
+	valueWeight, weightMost = 0.01, 2.0
 	// failsHigh and failsLow are the rates of failures that the log tells: above a single one, and none. A
 	// silence is charged beyond silentQueues times what the queue should take.
 	failsHigh, failsLow, silentQueues = 0.11, 0.02, 2
-	// The part of the slack that queues may take up follows how answers come, at partSpeed a second but by
-	// partStep an answer at most, and rests where one in lateOnce is late. One in probeOnce that would be
-	// refused within its share is sent all the same: its answer shows whether the node is right to refuse.
-	// Like a congestion window, the part grows only where at least testedPart of it is used (RFC 7661).
-	partSpeed, partStep, lateOnce, probeOnce   = 2.0, 0.1, 20, 20
-	partFirst, partLeast, partMost, testedPart = 0.3, 0.12, 4.0, 0.5
+	// The part of the headroom that queues may take up follows how answers come, at admissionSpeed a second,
+	// by admissionStep an answer at most, and rests where one in lateOnce is late. One in probeOnce that is
+	// to be refused within its share is sent all the same: its answer shows whether the node is right to.
+	// Like a congestion window, the part grows only where at least tested of it is used (RFC 7661).
+	admissionSpeed, admissionStep, lateOnce, probeOnce    = 2.0, 0.1, 20, 20
+	admissionFirst, admissionLeast, admissionMost, tested = 0.3, 0.12, 4.0, 0.5
 	// idleEntry: a server whose entry is no higher is idle. An answer that met freeEntry or less tells the
 	// time without a queue, by baseWeight. What classes have in common counts as priorAnswers of each one:
 	// times stray by about their mean, so two are as sure as classes that differ by 0.7 of it.
@@ -84,8 +84,8 @@
 	warmRate                   float64 // this node's part of the mean requests a second of one warm server
 	rolledAt, judgedAt         time.Duration
 	probeDue                   float64     // probes that arrivals have paid for
-	part                       float64     // part of the slack that queues may take up
-	partSize                   int         // servers of a zone that this node keeps to
+	admission                  float64     // part of the headroom that queues may take up
+	subsetSize                 int         // servers of a zone that this node keeps to
 	listed                     map[int]int // and how many a zone has, but for those that fail
 	gap                        float64     // mean time between answers, seconds
 	shares                     []share
@@ -115,28 +115,28 @@
 // server is one backend in the list.
 type server struct {
 	Member
-	zone    *crowd  // what other nodes have in its zone
-	more    float64 // what other nodes usually have there, beyond the mean of its zone
-	told    float64 // what they had by the last report or probe
-	toldAt  time.Duration
-	fails   float64       // rate of failures
-	failed  bool          // traffic is withheld, as logged
-	owesAt  time.Duration // its last sign, or the send since when something is out
-	out     float64       // attempts of this node that are out
-	open    float64       // of them, streams whose answer has begun: they owe no sign, however long they last
-	stuck   float64       // attempts not accepted since the last report
-	seen    float64       // the last queue reported
-	seenAt  time.Duration // when it was first seen
-	time    float64       // running mean of the time of an answer, seconds
-	depth   float64       // running mean of the entry that those answers met
-	heard   time.Duration // last answer
-	credit  float64       // mean requests that may be sent while cold, as of granted
-	granted time.Duration
-	served  float64 // work answered since the last roll of the warm rate
-	since   time.Duration
-	used    bool    // something was sent since it started
-	spent   float64 // requests sent, each over the declared weight
-	rank    uint64  // place in this node's own order of the servers
+	zone        *crowd  // what other nodes have in its zone
+	more        float64 // what other nodes usually have there, beyond the mean of its zone
+	told        float64 // what they had by the last report or probe
+	toldAt      time.Duration
+	fails       float64       // rate of failures
+	failed      bool          // traffic is withheld, as logged
+	owesAt      time.Duration // its last sign, or the send since when something is out
+	out         float64       // attempts of this node that are out
+	open        float64       // of them, streams whose answer has begun: they owe no sign
+	unconfirmed float64       // attempts not accepted since the last report
+	seen        float64       // the last queue reported
+	seenAt      time.Duration // when it was first seen
+	time        float64       // running mean of the time of an answer, seconds
+	depth       float64       // running mean of the entry that those answers met
+	heard       time.Duration // last answer
+	credit      float64       // mean requests that may be sent while cold, as of granted
+	granted     time.Duration
+	served      float64 // work answered since the last roll of the warm rate
+	since       time.Duration
+	used        bool    // something was sent since it started
+	spent       float64 // requests sent, each over the declared weight
+	rank        uint64  // place in this node's own order of the servers
 }
 
 // request is one client request that this node has taken.
@@ -204,11 +204,11 @@
 		servers: map[BackendID]*server{}, requests: map[string]*request{},
 		timers: map[uint64]timer{}, zones: map[int]*crowd{}, probedAt: -1,
 		names: map[uint32]*server{}, numbers: map[int]uint16{}, perSecond: perSecond,
-		meanAim: aim, gap: aim, peerPace: firstPace * aim, part: partFirst,
-		recent:   slowdown{time: firstPace * aim, factor: 1},
-		partSize: max(partServers, int(perSecond*partSpan)),
-		classes:  make([]classStats, len(cfg.Classes)),
-		shares:   slices.Repeat([]share{{left: shareLeast}}, len(cfg.Tenants)),
+		meanAim: aim, gap: aim, peerPace: firstPace * aim, admission: admissionFirst,
+		recent:     slowdown{time: firstPace * aim, factor: 1},
+		subsetSize: max(subsetServers, int(perSecond*subsetSpan)),
+		classes:    make([]classStats, len(cfg.Classes)),
+		shares:     slices.Repeat([]share{{left: shareLeast}}, len(cfg.Tenants)),
 	}, nil
 }
 
@@ -414,7 +414,7 @@
 			continue
 		}
 		pace := b.pace(s)
-		queue := b.others(s, pace) + s.out + s.stuck
+		queue := b.others(s, pace) + s.out + s.unconfirmed
 		cost := b.costOf(s, queue, pace)
 		// An idle server makes nobody wait, however slow it has become.
 		if queue > idleEntry && cost-b.handicap(s)-base-b.chance(s) > bound {
@@ -441,7 +441,7 @@
 }
 
 func (b *Balancer) send(r *request, s *server) {
-	met := b.entry(s)
+	met := b.estimate(s)
 	var within time.Duration
 	if first := r.firstRun(); first != nil && r.class.Effect == Keyed {
 		within = first.at + r.class.Window - b.now
@@ -491,7 +491,7 @@
 	if ev.Status != Delivered {
 		// Not accepted: it keeps its increment until a report, against a server that
 		// fails fast and so looks idle.
-		a.to.stuck++
+		a.to.unconfirmed++
 	}
 	// A time-out at a server that gave no sign in the meantime tells of that server, not of crowding.
 	if ev.Status != Expired || a.to.owesAt > a.at {
@@ -590,12 +590,12 @@
 // starting tells whether this node has just started and knows nothing: it has not asked each server once.
 func (b *Balancer) starting() bool { return b.probes < float64(len(b.ready)) }
 
-// entry is the queue estimate: what other nodes have there, what this one has out, and what was not accepted.
-func (b *Balancer) entry(s *server) float64 { return b.others(s, b.pace(s)) + s.out + s.stuck }
+// estimate is that of the queue: what other nodes have there, what is out, and what was not accepted.
+func (b *Balancer) estimate(s *server) float64 { return b.others(s, b.pace(s)) + s.out + s.unconfirmed }
 
 // cost is the entry weighed by the time that one place in this server's queue has taken lately: the time in
 // which an average request would be answered, with the time that failures are worth.
-func (b *Balancer) cost(s *server) float64 { return b.costOf(s, b.entry(s), b.pace(s)) }
+func (b *Balancer) cost(s *server) float64 { return b.costOf(s, b.estimate(s), b.pace(s)) }
 
 func (b *Balancer) costOf(s *server, entry, pace float64) float64 {
 	queue := (entry + 1) * pace
@@ -638,29 +638,29 @@
 
 // bound is the longest wait at which a request is still sent.
 func (b *Balancer) bound(r *request) float64 {
-	return b.meanBound() * min(max(b.lean(r), 1/leanMost), leanMost)
+	return b.meanBound() * min(max(b.admissionWeight(r), 1/weightMost), weightMost)
 }
 
-// meanBound is that of a request of mean worth: a part of the slack, as longer queues serve no one in time,
-// or of the time without a queue if that is more: with all servers slow, shorter ones would leave them idle.
+// meanBound is that of a request of mean worth: a part of the headroom, as longer queues serve no one, or
+// of the time without a queue if that is more: with all servers slow, shorter ones would leave them idle.
 func (b *Balancer) meanBound() float64 {
-	return b.part * max(b.slack(), b.meanBase()) / b.recent.factor
+	return b.admission * max(b.headroom(), b.meanBase()) / b.recent.factor
 }
 
-// slack is the longest wait that still lets an average request be answered within its aim.
-func (b *Balancer) slack() float64 { return max(b.meanAim-b.meanBase(), 0) }
+// headroom is the longest wait that still lets an average request be answered within its aim.
+func (b *Balancer) headroom() float64 { return max(b.meanAim-b.meanBase(), 0) }
 
-// lean compares the bound for a request with others': what is worth more for its work waits longer, what lies
-// beyond its tenant's share earns little. Of a share only what was sent counts.
-func (b *Balancer) lean(r *request) float64 {
-	lean := 1.0
+// admissionWeight compares the bound for a request with others': what is worth more for its work waits
+// longer, what lies beyond its tenant's share earns little. Of a share only what was sent counts.
+func (b *Balancer) admissionWeight(r *request) float64 {
+	weight := 1.0
 	if b.meanValue > 0 {
-		lean = b.value(r) / b.meanValue
+		weight = b.value(r) / b.meanValue
 		if left := b.shareLeft(r); left != nil && *left < 1 {
-			lean *= b.cfg.OverShareWorth
+			weight *= b.cfg.OverShareWorth
 		}
 	}
-	return lean
+	return weight
 }
 
 // value is what a request is worth for each unit of work, which is that of a mean class.
@@ -690,15 +690,15 @@
 		b.gap += paceWeight * ((b.now - b.judgedAt).Seconds() - b.gap)
 	}
 	b.judgedAt = b.now
-	step := min(partSpeed*b.gap, partStep) * b.part
+	step := min(admissionSpeed*b.gap, admissionStep) * b.admission
 	switch {
 	case st == Expired || st == Delivered && late > 0 && late.Seconds() <= queued:
-		b.part -= step
-	case st == Delivered && late <= 0 && (b.part < partFirst || queued >= testedPart*b.meanBound()):
-		b.part += step / lateOnce
+		b.admission -= step
+	case st == Delivered && late <= 0 && (b.admission < admissionFirst || queued >= tested*b.meanBound()):
+		b.admission += step / lateOnce
 	}
-	b.part = min(max(b.part, partLeast), partMost)
-	b.state(&b.crowded, b.part == partLeast, b.part >= partFirst,
+	b.admission = min(max(b.admission, admissionLeast), admissionMost)
+	b.state(&b.crowded, b.admission == admissionLeast, b.admission >= admissionFirst,
 		"answers come late: refusing early", "answers in time again")
 }
 
@@ -786,7 +786,7 @@
 	case l.Has&HasActive == 0:
 		queue = l.Waiting
 	}
-	s.stuck = 0
+	s.unconfirmed = 0
 	age, first := (b.now - s.seenAt).Seconds(), s.seenAt == 0
 	switch {
 	case first:
@@ -843,7 +843,7 @@
 		s.served = 0
 		s.fails -= failFade * s.fails
 		if !b.cfg.Limits.Probing {
-			s.stuck -= failFade * s.stuck // no report will clear it
+			s.unconfirmed -= failFade * s.unconfirmed // no report will clear it
 		}
 		if s.heard < b.rolledAt && s.time > 0 {
 			// A server that looked slow gets no traffic, so nothing would ever clear its name.
@@ -851,7 +851,7 @@
 		}
 	}
 	if warm.n > 0 {
-		b.warmRate = max(b.warmRate*rateDecay, warm.value()*(1-rateStrays/math.Sqrt(max(count.sum, 1))))
+		b.warmRate = max(b.warmRate*rateDecay, warm.value()*(1-rateDeviations/math.Sqrt(max(count.sum, 1))))
 	}
 	if b.recent.at < b.rolledAt { // no answer would ever tell that all servers have recovered
 		b.learnSlowdown(b.recent.usual*(b.recent.depth+1), b.recent.depth, forget)
--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -58,7 +58,7 @@
 						for _, a := range of(Send, r.arrive(id, safe)) {
 							sent += c.heavy
 							r.do(Event{Kind: Outcome, Request: id, Backend: a.Backend, Status: Shed, NoMore: true})
-							b.servers[1].stuck, b.servers[1].fails = 0, 0
+							b.servers[1].unconfirmed, b.servers[1].fails = 0, 0
 						}
 						r.wait(every)
 					}
--- a/balance/departures_test.go
+++ b/balance/departures_test.go
@@ -73,11 +73,11 @@
 func TestAnswersTakeBackTheirIncrement(t *testing.T) {
 	r := newRig(t, site(), member(1, 0, 0))
 	r.serve(5, safe, steady)
-	if e := r.b.entry(r.b.servers[1]); e != 0 {
+	if e := r.b.estimate(r.b.servers[1]); e != 0 {
 		t.Errorf("entry %v after all was answered", e)
 	}
 	r.arrive("x", safe)
-	if e := r.b.entry(r.b.servers[1]); e != 1 {
+	if e := r.b.estimate(r.b.servers[1]); e != 1 {
 		t.Errorf("entry %v with one request out", e)
 	}
 }
@@ -87,11 +87,11 @@
 	r := newRig(t, site(), member(1, 0, 0))
 	r.arrive("x", safe)
 	r.outcome("x", 0, 1, Shed)
-	if e := r.b.entry(r.b.servers[1]); e != 1 {
+	if e := r.b.estimate(r.b.servers[1]); e != 1 {
 		t.Errorf("entry %v", e)
 	}
 	r.do(report(1, 0))
-	if e := r.b.entry(r.b.servers[1]); e != 0 {
+	if e := r.b.estimate(r.b.servers[1]); e != 0 {
 		t.Errorf("entry %v after a report", e)
 	}
 }
@@ -108,7 +108,7 @@
 		}
 		r.wait(c.wait)
 		r.do(report(1, c.report))
-		if e := r.b.entry(r.b.servers[1]); e < 3 || e > 3.1 {
+		if e := r.b.estimate(r.b.servers[1]); e < 3 || e > 3.1 {
 			t.Errorf("entry %v with three out %v ago and a report of %v", e, c.wait, c.report)
 		}
 	}
@@ -160,7 +160,7 @@
 		r.wait(time.Second)
 		r.do(report(1, 0))
 	}
-	if is := r.b.entry(r.b.servers[1]); is > was/4 {
+	if is := r.b.estimate(r.b.servers[1]); is > was/4 {
 		t.Errorf("entry %v, then %v after many reports of 0", was, is)
 	}
 }
@@ -184,8 +184,8 @@
 		r.wait(c.gap)
 		r.do(report(2, 10))
 		r.do(report(1, 0))
-		if kept := r.b.entry(s) > 5; kept != c.kept {
-			t.Errorf("reports %v apart, %v a place: entry 10 became %v", c.gap, c.pace, r.b.entry(s))
+		if kept := r.b.estimate(s) > 5; kept != c.kept {
+			t.Errorf("reports %v apart, %v a place: entry 10 became %v", c.gap, c.pace, r.b.estimate(s))
 		}
 	}
 }
@@ -263,7 +263,7 @@
 		r.wait(1500 * ms)
 		r.do(Event{Kind: ClientGone})
 	}
-	if e := r.b.entry(r.b.servers[1]); e > 0.1 {
+	if e := r.b.estimate(r.b.servers[1]); e > 0.1 {
 		t.Errorf("entry %v", e)
 	}
 }
@@ -274,7 +274,7 @@
 	r.serve(50, safe, steady)
 	r.serve(400, unsafe, func(BackendID) time.Duration { return 0 })
 	s := r.b.servers[1]
-	if charge := r.b.cost(s) - (r.b.entry(s)+1)*r.b.pace(s); s.fails < 0.3 || charge > s.fails*failAims*r.b.meanAim/2 {
+	if charge := r.b.cost(s) - (r.b.estimate(s)+1)*r.b.pace(s); s.fails < 0.3 || charge > s.fails*failAims*r.b.meanAim/2 {
 		t.Errorf("rate %v, of all %v, charged %v", s.fails, r.b.allFail, charge)
 	}
 }
@@ -390,7 +390,7 @@
 			continue
 		}
 		to := r.sent()
-		r.b.requests[id].attempts[0].wait = testedPart * r.b.meanBound()
+		r.b.requests[id].attempts[0].wait = tested * r.b.meanBound()
 		r.wait(20 * ms)
 		r.note(r.do(Event{Kind: Outcome, Request: id, Backend: to, Spent: 20 * ms, NoMore: true}))
 	}
@@ -409,20 +409,20 @@
 func TestLatenessTightensTheBound(t *testing.T) {
 	r := newRig(t, site(), member(1, 0, 0), member(2, 0, 0))
 	r.serve(1000, safe, steady)
-	if r.b.part != partFirst {
-		t.Fatalf("part %v after answers that met no queue: they do not test the bound", r.b.part)
+	if r.b.admission != admissionFirst {
+		t.Fatalf("part %v after answers that met no queue: they do not test the bound", r.b.admission)
 	}
 	r.queued(1000)
-	if r.b.part < 2*partFirst || r.b.part > partMost {
-		t.Fatalf("part %v while all is in time", r.b.part)
+	if r.b.admission < 2*admissionFirst || r.b.admission > admissionMost {
+		t.Fatalf("part %v while all is in time", r.b.admission)
 	}
 	r.late(200)
-	if r.b.part != partLeast {
-		t.Errorf("part %v after 200 late answers", r.b.part)
+	if r.b.admission != admissionLeast {
+		t.Errorf("part %v after 200 late answers", r.b.admission)
 	}
 	r.serve(3000, safe, steady)
-	if r.b.part < partFirst {
-		t.Errorf("part %v after 3000 in time", r.b.part)
+	if r.b.admission < admissionFirst {
+		t.Errorf("part %v after 3000 in time", r.b.admission)
 	}
 }
 
@@ -433,7 +433,7 @@
 	was := r.b.classes[safe].base
 	for i := range 20 {
 		id := fmt.Sprint(i)
-		r.b.part = partMost
+		r.b.admission = admissionMost
 		r.holds(1, 2)
 		r.arrive(id, safe)
 		r.sent()
@@ -449,7 +449,7 @@
 func TestTimeOutsOfSilentServersAreNoPressure(t *testing.T) {
 	r := newRig(t, site(), member(1, 0, 0))
 	r.serve(300, safe, steady)
-	was := r.b.part
+	was := r.b.admission
 	for i := range 5 {
 		r.arrive(fmt.Sprint(i), unsafe)
 	}
@@ -457,8 +457,8 @@
 	for i := range 5 {
 		r.outcome(fmt.Sprint(i), 0, 1, Expired)
 	}
-	if r.b.part != was {
-		t.Errorf("part went from %v to %v", was, r.b.part)
+	if r.b.admission != was {
+		t.Errorf("part went from %v to %v", was, r.b.admission)
 	}
 }
 
--- a/balance/guards_test.go
+++ b/balance/guards_test.go
@@ -171,8 +171,8 @@
 	r := newRig(t, cfg, member(1, 0, 0))
 	r.serve(50, safe, steady)
 	r.serve(50, unsafe, steady)
-	usual := r.b.part * max(r.b.slack(), r.b.meanBase())
-	for class, want := range map[int]float64{safe: leanMost * usual, unsafe: usual / leanMost} {
+	usual := r.b.admission * max(r.b.headroom(), r.b.meanBase())
+	for class, want := range map[int]float64{safe: weightMost * usual, unsafe: usual / weightMost} {
 		got := r.b.bound(&request{class: &cfg.Classes[class], stats: &r.b.classes[class], tenant: -1})
 		if math.Abs(got-want) > 1e-9 && class == unsafe || got > want+1e-9 {
 			t.Errorf("class %d: bound %v, want %v", class, got, want)
@@ -185,8 +185,8 @@
 	r := newRig(t, site(), member(1, 0, 0))
 	r.serve(200, safe, func(BackendID) time.Duration { return 600 * ms })
 	got := r.b.bound(&request{class: &r.b.cfg.Classes[safe], stats: &r.b.classes[safe], tenant: -1})
-	if r.b.slack() != 0 || got < partLeast*0.5 {
-		t.Errorf("slack %v, bound %v s where answers take 0.6 s", r.b.slack(), got)
+	if r.b.headroom() != 0 || got < admissionLeast*0.5 {
+		t.Errorf("slack %v, bound %v s where answers take 0.6 s", r.b.headroom(), got)
 	}
 }
 
@@ -291,11 +291,11 @@
 		r.arrive("x", safe)
 		r.sent()
 		r.b.requests["x"].attempts[0].wait = met * r.b.pace(s)
-		r.b.part = 0.3
+		r.b.admission = 0.3
 		r.wait(400 * ms)
 		r.do(Event{Kind: Outcome, Request: "x", Backend: 1, Spent: 400 * ms, NoMore: true})
-		if got := r.b.part < 0.3; got != tightens || r.b.part > 0.3 {
-			t.Errorf("met %v: part from 0.3 to %v", met, r.b.part)
+		if got := r.b.admission < 0.3; got != tightens || r.b.admission > 0.3 {
+			t.Errorf("met %v: part from 0.3 to %v", met, r.b.admission)
 		}
 	}
 }
@@ -346,7 +346,7 @@
 		all[i] = member(BackendID(i+1), 0, 0)
 	}
 	r := newRig(t, cfg, all...)
-	if len(r.b.ready) != partServers {
+	if len(r.b.ready) != subsetServers {
 		t.Fatalf("keeps to %d servers", len(r.b.ready))
 	}
 	var rest []Member
@@ -376,12 +376,12 @@
 	r.holds(1, 2)
 	s.told, s.toldAt = 10, r.now
 	r.do(Event{Kind: Timer})
-	if e := r.b.entry(s); e != 10 {
+	if e := r.b.estimate(s); e != 10 {
 		t.Errorf("entry %v when just told 10", e)
 	}
 	r.wait(10 * time.Second)
 	r.do(Event{Kind: Timer})
-	if e := r.b.entry(s); e > 2.2 {
+	if e := r.b.estimate(s); e > 2.2 {
 		t.Errorf("entry %v ten seconds later, 2 is usual", e)
 	}
 }
@@ -389,7 +389,7 @@
 // A node that has no answers yet bounds waits as well, or all nodes that start together fill every server.
 func TestANewNodeBoundsWaits(t *testing.T) {
 	r := newRig(t, site(), member(1, 0, 0))
-	if s := r.b.slack(); math.IsInf(s, 1) {
+	if s := r.b.headroom(); math.IsInf(s, 1) {
 		t.Errorf("slack %v without an answer", s)
 	}
 }
@@ -424,7 +424,7 @@
 			r.do(Event{Kind: Timer})
 			r.b.pressure(Delivered, ms, 1)
 		}
-		return r.b.part
+		return r.b.admission
 	}
 	if busy, idle := after(20*ms), after(50*ms); busy > 0.2 || idle > busy*1.1 {
 		t.Errorf("after a second of lateness part %v with 50 answers a second, %v with 20", busy, idle)
@@ -457,7 +457,7 @@
 				sound++
 			}
 		}
-		if sound != partServers {
+		if sound != subsetServers {
 			t.Errorf("node %d keeps to %d sound servers", node, sound)
 		}
 	}
@@ -553,7 +553,7 @@
 // A node that starts among queues must not take its first answers for the time without one.
 func TestTheHintStandsUntilAnIdleServerIsMet(t *testing.T) {
 	r := newRig(t, site(), member(1, 0, 0))
-	r.b.all.others, r.b.part = 5, partMost
+	r.b.all.others, r.b.admission = 5, admissionMost
 	r.wait(time.Second)
 	r.do(Event{Kind: RequestArrived, Request: "x", Hint: 20 * ms, Budget: time.Second})
 	r.do(Event{Kind: Outcome, Request: "x", Backend: 1, Spent: 200 * ms, NoMore: true})
@@ -569,7 +569,7 @@
 	r := newRig(t, cfg, member(1, 0, 0))
 	r.serve(50, safe, steady)
 	r.serve(50, unsafe, func(BackendID) time.Duration { return 30 * ms })
-	if s := r.b.slack(); s < 0.1 {
+	if s := r.b.headroom(); s < 0.1 {
 		t.Errorf("slack %v", s)
 	}
 }
@@ -581,11 +581,11 @@
 	r := newRig(t, cfg, member(1, 0, 0))
 	req := &request{class: &cfg.Classes[safe], stats: &r.b.classes[safe]}
 	r.serve(3, safe, steady)
-	if l := r.b.lean(req); l != 1 {
+	if l := r.b.admissionWeight(req); l != 1 {
 		t.Errorf("lean %v at the fourth request", l)
 	}
 	r.serve(3, safe, steady)
-	if l := r.b.lean(req); l > 0.5 {
+	if l := r.b.admissionWeight(req); l > 0.5 {
 		t.Errorf("lean %v at the seventh", l)
 	}
 }
--- a/balance/learned.go
+++ b/balance/learned.go
@@ -39,7 +39,7 @@
 func (b *Balancer) Learned() Learned {
 	of := func(c *crowd) LearnedCrowd { return LearnedCrowd{c.others, c.reports, c.at} }
 	l := Learned{
-		Part: b.part, Gap: b.gap, PeerPace: b.peerPace, AllTime: b.allTime, AllDepth: b.allDepth, Answers: b.answers,
+		Part: b.admission, Gap: b.gap, PeerPace: b.peerPace, AllTime: b.allTime, AllDepth: b.allDepth, Answers: b.answers,
 		Refresh: b.refresh, WarmRate: b.warmRate * b.meanBase(), Instances: b.cfg.Instances, MeanValue: b.meanValue, AllFail: b.allFail, AllBroke: b.allBroke,
 		JudgedAt: b.judgedAt, All: of(&b.all), Cold: of(&b.cold), Zones: map[int]LearnedCrowd{},
 	}
@@ -83,7 +83,7 @@
 		return
 	}
 	of := func(c LearnedCrowd) crowd { return crowd{max(c.Others, 0), max(c.Reports, 0), min(c.At, b.now)} }
-	b.part, b.gap, b.peerPace = min(max(l.Part, partLeast), partMost), l.Gap, l.PeerPace
+	b.admission, b.gap, b.peerPace = min(max(l.Part, admissionLeast), admissionMost), l.Gap, l.PeerPace
 	b.allTime, b.allDepth, b.answers = l.AllTime, l.AllDepth, l.Answers
 	b.recent.time, b.recent.depth, b.recent.usual = l.AllTime, l.AllDepth, l.PeerPace
 	b.refresh, b.meanValue = l.Refresh, l.MeanValue
--- a/balance/members.go
+++ b/balance/members.go
@@ -63,7 +63,7 @@
 		}
 	} else if started {
 		// What was out at the old process is lost with it; its outcomes are still to come.
-		s.more, s.told, s.stuck, s.credit, s.since, s.served = 0, 0, 0, 0, b.now, 0
+		s.more, s.told, s.unconfirmed, s.credit, s.since, s.served = 0, 0, 0, 0, b.now, 0
 		s.time, s.fails, s.failed, s.owesAt, s.used = 0, 0, false, b.now, false
 	}
 	_, behind := b.declared()
@@ -103,14 +103,14 @@
 		if !s.failed {
 			b.listed[s.Zone]++
 		}
-		return b.listed[s.Zone] > b.partSize
+		return b.listed[s.Zone] > b.subsetSize
 	})
 	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.Backend, y.Backend) })
 }
 
 // reach is the part of all nodes that keep to a server of this one's zone: all of them, where the zone has few.
 func (b *Balancer) reach(s *server) float64 {
-	return min(1, float64(b.partSize)/float64(max(b.listed[s.Zone], 1)))
+	return min(1, float64(b.subsetSize)/float64(max(b.listed[s.Zone], 1)))
 }
 
 // chance is the part of a server's cost for failures that chance explains. Where one attempt in ten breaks everywhere,
@@ -119,6 +119,6 @@
 	if b.allBroke < failsLow {
 		return 0 // breaks are rare, and one tells
 	}
-	stray := strays * math.Sqrt(b.allBroke*(1-b.allBroke)*failWeight/(2-failWeight))
+	stray := deviations * math.Sqrt(b.allBroke*(1-b.allBroke)*failWeight/(2-failWeight))
 	return min(max(0, s.fails-b.allFail), stray) * failAims * b.meanAim
 }
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -82,7 +82,7 @@
 // that takes its servers for full long after they have cleared refuses what they could do.
 func (b *Balancer) hearsay(s *server, others float64) {
 	if b.rng.Float64()*float64(b.cfg.Instances-1) < takers {
-		s.stuck = 0
+		s.unconfirmed = 0
 		b.tell(s, others, b.refresh)
 		return
 	}
--- a/balance/slowdown.go
+++ b/balance/slowdown.go
@@ -6,7 +6,7 @@
 )
 
 // slowdown compares the pace of the recent answers of all servers with what was usual. The factor by which paces are
-// longer now is 1 within chance: strays standard deviations of a mean over recent answers, each of recentWeight.
+// longer now is 1 within chance: deviations standard deviations of a mean over recent answers, each of recentWeight.
 type slowdown struct {
 	time, depth, usual, factor float64 // running means of times, seconds, and of the entries met; paces
 	at                         time.Duration
@@ -28,7 +28,7 @@
 		r.usual = b.peerPace
 	}
 	r.at, r.factor = b.now, 1
-	if pace > r.usual*(1+strays*math.Sqrt(recentWeight/(2-recentWeight))) {
+	if pace > r.usual*(1+deviations*math.Sqrt(recentWeight/(2-recentWeight))) {
 		r.factor = max(1, pace/b.peerPace)
 	}
 }
