The subset of backends is not sorted anew each window and each line of the list

Change: the list by rank is kept and sorted only where a backend is new; the subset is drawn anew only after a change of the list or of who fails.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,18 +24,16 @@
 	coldMargin, coldBurst, coldHold, rateDecay, rateDeviations = 0.4, 0.1, 0.5, 0.97, 1.75
 	// A node keeps to subsetServers of each zone, or to as many as it has requests in subsetSpan seconds.
 	subsetServers, subsetSpan = 8, 0.5
-	// The mean of what a zone's servers hold is learned over meanSpan seconds, what is usual at one of them
-	// over usualSpan, but by meanMost and usualMost a report at most: a single look is chance. Where reports
-	// of all nodes come together, the mean is that of the last meanLeast seconds at least.
+	// What a zone's servers hold on average is learned over meanSpan seconds, over meanLeast where all nodes'
+	// reports come together, what is usual at one over usualSpan; by meanMost, usualMost a report at most.
 	meanSpan, meanMost, usualSpan, usualMost, meanLeast = 4.0, 0.25, 15.0, 0.1, 1.0
 	// retryEarn is what a first send adds to the retry budget, retryMost the most that it holds.
 	retryEarn, retryMost = 0.1, 20.0
 	// firstPace, in aims, stands for a pace and the time of a request until there is one. A new answer weighs
 	// paceWeight; a server without answers goes forget of the way to its peers' pace, a window.
 	firstPace, paceWeight, forget = 0.1, 0.05, 0.3
-	// failAims is what a certain failure costs, in aims. failWeight is the weight of a new outcome in a
-	// server's rate of failures; the rate also fades by failFade each window, so that traffic returns.
-	// Up to deviations standard deviations above the rate of all are chance.
+	// A certain failure costs failAims. An outcome has failWeight in a server's rate of failures, which fades
+	// by failFade a window, so that traffic returns. Within deviations (standard ones) of all is chance.
 	failAims, failWeight, failFade, deviations = 3.0, 0.1, 0.25, 2.0
 	// crossAims is the wait, in aims, that costs as much as a request's whole worth.
 	crossAims = 1.5
@@ -67,12 +65,15 @@
 
 // Balancer decides for one node.
 type Balancer struct {
-	cfg                        Config
-	rng                        *rand.Rand
-	now                        time.Duration
-	out                        []Action
-	servers                    map[BackendID]*server
-	ready                      []*server // servers that may be sent to, by id
+	cfg                Config
+	rng                *rand.Rand
+	now                time.Duration
+	out                []Action
+	servers            map[BackendID]*server
+	ready              []*server // servers that may be sent to, by id
+	ranked             []*server // all of them, by rank
+	unsorted, outdated bool      // ranked, and ready
+
 	requests                   map[string]*request
 	timers                     map[uint64]timer
 	held                       []*request // arrivals that wait for the probes of their tick
@@ -773,6 +774,7 @@
 	b.allFail += failWeight * (s.fails - b.allFail) / float64(len(b.ready)+1)
 	if begins, ends := s.fails > failsHigh, s.fails < failsLow; begins && !s.failed || ends && s.failed {
 		name := fmt.Sprintf("backend %d ", s.Backend) // each outcome comes here, and few have anything to say
+		b.outdated = true                             // who fails is kept beside the subset
 		b.state(&s.failed, begins, ends, name+"fails: traffic withheld", name+"answers again")
 	}
 }
@@ -856,8 +858,9 @@
 	if b.recent.at < b.rolledAt { // no answer would ever tell that all servers have recovered
 		b.learnSlowdown(b.recent.usual*(b.recent.depth+1), b.recent.depth, forget)
 	}
-	b.rolledAt = b.now
-	b.choose()
+	if b.rolledAt = b.now; b.outdated {
+		b.choose()
+	}
 }
 
 // mean is a plain mean; 0 when nothing was added.
--- a/balance/members.go
+++ b/balance/members.go
@@ -58,6 +58,7 @@
 	if s == nil {
 		s = &server{toldAt: b.now, since: b.now, rank: rand.NewPCG(uint64(m.Backend), uint64(b.cfg.Index)).Uint64()}
 		b.servers[m.Backend] = s
+		b.ranked, b.unsorted = append(b.ranked, s), true
 		if o := b.names[m.name()]; o == nil || o.Phase == Gone {
 			b.names[m.name()] = s // of two by one name, the second is not spoken of
 		}
@@ -91,20 +92,19 @@
 // choose keeps the node to a part of the servers of each zone, drawn by hash, where its traffic is too little to see
 // more of them, and each needs a connection from every node. Servers that fail are kept beside the part.
 func (b *Balancer) choose() {
-	b.ready = b.ready[:0]
-	for _, s := range b.servers {
-		if s.Phase == Ready {
-			b.ready = append(b.ready, s)
-		}
+	if b.unsorted {
+		slices.SortFunc(b.ranked, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
 	}
-	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
-	b.listed = map[int]int{}
-	b.ready = slices.DeleteFunc(b.ready, func(s *server) bool {
-		if !s.failed {
+	b.ranked = slices.DeleteFunc(b.ranked, func(s *server) bool { return s.Phase == Gone && s.out == 0 })
+	b.ready, b.listed, b.unsorted, b.outdated = b.ready[:0], map[int]int{}, false, false
+	for _, s := range b.ranked {
+		if s.Phase == Ready && !s.failed {
 			b.listed[s.Zone]++
 		}
-		return b.listed[s.Zone] > b.subsetSize
-	})
+		if s.Phase == Ready && b.listed[s.Zone] <= b.subsetSize {
+			b.ready = append(b.ready, s)
+		}
+	}
 	slices.SortFunc(b.ready, func(x, y *server) int { return cmp.Compare(x.Backend, y.Backend) })
 }
 
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -23,8 +23,7 @@
 )
 
 // pass tells the other nodes what a probe brought. One message that reaches all of them costs less than the probes by
-// which each would learn it; where it costs more than a probe does, a part of the reports goes out. Nodes that start
-// together ask every server: told to all, those would be as many messages as servers times the square of the nodes.
+// which each would learn it; where it costs more than a probe, a part goes out. Nodes that start ask all, and tell nobody.
 func (b *Balancer) pass(s *server, l Load) {
 	if !b.passes() || b.starting() || l.Has&HasActive == 0 {
 		return
--- a/balance/weights.go
+++ b/balance/weights.go
@@ -33,8 +33,7 @@
 	return (s.spent - behind) * weight * max(b.peerPace, leadAims*b.meanAim)
 }
 
-// spend counts a request against a server's declared share. None stays further behind than leadMost places and
-// one request of the other's: one that was slow or cold is owed no flood.
+// spend counts a request against a declared share. None stays further behind than leadMost places: it is owed no flood.
 func (b *Balancer) spend(s *server) {
 	weight, _ := b.declared()
 	if weight == 0 {
--- a/confsync/sim_test.go
+++ b/confsync/sim_test.go
@@ -131,6 +131,7 @@
 func (w *world) send(from *member, list []Send) {
 	for _, s := range list {
 		to := w.byName[s.To]
+		to.count(w.now, s.Message.Size())
 		copies := 1
 		switch x := w.rng.Float64(); {
 		case x < w.loss:
@@ -159,7 +160,6 @@
 	if to.dead || from.dead || w.cut != nil && w.cut(from, to) {
 		return
 	}
-	to.receive(w.now, m.Size())
 	switch m.Kind {
 	case Update, Keepalive:
 		if to.sub == nil {
@@ -182,8 +182,8 @@
 	w.wake(to)
 }
 
-// receive counts bytes, by second.
-func (m *member) receive(now time.Duration, n int) {
+// count counts the bytes that are sent to a member, by second. What the network repeats is not its sender's.
+func (m *member) count(now time.Duration, n int) {
 	if s := now.Truncate(time.Second); s != m.second {
 		m.second, m.inSecond = s, 0
 	}
