Slowdown: no prior, and what is usual follows both ways

And what is usual followed the least of a noisy mean: it fell to 0.7 of it, so that chance passed for a slowdown.

Change: the first twenty answers are taken for what is usual and for the recent ones; what is usual follows over 15 s both ways, more slowly (by the square of the factor) while servers are slow.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -206,7 +206,7 @@
 		timers: map[uint64]timer{}, zones: map[int]*crowd{}, probedAt: -1,
 		names: map[uint32]*server{}, numbers: map[int]uint16{}, perSecond: perSecond,
 		meanAim: aim, gap: aim, peerPace: firstPace * aim, admission: admissionFirst,
-		recent:     slowdown{time: firstPace * aim, factor: 1},
+		recent:     slowdown{factor: 1},
 		subsetSize: max(subsetServers, int(perSecond*subsetSpan)),
 		classes:    make([]classStats, len(cfg.Classes)),
 		shares:     slices.Repeat([]share{{left: shareLeast}}, len(cfg.Tenants)),
--- a/balance/slowdown.go
+++ b/balance/slowdown.go
@@ -21,11 +21,10 @@
 	r := &b.recent
 	r.time, r.depth = r.time+weight*(took-r.time), r.depth+weight*(met-r.depth)
 	pace := r.time / (r.depth + 1)
-	if weight = recentWeight; pace > r.usual { // a quicker pace is usual soon, a slower one over usualSpan
-		weight = min((b.now-r.at).Seconds()/usualSpan, weight)
-	}
-	if r.usual += weight * (pace - r.usual); b.answers*paceWeight < 1 {
-		r.usual = b.peerPace
+	// What is usual follows over usualSpan, and more slowly while servers are slow, so that a slowdown ends in the end.
+	r.usual += min((b.now-r.at).Seconds()/usualSpan/r.factor/r.factor, recentWeight) * (pace - r.usual)
+	if b.answers*paceWeight < 1 { // the first answers are all that is known
+		r.time, r.depth, r.usual, pace = b.allTime, b.allDepth, b.peerPace, b.peerPace
 	}
 	r.at, r.factor = b.now, 1
 	if pace > r.usual*(1+deviations*math.Sqrt(recentWeight/(2-recentWeight))) {
--- a/balance/slowdown_test.go
+++ b/balance/slowdown_test.go
@@ -43,6 +43,19 @@
 	}
 }
 
+// Where answers take next to nothing beside the aim, what stands for them before the first one is no slowdown.
+func TestSlowdownHasNoPrior(t *testing.T) {
+	for _, took := range []time.Duration{50 * time.Microsecond, ms, 250 * ms} {
+		r := newRig(t, site(), member(1, 0, 0))
+		for range 30 {
+			r.serve(1, safe, func(BackendID) time.Duration { return took })
+			if f := r.b.recent.factor; f != 1 {
+				t.Fatalf("factor %v while all answers take %v", f, took)
+			}
+		}
+	}
+}
+
 // Where no answer comes that would tell of the recovery, the slowdown is forgotten.
 func TestSlowdownEndsWithoutAnswers(t *testing.T) {
 	r := newRig(t, site(), member(1, 0, 0))
