confsync: a subscriber makes no room for a number of parts that is only told

Cause: found by reading: an Update's Parts sized a slice before anything else was checked, so that one message could take any memory.

Change: an Update that tells of more parts than a delta can have is ignored.

--- a/confsync/faults_test.go
+++ b/confsync/faults_test.go
@@ -157,6 +157,16 @@
 	}
 }
 
+// The number of parts that a message tells takes no memory by itself.
+func TestTooManyPartsAreIgnored(t *testing.T) {
+	s := NewSubscriber(NewStore(Limits{}, nil), Limits{}, []string{"relay"}, 1)
+	s.Begin(0, nil)
+	s.Receive(time.Second, "relay", Message{Kind: Update, Delta: Delta{To: 1, Full: true}, Parts: 1 << 40}, nil)
+	if s.parts != nil {
+		t.Errorf("%d parts are kept room for", len(s.parts))
+	}
+}
+
 // What a store holds that is not what its revision says is found by the digest, and replaced.
 func TestDriftIsReplaced(t *testing.T) {
 	w := newWorld(3, 1, 1, 2, 0)
--- a/confsync/subscriber.go
+++ b/confsync/subscriber.go
@@ -96,7 +96,7 @@
 		return s.ack(now, out), false // the acknowledgement was lost
 	case d.From != s.store.revision && !d.Full:
 		return s.subscribe(now, out), false
-	case m.Part < 0 || m.Part >= m.Parts:
+	case m.Part < 0 || m.Part >= m.Parts || m.Parts > s.limits.DeltaMost/messageHead: // memory is not to follow a number
 		return out, false
 	case d.To != s.partsOf.To || d.From != s.partsOf.From || m.Parts != len(s.parts):
 		s.drop()
