--- a/confsync/types.go
+++ b/confsync/types.go
@@ -43,10 +43,6 @@
 
 func (k Key) String() string { return fmt.Sprintf("%s %q", k.Kind, k.Name) }
 
-func compareKeys(a, b Key) int {
-	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
-}
-
 // Change is a resource as of a revision. Value and Refs are never written to once they are in a Change.
 type Change struct {
 	Key     Key
