--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -9,6 +9,12 @@
 	"golang.org/x/sys/unix"
 )
 
+// The system calls that may be interrupted. Tests make them fail.
+var (
+	recvfrom = syscall.Recvfrom
+	poll     = unix.Poll
+)
+
 // Quiet tells whether a connection is up with nothing unread on it. A backend that was restarted under its old address
 // leaves connections behind that would swallow a request. One that can't be looked at is not quiet.
 func Quiet(c net.Conn) bool {
@@ -23,7 +29,7 @@
 	}
 	err = control(c, func(fd int) (err error) {
 		var b [1]byte
-		n, _, err = syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err = recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return err
 	})
 	return n, err
@@ -50,7 +56,7 @@
 	fds := []unix.PollFd{{Events: unix.POLLIN}}
 	err := control(l, func(fd int) error {
 		fds[0].Fd = int32(fd)
-		n, err := unix.Poll(fds, 0)
+		n, err := poll(fds, 0)
 		some = n > 0
 		return err
 	})
