Sockets and looks at them bear failures of a moment (EINTR, ENFILE, EADDRNOTAVAIL, ...)

Cause: sock.Peek and Waiting took EINTR for an answer; net.Listen for clients, operators and peers, the inherited listener, the locks and the configuration file were opened once; pool.get told a dial that failed by this machine's lack as a failure of the backend, which withholds traffic from it.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -21,12 +21,14 @@
 	"time"
 
 	"glencart/balance"
+	"glencart/internal/sock"
 	"glencart/members"
 )
 
 // Listener returns a listener on the socket that a descriptor names: text is the value of BALANCER_ACCEPT_FD. The descriptor
-// belongs to the listener from then on; the socket stays open for all others that hold it.
-func Listener(text string) (net.Listener, error) {
+// belongs to the listener from then on; the socket stays open for all others that hold it. What fails for a moment is tried again
+// until ctx ends.
+func Listener(ctx context.Context, text string) (l net.Listener, err error) {
 	fd, err := strconv.Atoi(text)
 	if err != nil || fd < 3 || fd > math.MaxInt32 {
 		return nil, fmt.Errorf("BALANCER_ACCEPT_FD: %q is not the number of an inherited descriptor", text)
@@ -39,7 +41,11 @@
 	syscall.CloseOnExec(fd)
 	f := os.NewFile(uintptr(fd), "clients")
 	defer f.Close()
-	return net.FileListener(f)
+	err = sock.Retry(ctx, func() (err error) {
+		l, err = net.FileListener(f)
+		return err
+	})
+	return l, err
 }
 
 // Files in the folder that both processes share.
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -180,7 +180,7 @@
 		dup(file, err):               "non-socket",
 		dup(c.(*net.TCPConn).File()): "does not listen",
 	} {
-		if _, err := Listener(text); err == nil || !strings.Contains(err.Error(), want) ||
+		if _, err := Listener(t.Context(), text); err == nil || !strings.Contains(err.Error(), want) ||
 			!strings.Contains(err.Error(), "BALANCER_ACCEPT_FD") {
 			t.Errorf("%q: %v, want %q", text, err, want)
 		}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -46,8 +47,11 @@
 	if path == "" {
 		return Config{}, errors.New("configuration: no file named")
 	}
-	text, err := os.ReadFile(path)
-	if err != nil {
+	var text []byte
+	if err := tryForAMoment(func(context.Context) (err error) {
+		text, err = os.ReadFile(path)
+		return err
+	}); err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
 	cfg, err := ParseConfig(text)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,12 +92,12 @@
 	}
 	n.recall(cfg)
 	// Last: who connects from here on has been taken, and waits.
-	var l net.Listener
-	if cfg.AcceptFD == "" {
-		l, err = net.Listen("tcp", cfg.Listen)
-	} else {
-		l, err = handover.Listener(cfg.AcceptFD)
-	}
+	l, err := openListener(func(ctx context.Context) (net.Listener, error) {
+		if cfg.AcceptFD != "" {
+			return handover.Listener(ctx, cfg.AcceptFD)
+		}
+		return net.Listen("tcp", cfg.Listen)
+	})
 	if err != nil {
 		n.close()
 		return nil, fmt.Errorf("listen: %w", err)
@@ -105,13 +105,17 @@
 	n.listener = clients.Limit(l, most)
 	n.living.Tell(life.Event{Kind: life.Opened})
 	if cfg.Management != "" {
-		if n.admin, err = net.Listen("tcp", cfg.Management); err != nil {
+		listen := func(context.Context) (net.Listener, error) { return net.Listen("tcp", cfg.Management) }
+		if n.admin, err = openListener(listen); err != nil {
 			n.close()
 			return nil, fmt.Errorf("management: %w", err)
 		}
 	}
 	if cfg.Shared != "" {
-		if n.place, err = handover.Open(cfg.Shared, cfg.Name, log); err != nil {
+		if err = tryForAMoment(func(context.Context) (err error) {
+			n.place, err = handover.Open(cfg.Shared, cfg.Name, log)
+			return err
+		}); err != nil {
 			n.close()
 			return nil, err
 		}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -64,8 +64,11 @@
 			return failed
 		}
 	}
-	pc, err := lc.ListenPacket(context.Background(), "udp", addr.String())
-	if err != nil {
+	var pc net.PacketConn
+	if err := tryForAMoment(func(ctx context.Context) (err error) {
+		pc, err = lc.ListenPacket(ctx, "udp", addr.String())
+		return err
+	}); err != nil {
 		return nil, err
 	}
 	p.conn = pc.(*net.UDPConn)
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -25,8 +25,8 @@
 }
 
 var (
-	// errNoRoom says that the node may open no more connections now.
-	errNoRoom = errors.New("no descriptor left for a connection to a backend")
+	// errNoRoom says that the node can open no more connections now, which tells nothing of the backend.
+	errNoRoom = errors.New("no connection to a backend can be opened here now")
 	// errSpoke says that a new connection ended, or had something to read, before anything was written.
 	errSpoke = errors.New("a new connection was not quiet")
 	// errEarly says the same of one before the last byte of a request.
@@ -85,10 +85,7 @@
 	if !p.reserve() {
 		return nil, errNoRoom
 	}
-	p.mu.Lock()
-	dialer := p.dialer
-	p.mu.Unlock()
-	nc, err := dialer.DialContext(ctx, "tcp", to.Addr)
+	nc, err := p.dial(ctx, to.Addr)
 	if err != nil {
 		p.release()
 		return nil, err
@@ -99,6 +96,24 @@
 	return c, nil
 }
 
+// dial connects to an address. What may fail for a moment is repeated within the time that a connection may take to come up; what
+// then still fails for want of something on this machine is errNoRoom.
+func (p *pool) dial(ctx context.Context, addr string) (nc net.Conn, err error) {
+	p.mu.Lock()
+	dialer := p.dialer
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, dialer.Timeout)
+	defer cancel()
+	err = sock.Retry(ctx, func() (err error) {
+		nc, err = dialer.DialContext(ctx, "tcp", addr)
+		return err
+	})
+	if sock.LocalFailure(err) {
+		err = errors.Join(errNoRoom, err)
+	}
+	return nc, err
+}
+
 func (p *pool) take(to engine.Endpoint, probe bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -29,8 +29,10 @@
 	}
 	err = control(c, func(fd int) (err error) {
 		var b [1]byte
-		n, _, err = recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return err
+		return uninterrupted(func() error {
+			n, _, err = recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			return err
+		})
 	})
 	return n, err
 }
@@ -56,9 +58,11 @@
 	fds := []unix.PollFd{{Events: unix.POLLIN}}
 	err := control(l, func(fd int) error {
 		fds[0].Fd = int32(fd)
-		n, err := poll(fds, 0)
-		some = n > 0
-		return err
+		return uninterrupted(func() error {
+			n, err := poll(fds, 0)
+			some = n > 0
+			return err
+		})
 	})
 	return some, err == nil
 }
@@ -91,3 +95,12 @@
 	}
 	return failed
 }
+
+// uninterrupted repeats a system call for as long as a signal interrupts it.
+func uninterrupted(call func() error) error {
+	for {
+		if err := call(); err != syscall.EINTR {
+			return err
+		}
+	}
+}
