--- /dev/null
+++ b/internal/node/stopped_test.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// A client that stops in the middle of a request and stays is owed an error or a close within 3 s, wherever it stops, on a new
+// connection or on one that has carried requests. A machine that is slow takes part of that.
+func TestStoppedRequestsEndInTime(t *testing.T) {
+	const owed, margin = 3 * time.Second, 250 * time.Millisecond
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string { return ok200("x") }))
+	text := listText(1, true, listed{ID: "s", Addr: b.Addr().String(), Phase: "ready"})
+	n := start(t, testConfig(t, newRegistry(t, text).Addr, text))
+	eventually(t, "clients let in", n.running.Load)
+	order := func(length string) string {
+		return fmt.Sprintf("POST /api/x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: stops-%d\r\nX-Qos: order\r\nX-Customer: acme\r\n%s\r\n\r\n",
+			lastID.Add(1), length)
+	}
+	for name, part := range map[string]string{
+		"nothing":               "",
+		"a byte":                "P",
+		"two bytes":             "PO",
+		"four bytes":            "POST",
+		"half a head":           "POST /api/x HTTP/1.1\r\nHost: x\r\nX-Trace",
+		"a head":                order("Content-Length: 10"),
+		"half a body":           order("Content-Length: 10") + "12345",
+		"a long body":           order("Content-Length: 200000") + "12345",
+		"half a chunk":          order("Transfer-Encoding: chunked") + "a\r\n12345",
+		"chunks without an end": order("Transfer-Encoding: chunked") + "5\r\n12345\r\n",
+	} {
+		for _, kept := range []bool{false, true} {
+			if kept && part == "" {
+				continue // it rests
+			}
+			t.Run(fmt.Sprintf("%s, kept %v", name, kept), func(t *testing.T) {
+				t.Parallel()
+				c := n.dial(t)
+				if kept {
+					askOn(t, c)
+					time.Sleep(500 * time.Millisecond)
+				}
+				began := time.Now()
+				io.WriteString(c, part)
+				c.SetReadDeadline(began.Add(2 * owed))
+				got := make([]byte, 1)
+				if _, err := io.ReadFull(c, got); err != nil && err != io.EOF {
+					t.Errorf("neither an answer nor a close: %v", err)
+				}
+				if d := time.Since(began); d > owed-margin {
+					t.Errorf("ended after %v", d)
+				}
+			})
+		}
+	}
+}
+
+// askOn has a whole request answered on a connection.
+func askOn(t *testing.T, c net.Conn) {
+	t.Helper()
+	fmt.Fprintf(c, "GET /api/x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: whole-%d\r\nX-Qos: read\r\nX-Customer: acme\r\n\r\n", lastID.Add(1))
+	answer := make([]byte, 512)
+	if k, err := c.Read(answer); err != nil || k < 16 || string(answer[9:12]) != "200" {
+		t.Errorf("answered %q, %v", answer[:k], err)
+	}
+}
