Stopped requests end after 2.5 s, repeats leave room for a hold-up, an empty list is believed

Causes: the head of a further request had its time only from its fourth byte on (net/http waits for four), and 3 s without a margin; Within and the window's checks took no account of 0.15 s between clock and write; registry.check refused a whole list that names nobody also on the platform. Changes: clients.Conn ends a head that has begun by its own deadline, 2.5 s for heads and silence within bodies; repeatBy is 0.15 s short of the window for sending, writing and refusing; an empty whole list is believed where the platform tells it (a site's own sources keep the guard). Accepting, which bears accept(2)'s failures, moves to package clients and serves the front of an installation too, whose listeners are tried for 3 s.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -61,6 +61,8 @@
 	// with callMost in line that is 6 s, when news counts as told. Longer only after vainMost in vain.
 	rewatchParts, rewatchNodes      = 20, 8
 	rewatchMost, callMost, vainMost = 4 * time.Second, 2 * time.Second, 2
+	// heldUpMost is how long a node may be held up between its look at the clock and its write.
+	heldUpMost = 150 * time.Millisecond
 )
 
 // Balancer decides for one node.
@@ -445,7 +447,7 @@
 	met := b.estimate(s)
 	var within time.Duration
 	if first := r.firstRun(); first != nil && r.class.Effect == Keyed {
-		within = first.at + r.class.Window - b.now
+		within = first.repeatBy(r.class) - b.now
 	}
 	r.attempts = append(r.attempts, attempt{to: s, zone: s.Zone, cell: s.Cell,
 		at: b.now, met: met, wait: met * b.pace(s), pending: true, mayRun: true})
@@ -547,11 +549,14 @@
 	return nil
 }
 
+// repeatBy is until when the repeat of an attempt may be written: one that is held up meets the window.
+func (a *attempt) repeatBy(class *Class) time.Duration { return a.at + class.Window - heldUpMost }
+
 // mayGo tells whether another attempt may go to s without an effect happening twice.
 func (b *Balancer) mayGo(r *request, s *server) bool {
 	first := r.firstRun()
 	return first == nil || r.class.Effect == Safe ||
-		r.class.Effect == Keyed && b.now < first.at+r.class.Window && (r.class.Scope == ScopeAll ||
+		r.class.Effect == Keyed && b.now < first.repeatBy(r.class) && (r.class.Scope == ScopeAll ||
 			r.class.Scope == ScopeZone && s.Zone == first.zone && s.Zone >= 0 ||
 			r.class.Scope == ScopeCell && s.Cell == first.cell)
 }
@@ -560,7 +565,7 @@
 func (b *Balancer) mayRefuse(r *request, in time.Duration) bool {
 	first := r.firstRun()
 	return first == nil || r.class.Effect == Safe ||
-		r.class.Effect == Keyed && r.class.Scope == ScopeAll && b.now+in < first.at+r.class.Window
+		r.class.Effect == Keyed && r.class.Scope == ScopeAll && b.now+in < first.repeatBy(r.class)
 }
 
 // probe asks distinct servers, drawn at random, once in a tick with arrivals.
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -139,6 +139,11 @@
 	// Zero once a request has been taken.
 	notBefore time.Time
 
+	// headBy is until when the head of a further request has to be whole, from its first byte on; zero where none has begun. By taking.
+	headBy time.Time
+	// readBy is until when net/http wants to wait for what comes next; zero: for ever. By taking.
+	readBy time.Time
+
 	ended bool // by taking: it is ending, and linger is its owner. Nothing more is read: its client asks again elsewhere
 }
 
@@ -215,14 +220,38 @@
 	return true
 }
 
-// SetReadDeadline is net/http's: once the connection is ending, linger's own holds.
+// SetReadDeadline is net/http's: once the connection is ending, linger's own holds, and a head that has begun has its own end.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.taking.Lock()
 	defer c.taking.Unlock()
 	if c.ended {
 		return nil
 	}
-	return c.Conn.SetReadDeadline(t)
+	c.readBy = t
+	c.boundHead()
+	return c.Conn.SetReadDeadline(c.deadline())
+}
+
+// boundHead begins the time for a head with its first byte, or, where that came before the answer to the request ahead of it, with
+// that answer. net/http begins it with the fourth byte: until then who has sent less rests. With taking held.
+func (c *Conn) boundHead() (began bool) {
+	within := c.home.HeadWithin
+	switch half := c.inHead() && !c.asking(); {
+	case !half || within <= 0:
+		c.headBy = time.Time{}
+	case c.headBy.IsZero():
+		c.headBy = time.Now().Add(within)
+		return true
+	}
+	return false
+}
+
+// deadline is until when bytes are waited for. With taking held.
+func (c *Conn) deadline() time.Time {
+	if !c.headBy.IsZero() && (c.readBy.IsZero() || c.headBy.Before(c.readBy)) {
+		return c.headBy
+	}
+	return c.readBy
 }
 
 // takeBytes takes what stands on the socket, and marks it. It tells whether there was anything, an end or an error.
@@ -242,6 +271,9 @@
 			return false
 		case nil:
 			c.mark(c.into[:max(c.took, 0)])
+			if c.boundHead() {
+				c.Conn.SetReadDeadline(c.deadline())
+			}
 		}
 		return true
 	}
@@ -312,6 +344,9 @@
 	return min(most, sock.SinceData(c.Conn))
 }
 
+// inHead tells whether a head has begun and is not whole.
+func (f *framing) inHead() bool { return f.rest == 0 && (f.lines > 0 || len(f.line) > 0) }
+
 // asking tells whether a whole request has been read that has no answer yet.
 func (f *framing) asking() bool { return f.asked.Load() > 0 }
 
--- a/internal/clients/listener.go
+++ b/internal/clients/listener.go
@@ -19,7 +19,10 @@
 // Listener lets so many clients in at once and watches their connections. Limit returns one.
 type Listener struct {
 	net.Listener
-	Opaque bool // its clients speak TLS; to be set before the first Accept
+	// To be set before the first Accept:
+
+	Opaque     bool          // its clients speak TLS
+	HeadWithin time.Duration // how long the head of a further request may take from its first byte; 0: as net/http has it
 
 	mu         sync.Mutex
 	free       sync.Cond
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -22,7 +22,9 @@
 	"glencart/internal/clients"
 	"glencart/internal/cluster"
 	"glencart/internal/living"
+	"glencart/internal/lograte"
 	"glencart/internal/site"
+	"glencart/internal/sock"
 	"glencart/life"
 	"glencart/route"
 )
@@ -98,14 +100,14 @@
 		most = 1024
 	}
 	for _, l := range s.Listeners {
-		nl, err := net.Listen("tcp", l.Address)
+		nl, err := listen(l.Address)
 		if err != nil {
 			v.abandon(g)
 			return nil, fmt.Errorf("listener %q: %w", l.Name, err)
 		}
 		_, port, _ := net.SplitHostPort(nl.Addr().String())
 		cl := clients.Limit(nl, most)
-		cl.Opaque = len(l.TLS) > 0
+		cl.Opaque, cl.HeadWithin = len(l.TLS) > 0, headWithin(s)
 		v.listeners = append(v.listeners, &listener{Listener: cl, table: clients.NewTable(most, clients.Own), site: l, port: port})
 	}
 	if err := v.openFleet(s); err != nil {
@@ -318,17 +320,34 @@
 	return d
 }
 
+// headWithin is how long a client may take to send a head.
+func headWithin(s *site.Site) time.Duration { return s.Limits.HeadWithin.Or(10 * time.Second) }
+
+// listenWithin is how long an address is tried for that can't be had at the start: it may be a process's that is just ending.
+const listenWithin = 3 * time.Second
+
+// listen opens a listener.
+func listen(address string) (l net.Listener, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), listenWithin)
+	defer cancel()
+	err = sock.Retry(ctx, func() (err error) {
+		l, err = net.Listen("tcp", address)
+		return err
+	})
+	return l, err
+}
+
 // Run serves until ctx ends. Then it takes nothing new, answers what is open, within the file's leave at the most, and returns.
 func (v *Server) Run(ctx context.Context) error {
 	s := v.gen.Load().site
 	v.others.begin(v.log)
-	failed := make(chan error, len(v.listeners))
+	failed, complain := make(chan error, len(v.listeners)), &lograte.Limited{Log: v.log}
 	var accepting sync.WaitGroup
 	servers := make([]*http.Server, 0, len(v.listeners))
 	for _, l := range v.listeners {
 		srv := &http.Server{
 			Handler:           http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { v.serve(l, w, r) }),
-			ReadHeaderTimeout: s.Limits.HeadWithin.Or(10 * time.Second),
+			ReadHeaderTimeout: headWithin(s),
 			IdleTimeout:       s.Limits.Idle.Or(75 * time.Second),
 			MaxHeaderBytes:    int(s.Limits.Head.Or(32 << 10)),
 			ErrorLog:          slog.NewLogLogger(v.log.Handler(), slog.LevelDebug),
@@ -337,7 +356,7 @@
 			ConnContext:       clients.WithConn,
 		}
 		servers = append(servers, srv)
-		var nl net.Listener = l.Listener
+		nl := clients.Accepting(l.Listener, complain)
 		if len(l.site.TLS) > 0 {
 			nl = tls.NewListener(nl, &tls.Config{MinVersion: tls.VersionTLS12, NextProtos: []string{"http/1.1"},
 				GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
--- a/internal/members/registry/registry.go
+++ b/internal/members/registry/registry.go
@@ -44,8 +44,9 @@
 	// Of Run alone, once that goes on.
 	have  int64 // the revision of the list that the module has, where holds
 	holds bool
-	// named tells that a list has named a backend. A whole list of none after that is taken for a fault of the registry:
-	// backends that are really gone answer no connection, and a pool emptied by mistake refuses everything.
+	// named tells that a list has named a backend. A whole list of none after that is taken for a fault of a shared registry:
+	// backends that are really gone answer no connection, and a pool emptied by mistake refuses everything. The platform's word
+	// is believed: what a whole list doesn't name is gone.
 	named bool
 	// older is the last call that had begun when an answer came of a revision before have; 0: none did since. One that began after
 	// it and says so again is believed: that registry counts anew. Two that were open at once say it of the same instant.
@@ -280,7 +281,7 @@
 // check tells what speaks against a list: the last good one holds.
 func (r *run) check(list engine.List, call int) error {
 	switch {
-	case list.Complete && len(list.Members) == 0 && r.named:
+	case list.Complete && len(list.Members) == 0 && r.named && !r.near:
 		return errors.New("the whole list names no backend: the last one holds: look at the registry")
 	case !r.holds || list.Revision >= r.have:
 		r.older = 0
--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -24,7 +24,7 @@
 	copyPiece = 32 << 10
 	// silentMost is how long a client may go without a byte of its body, backendSilent a backend without one of its answer or
 	// without taking one of a request, readerSilent a client without taking one of its answer.
-	silentMost, backendSilent, readerSilent = 3 * time.Second, 10 * time.Second, 20 * time.Second
+	silentMost, backendSilent, readerSilent = stopsWithin, 10 * time.Second, 20 * time.Second
 	// uploadLeast is the pace, in bytes a second, that a body has to keep after silentMost: who sends a byte now and then
 	// wants the place. 64 kB a second are to be served.
 	uploadLeast = 16 << 10
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -27,9 +27,12 @@
 )
 
 const (
+	// stopsWithin is how long a client that stops within a request may stay: it is owed an error or a close within 3 s, of which
+	// half a second is for a queue before Accept and for late timers.
+	stopsWithin = 2500 * time.Millisecond
 	// headWithin is how long a client may take from its connection, or the first byte of a further request,
 	// to the last byte of the head; idleWithin how long it may keep a connection without a request.
-	headWithin, idleWithin = 3 * time.Second, 4 * time.Second
+	headWithin, idleWithin = stopsWithin, 4 * time.Second
 	// drainMost bounds what is read of a body that is turned away.
 	drainMost = 4 * bodyMost
 	// answerWithin is how long a client may take to read its answer.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,6 +103,7 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	n.listener = clients.Limit(l, most)
+	n.listener.HeadWithin = headWithin
 	n.living.Tell(life.Event{Kind: life.Opened})
 	if cfg.Management != "" {
 		listen := func(context.Context) (net.Listener, error) { return net.Listen("tcp", cfg.Management) }
@@ -184,7 +185,7 @@
 	srv, complain := n.front.server(), &lograte.Limited{Log: n.log}
 	if n.admin != nil {
 		d := newAdminEndpoint(n)
-		wg.Go(func() { d.srv.Serve(accepting{n.admin, complain}) })
+		wg.Go(func() { d.srv.Serve(clients.Accepting(n.admin, complain)) })
 		wg.Go(func() { n.countOften(work) })
 		defer d.srv.Close()
 	}
@@ -199,7 +200,7 @@
 	}
 	n.running.Store(true)
 	ended := make(chan error, 1)
-	go func() { ended <- srv.Serve(accepting{n.listener, complain}) }()
+	go func() { ended <- srv.Serve(clients.Accepting(n.listener, complain)) }()
 	wg.Go(func() { n.remember(work) })
 	n.log.Info("serving", "name", n.cfg.Name, "listen", n.Addr().String())
 	select {
