--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -4,6 +4,7 @@
 package engine
 
 import (
+	"cmp"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	Transport Transport
 	Log       *slog.Logger                   // default: discards
 	Now       func() time.Time               // default: time.Now
+	Origin    time.Duration                  // the clock at the start, Unix time; default: by Now
 	Ask       func(balance.ActionKind)       // takes Watch, Unwatch and Fetch; must not block
 	Tell      func(peer int, payload []byte) // takes Tell; must not block
 	Saw       func(id string, res Result)    // sees how each attempt and probe ended, on the loop; nil: nobody
@@ -98,7 +100,7 @@
 	return &Engine{
 		Config: cfg,
 		wake:   make(chan struct{}, 1), done: make(chan struct{}),
-		start: start, origin: time.Duration(start.UnixNano()),
+		start: start, origin: cmp.Or(cfg.Origin, time.Duration(start.UnixNano())),
 		requests: map[string]*Request{}, backends: map[string]*backend{},
 		byNumber: map[balance.BackendID]*backend{},
 	}
@@ -215,7 +217,8 @@
 // Ready tells whether some backend may be sent to. Any goroutine may ask.
 func (e *Engine) Ready() bool { return e.ready.Load() }
 
-// Clock is the Balancer's clock. It follows the monotonic clock, so that it never goes back.
+// Clock is the Balancer's clock. It follows the monotonic clock, so that it never goes back, nor with a wall clock that is set anew.
+// Any goroutine may ask.
 func (e *Engine) Clock() time.Duration { return e.origin + e.Now().Sub(e.start) }
 
 // Run serves until quit is closed.
--- /dev/null
+++ b/internal/node/clockstep_test.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A node whose wall clock is an hour off takes a backend that has just started for cold all the same, and soon for warm: whether it
+// reads of it in its first list or in a change.
+func TestStartsByAClockThatIsAnHourOff(t *testing.T) {
+	const off = time.Hour
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string { return ok200("x") }))
+	addr := b.Addr().String()
+	for name, step := range map[string]time.Duration{"right": 0, "ahead": off, "behind": -off} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			trueNow := time.Now()
+			up := func(ago time.Duration) int64 { return trueNow.Add(-ago).UnixMilli() }
+			text := listText(1, true, listed{ID: "old", Addr: addr, Phase: "ready"},
+				listed{ID: "first", Addr: addr, Phase: "ready", Up: up(time.Second)})
+			reg := newRegistry(t, text)
+			cfg := testConfig(t, reg.Addr, listText(0, true, listed{ID: "old", Addr: addr, Phase: "ready"}))
+			cfg.origin = time.Duration(trueNow.Add(step).UnixNano())
+			n := start(t, cfg)
+			reg.Next <- listText(2, false, listed{ID: "change", Addr: addr, Phase: "ready", Up: up(0)})
+			age := func(id string) (age time.Duration, known bool) {
+				n.onLoop(t, func() {
+					to, _, _, is := n.loop.Backend(id)
+					age, known = n.loop.Clock()-to.Launched, is
+				})
+				return age, known
+			}
+			for _, id := range []string{"first", "change"} {
+				eventually(t, id, func() bool { _, known := age(id); return known })
+				if got, _ := age(id); got < -time.Second || got > 10*time.Second {
+					t.Errorf("%s started a moment ago, and has the age of %v", id, got)
+				}
+			}
+			if got, _ := age("old"); got < off {
+				t.Errorf("old started long ago, and has the age of %v", got)
+			}
+		})
+	}
+}
+
+// Waits and ages go by the monotonic clock: the wall clock may be set by an hour at any time. Whoever reads it says so here, and why.
+func TestNothingWaitsByTheWallClock(t *testing.T) {
+	allowed := map[string]string{
+		"internal/engine/engine.go": "the origin of the engine's clock, read once",
+	}
+	wall := regexp.MustCompile(`\.Unix(Nano|Milli|Micro)?\(\)|time\.Unix(Milli|Micro)?\(|\.Round\(0\)`)
+	root := "../.."
+	deploy, err := os.ReadFile(filepath.Join(root, "deploy/balancer.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	folders := regexp.MustCompile(`(?m)^node = \[(.*)\]`).FindSubmatch(deploy)
+	if folders == nil {
+		t.Fatal("deploy/balancer.toml: no node")
+	}
+	for folder := range strings.SplitSeq(string(folders[1]), ",") {
+		files, _ := filepath.Glob(filepath.Join(root, strings.Trim(folder, ` "`), "*.go"))
+		if len(files) == 0 {
+			t.Errorf("no files in %s", folder)
+		}
+		for _, name := range files {
+			short, _ := filepath.Rel(root, name)
+			if strings.HasSuffix(name, "_test.go") || allowed[short] != "" {
+				continue
+			}
+			text, err := os.ReadFile(name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i, line := range strings.Split(string(text), "\n") {
+				if wall.MatchString(line) {
+					t.Error(fmt.Sprintf("%s:%d reads the wall clock: %s", short, i+1, strings.TrimSpace(line)))
+				}
+			}
+		}
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"time"
 
 	"glencart/internal/engine"
 	"glencart/internal/members/registry"
@@ -32,7 +33,8 @@
 	Known      engine.List
 	knownErr   error // why there is none, where it could not be read
 	Settings   settings.Settings
-	keys       any // the file, for the keys that one to replace it has to have; without known
+	origin     time.Duration // of the engine's clock; 0: the wall clock at the start
+	keys       any           // the file, for the keys that one to replace it has to have; without known
 }
 
 // Limits are those of the machine that a node runs on. Zero: not told.
--- a/internal/node/growth_test.go
+++ b/internal/node/growth_test.go
@@ -171,7 +171,7 @@
 		reset(<-conns)
 	}
 	eventually(t, "a refusal", func() bool { request(); return n.doubted(t) > 0 })
-	began := unixNow()
+	began := n.loop.Clock()
 	newRawBackend(t, addr, serve)
 	eventually(t, "a new process", func() bool { request(); return launched() >= began })
 }
--- a/internal/node/management.go
+++ b/internal/node/management.go
@@ -191,12 +191,9 @@
 	w.Write([]byte(text))
 }
 
-// unixNow is the time on the clock that all machines read.
-func unixNow() time.Duration { return time.Duration(time.Now().UnixNano()) }
-
 // takeList merges a list with what operators took out and gives it to the engine. On the loop, or before it runs.
 func (n *Node) takeList(kind balance.EventKind, list engine.List) {
-	list.Members = n.hand.Take(list.Members, list.Complete, unixNow())
+	list.Members = n.hand.Take(list.Members, list.Complete, n.loop.Clock())
 	n.loop.TakeList(kind, list)
 	n.countBackends()
 }
@@ -205,10 +202,10 @@
 func (n *Node) saw(id string, res engine.Result) {
 	switch {
 	case res.Refused:
-		n.hand.Refused(id, unixNow())
+		n.hand.Refused(id, n.loop.Clock())
 	case n.hand.InDoubt() == 0: // mostly
 	case res.Status == balance.Delivered, res.Status == balance.AppError, res.Status == balance.Shed:
-		if lines := n.hand.Answered(id, unixNow()); len(lines) > 0 {
+		if lines := n.hand.Answered(id, n.loop.Clock()); len(lines) > 0 {
 			n.log.Info("backend refused and answers: taken for a new process", "id", id)
 			n.loop.Post(func() { n.heed(lines) }) // after what is in hand
 		}
@@ -217,7 +214,7 @@
 
 // byHand takes in a call of operators and tells whether anybody has this id. On the loop.
 func (n *Node) byHand(id string, out bool) (members.Call, bool) {
-	lines, call, known := n.hand.Say(id, out, unixNow())
+	lines, call, known := n.hand.Say(id, out, n.loop.Clock())
 	if len(lines) > 0 {
 		word := "put back"
 		if out {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,7 +64,7 @@
 	most, backends := n.bounds.clients, n.bounds.backends
 	log.Info("bounds", "most", n.bounds)
 	n.pool = newPool(backends, limits.ConnectTimeout, limits.IdleClose)
-	n.loop = engine.New(engine.Config{Balancer: bal, Log: log,
+	n.loop = engine.New(engine.Config{Balancer: bal, Log: log, Origin: cfg.origin,
 		Transport: newExchanges(n.pool, cfg.Settings.Config.Reports == balance.InlineReports, log)})
 	n.front = newFront(n.loop, cfg.Settings, most, backends, n.figures, log)
 	n.front.held.left.Store(n.bounds.held)
--- a/internal/node/succeed.go
+++ b/internal/node/succeed.go
@@ -22,10 +22,10 @@
 
 // awaitList waits until discovery has told a list with a backend to send to, and takes in what the process before has learned.
 func (n *Node) awaitList(ctx context.Context) {
-	since, began := unixNow(), time.Now()
+	since, began := n.loop.Clock(), time.Now()
 	defer func() {
 		for n.place.Follows() && time.Since(began) < learnedWithin {
-			if l, ok := n.place.ReadLearned(since-learnedAgo, unixNow()); ok {
+			if l, ok := n.place.ReadLearned(since-learnedAgo, n.loop.Clock()); ok {
 				n.relearn(l)
 				return
 			}
@@ -60,13 +60,13 @@
 		return
 	}
 	<-done
-	n.log.Info("goes on with what the process before has learned", "age", unixNow()-l.At)
+	n.log.Info("goes on with what the process before has learned", "age", n.loop.Clock()-l.At)
 }
 
 // leaveLearned writes down what this process has learned. It is for one that is followed.
 func (n *Node) leaveLearned() {
 	n.loop.PostFirst(func() {
-		l := handover.Learned{At: unixNow(), Classes: n.front.tuning.Load().Classes, Balance: n.loop.Balancer.Learned()}
+		l := handover.Learned{At: n.loop.Clock(), Classes: n.front.tuning.Load().Classes, Balance: n.loop.Balancer.Learned()}
 		go func() {
 			if err := n.place.WriteLearned(l); err != nil {
 				n.log.Warn("what was learned is not written down: the next process begins anew", "error", err)
--- a/internal/node/taken_test.go
+++ b/internal/node/taken_test.go
@@ -32,9 +32,9 @@
 	}
 	// All leave at once: a call on each is still a word on somebody.
 	n.onLoop(t, func() {
-		n.hand.Take(nil, true, unixNow())
+		n.hand.Take(nil, true, n.loop.Clock())
 		for _, m := range members {
-			if _, _, known := n.hand.Say(m.ID, true, unixNow()); !known {
+			if _, _, known := n.hand.Say(m.ID, true, n.loop.Clock()); !known {
 				t.Errorf("%s has left the list a moment ago, and nobody knows it", m.ID)
 				return
 			}
