Starts by this process's clock, ages by the monotonic one, a panic is answered

Causes: engine.origin is the wall clock at the start, and up_since_ms was compared with it as it came; Conn.readAt, Table.moved, living.Lag and the pools' last answer were differences of wall clocks; ServeHTTP passed a panic on to net/http, which closes without a word. Changes: members.Hand reckons a start by this process's clock: one in the future is now; one that a source would have told before is no sooner than its last list; one that is an hour old to within the time to warm is taken for new (a backend that is taken for colder than it is loses little). Operators' calls of another process are dated likewise. The log's account, readiness and the rest are unchanged. A panic is answered with 500 and closes; where the answer had begun it ends without its last byte.

--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -36,7 +36,7 @@
 	// opaque: what passes is TLS, and its requests can't be told. All that has come since the last answer is taken for one.
 	opaque bool
 
-	readAt atomic.Int64 // when a byte came last, Unix time in nanoseconds
+	readAfter atomic.Int64 // how long after its listener a byte came last, ns; 0: none has
 
 	line   []byte // the head's line so far, cut at lineMost
 	long   bool   // and whether it is longer
@@ -279,10 +279,18 @@
 	}
 }
 
+// readAt is when a byte came last; zero: none has.
+func (c *Conn) readAt() time.Time {
+	if after := c.readAfter.Load(); after > 0 {
+		return c.home.born.Add(time.Duration(after))
+	}
+	return time.Time{}
+}
+
 // mark takes in what has been read.
 func (c *Conn) mark(p []byte) {
 	if len(p) > 0 {
-		c.readAt.Store(time.Now().UnixNano())
+		c.readAfter.Store(int64(time.Since(c.home.born)))
 	}
 	c.saw(p)
 }
--- a/internal/clients/listener.go
+++ b/internal/clients/listener.go
@@ -11,7 +11,8 @@
 // Limit bounds how many connections are open at once. Beyond that they wait in the backlog, where
 // accepting them would run the process out of descriptors.
 func Limit(l net.Listener, most int) *Listener {
-	b := &Listener{Listener: l, most: most, emptyAt: time.Now()}
+	now := time.Now()
+	b := &Listener{Listener: l, most: most, born: now, emptyAt: now}
 	b.free.L = &b.mu
 	return b
 }
@@ -24,6 +25,8 @@
 	Opaque     bool          // its clients speak TLS
 	HeadWithin time.Duration // how long the head of a further request may take from its first byte; 0: as net/http has it
 
+	born time.Time
+
 	mu         sync.Mutex
 	free       sync.Cond
 	open, most int // accepted and not closed, and how many may be
--- a/internal/clients/table.go
+++ b/internal/clients/table.go
@@ -213,7 +213,7 @@
 func (t *Table) moved(c net.Conn) time.Time {
 	at := t.conns[c].since
 	if w := Of(c); w != nil {
-		if last := time.Unix(0, w.readAt.Load()); last.After(at) {
+		if last := w.readAt(); last.After(at) {
 			return last
 		}
 	}
--- a/internal/front/http/pool.go
+++ b/internal/front/http/pool.go
@@ -37,7 +37,7 @@
 	sum      string // of all that can't change while it runs
 	loop     *engine.Engine
 	lag      living.Lag
-	answered atomic.Int64 // when a box last answered, in Unix nanoseconds; kept where there are plans
+	answered atomic.Pointer[time.Time] // when a box answered last; nil: none has
 	conns    *conns
 	log      *slog.Logger
 	spare    *reserve.Reserve // on the loop
--- a/internal/front/http/shed.go
+++ b/internal/front/http/shed.go
@@ -72,7 +72,7 @@
 	if c.gen.gate == nil {
 		return
 	}
-	c.tg.pool.answered.Store(time.Now().UnixNano())
+	c.tg.pool.noteAnswer()
 	aim := time.Duration(c.gen.site.Classes[r.Class].Aim)
 	switch c.shed.end, c.shed.took = shed.Served, time.Since(c.shed.began); {
 	case m.rest != nil:
@@ -92,7 +92,7 @@
 	switch {
 	case a.Late:
 		c.shed.end = shed.Late
-	case full && time.Now().UnixNano()-c.tg.pool.answered.Load() < int64(sign):
+	case full && c.tg.pool.answeredWithin(sign):
 		c.shed.end = shed.NoRoom
 	}
 }
@@ -104,3 +104,15 @@
 	}
 	c.gen.gate.Done(c.shed.mark, c.shed.end, c.shed.took)
 }
+
+// noteAnswer takes in that a box has answered now.
+func (p *pool) noteAnswer() {
+	now := time.Now()
+	p.answered.Store(&now)
+}
+
+// answeredWithin tells whether a box has answered within so long.
+func (p *pool) answeredWithin(d time.Duration) bool {
+	at := p.answered.Load()
+	return at != nil && time.Since(*at) < d
+}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -195,7 +195,7 @@
 			return
 		}
 		var h members.Hand
-		h.Hear(calls)
+		h.Hear(calls, 1)
 		for _, c := range calls {
 			if c.ID == "" || c.At <= 0 {
 				t.Errorf("took %v", c)
--- a/internal/living/living.go
+++ b/internal/living/living.go
@@ -87,24 +87,25 @@
 
 // Lag is how long a word to a loop takes now. Its zero value knows of none.
 type Lag struct {
-	posted atomic.Int64 // when the word that is under way was given, Unix time in ns; 0: none is
-	last   atomic.Int64 // how long the last one took, ns
+	posted atomic.Pointer[time.Time] // when the word that is under way was given; nil: none is
+	last   atomic.Int64              // how long the last one took, ns
 }
 
 // Measure gives the loop a word, if none is under way, and returns how long the last one took, or this one has by now.
 func (l *Lag) Measure(post func(func()) bool) time.Duration {
-	now := time.Now()
-	switch at := l.posted.Load(); {
-	case at == 0:
-		l.posted.Store(now.UnixNano())
-		if !post(func() {
-			l.last.Store(int64(time.Since(now)))
-			l.posted.Store(0)
-		}) {
-			l.posted.Store(0) // the loop has ended: it is not late
+	if at := l.posted.Load(); at != nil {
+		if waits := int64(time.Since(*at)); waits > l.last.Load() {
+			l.last.Store(waits)
 		}
-	case now.UnixNano()-at > l.last.Load():
-		l.last.Store(now.UnixNano() - at)
+		return time.Duration(l.last.Load())
+	}
+	now := time.Now()
+	l.posted.Store(&now)
+	if !post(func() {
+		l.last.Store(int64(time.Since(now)))
+		l.posted.Store(nil)
+	}) {
+		l.posted.Store(nil) // the loop has ended: it is not late
 	}
 	return time.Duration(l.last.Load())
 }
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -98,15 +98,21 @@
 // ServeHTTP answers one request of a client.
 func (f *front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	received := time.Now()
+	var taken, answered bool
 	defer func() {
-		// net/http ends the connection, and would say so where nobody reads it: the client is left without an answer.
 		if p := recover(); p != nil {
 			if p != http.ErrAbortHandler {
-				f.log.Error("a request ended in a panic: its client has no answer", "id", hr.Header.Get("X-Trace-Id"), "panic", p,
-					"stack", string(debug.Stack()))
+				f.answerPanic(w, hr, p)
+				answered = true
+				if !taken {
+					f.book.Taken.Add(1)
+					taken = true
+				}
 			}
-			panic(p)
+			f.count(taken, answered)
+			panic(http.ErrAbortHandler)
 		}
+		f.count(taken, answered)
 	}()
 	// The last request's would hold on.
 	http.NewResponseController(w).SetWriteDeadline(received.Add(headWithin + answerWithin))
@@ -134,14 +140,7 @@
 	}
 	r, status, err := f.read(w, hr, received)
 	f.book.Taken.Add(1)
-	answered := false
-	defer func() {
-		if answered {
-			f.book.Answered.Add(1)
-		} else {
-			f.book.Left.Add(1) // its connection is broken
-		}
-	}()
+	taken = true
 	if err != nil {
 		answered = true
 		f.turnAway(w, hr, err, status)
@@ -174,6 +173,28 @@
 	answered = true
 }
 
+// answerPanic answers a request whose handler has panicked, unless its answer has begun: that ends without its last byte. net/http
+// would end the connection without a word.
+func (f *front) answerPanic(w http.ResponseWriter, hr *http.Request, cause any) {
+	f.log.Error("a request ended in a panic: it is answered as failed", "id", hr.Header.Get("X-Trace-Id"), "panic", cause,
+		"stack", string(debug.Stack()))
+	w.Header().Set("Connection", "close")
+	fail(w, http.StatusInternalServerError)
+	http.NewResponseController(w).Flush()
+}
+
+// count takes in how a request ended, if it was taken.
+func (f *front) count(taken, answered bool) {
+	if !taken {
+		return
+	}
+	if answered {
+		f.book.Answered.Add(1)
+	} else {
+		f.book.Left.Add(1) // its connection is broken
+	}
+}
+
 // turnAway answers what can't be read and closes the connection.
 func (f *front) turnAway(w http.ResponseWriter, hr *http.Request, err error, status int) {
 	w.Header().Set("Connection", "close")
--- a/internal/node/management.go
+++ b/internal/node/management.go
@@ -153,7 +153,7 @@
 	}
 	done := make(chan bool, 1)
 	if !n.loop.PostFirst(func() {
-		n.heed(n.hand.Hear(before))
+		n.heed(n.hand.Hear(before, n.loop.Clock()))
 		call, known := n.byHand(id, out)
 		if n.place == nil || call.At == 0 {
 			done <- known
@@ -193,7 +193,11 @@
 
 // takeList merges a list with what operators took out and gives it to the engine. On the loop, or before it runs.
 func (n *Node) takeList(kind balance.EventKind, list engine.List) {
-	list.Members = n.hand.Take(list.Members, list.Complete, n.loop.Clock())
+	now := n.loop.Clock()
+	list.Members = n.hand.Take(list.Members, list.Complete, now)
+	if kind != balance.MembersRemembered {
+		n.hand.Heard(now)
+	}
 	n.loop.TakeList(kind, list)
 	n.countBackends()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,7 @@
 		return nil, err
 	}
 	n := &Node{cfg: cfg, log: log, figures: &figures{}}
+	n.hand.WarmWithin = cfg.Settings.Config.Rules.WarmWithin
 	n.living = living.New(life.New(life.Platform, longestDeadline(cfg.Settings)), obeys{n})
 	limits := cfg.Settings.Config.Limits
 	n.bounds = boundsOf(cfg.Limits, len(cfg.Peers))
@@ -120,7 +121,7 @@
 			n.close()
 			return nil, err
 		}
-		n.hand.Hear(n.place.Read())
+		n.hand.Hear(n.place.Read(), n.loop.Clock())
 		if n.place.Follows() {
 			n.beside(true)
 		}
@@ -193,7 +194,7 @@
 		defer n.place.Close()
 		wg.Go(func() {
 			n.place.Run(work, n.beside, func(calls []members.Call) {
-				n.loop.PostFirst(func() { n.heed(n.hand.Hear(calls)) })
+				n.loop.PostFirst(func() { n.heed(n.hand.Hear(calls, n.loop.Clock())) })
 			})
 		})
 		n.awaitList(ctx)
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -98,6 +98,7 @@
 		n.loop.Post(func() {
 			n.loop.Handle(balance.Event{Kind: balance.SettingsChanged, Settings: &next.Config})
 			n.front.tuning.Store(next)
+			n.hand.WarmWithin = next.Config.Rules.WarmWithin
 			n.disco.Grace(next.Config.Rules.DrainGrace)
 			n.pool.retune(next.Config.Limits.ConnectTimeout, next.Config.Limits.IdleClose)
 			n.living.Tell(life.Event{Kind: life.Changed, Deadline: longestDeadline(next.Settings)})
--- a/members/hand.go
+++ b/members/hand.go
@@ -28,14 +28,20 @@
 // Hand holds the backends that discovery has named, the word of operators on each, and what was seen of each: whether it is
 // another process than discovery knows of. The zero value is ready.
 type Hand struct {
+	// WarmWithin is how long a backend is cold after its start; 0: times of starts are taken as they are told.
+	WarmWithin time.Duration
+
 	all     map[string]*known
-	doubted int // backends that refused, and have not answered since
+	heardAt time.Duration // when a source told all that it knew last; 0: never
+	doubted int           // backends that refused, and have not answered since
 }
 
 type known struct {
-	line Line // as discovery said it last; Gone for one that it never named
-	call Call
-	gone time.Duration // when it left the list
+	line  Line // as discovery said it last, with its start by this process's clock; Gone for one that it never named
+	start start
+	call  Call
+	back  time.Duration // call.Back by this process's clock
+	gone  time.Duration // when it left the list
 
 	refused time.Duration // when it refused a connection, since it answered last; 0: it has not
 	renewed time.Duration // when it answered after that; 0: it has not
@@ -107,6 +113,7 @@
 			}
 			k = h.add(l.ID)
 		}
+		l.Launched = h.localStart(k, l.Launched, now)
 		if l.Phase == balance.Gone {
 			k.leave(now)
 			h.trust(k)
@@ -137,12 +144,12 @@
 	if !out {
 		c.Back = c.At
 	}
-	return h.Hear([]Call{c}), c, true
+	return h.Hear([]Call{c}, now), c, true
 }
 
 // Hear takes in calls that were given at another process of the same node: the later word holds. Each is remembered, also
 // for a backend that this process has not heard of yet. It returns the lines that the engine has to be told.
-func (h *Hand) Hear(calls []Call) []Line {
+func (h *Hand) Hear(calls []Call, now time.Duration) []Line {
 	var told []Line
 	for _, c := range calls {
 		k := h.all[c.ID]
@@ -154,6 +161,9 @@
 			continue
 		}
 		before := k.told(k.line)
+		if c.Back != k.call.Back {
+			k.back = h.reckonStart(c.Back, now, 0)
+		}
 		k.call = c
 		if after := k.told(k.line); after != before && k.line.Phase != balance.Gone {
 			told = append(told, after)
@@ -210,8 +220,8 @@
 	if k.call.Out && l.Phase == balance.Ready {
 		l.Phase = balance.Draining
 	}
-	if l.Launched < k.call.Back {
-		l.Launched, l.Returned = k.call.Back, true
+	if l.Launched < k.back {
+		l.Launched, l.Returned = k.back, true
 	}
 	l.Launched = max(l.Launched, k.renewed)
 	return l
--- a/members/hand_test.go
+++ b/members/hand_test.go
@@ -57,7 +57,7 @@
 				lines, _, known := h.Say(id, d.Cmd == "out", now)
 				return fmt.Sprintf("%sknown %t\n", word(lines), known)
 			case "other":
-				return word(other.Hear(h.Calls()))
+				return word(other.Hear(h.Calls(), now))
 			case "counts":
 				listed, out := h.Counts()
 				return fmt.Sprintf("%d listed, %d out\n", listed, out)
@@ -121,7 +121,7 @@
 			}
 		}
 		var other Hand
-		other.Hear(rapid.Permutation(calls).Draw(t, "order"))
+		other.Hear(rapid.Permutation(calls).Draw(t, "order"), 40)
 		if a, b := fmt.Sprint(h.Calls()), fmt.Sprint(other.Calls()); a != b {
 			t.Fatalf("the other process holds %s, this one %s", b, a)
 		}
