Failing test: a plug-in that is closed leaves an older list than it had

The list is written a second after a change and Close does not wait for it; the front of an installation writes at its end.

--- a/glencartgrpc/sources_test.go
+++ b/glencartgrpc/sources_test.go
@@ -74,6 +74,49 @@
 	await(connect(t, config(func(cfg *glencartgrpc.Config) { cfg.Sources = sources })), "b1 ")
 }
 
+// A plug-in that is closed leaves the list as it stands then, and not the one of a second before: a start with its sources down would
+// send to what drains.
+func TestCloseKeepsTheLastList(t *testing.T) {
+	s := start(t, box.NewLedger(), 2)
+	dir := t.TempDir()
+	path, keep := filepath.Join(dir, "boxes.toml"), filepath.Join(dir, "kept")
+	put := func(state string) {
+		text := fmt.Sprintf("[[box]]\nid = %q\naddress = %q\nstate = %q\n[[box]]\nid = %q\naddress = %q\n", s[0].ID, s[0].Addr, state, s[1].ID, s[1].Addr)
+		if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put("ready")
+	sources := fmt.Sprintf("keep = %q\nsources = [{ name = \"f\", file = %q }]\n", keep, path)
+	text := func() string {
+		files, _ := filepath.Glob(filepath.Join(keep, "*"))
+		if len(files) != 1 {
+			return ""
+		}
+		text, _ := os.ReadFile(files[0])
+		return string(text)
+	}
+	c := connect(t, config(func(cfg *glencartgrpc.Config) { cfg.Sources = sources }))
+	standin.Eventually(t, "a kept list", func() bool { return text() != "" })
+	put("draining")
+	standin.Eventually(t, "the drain is told", func() bool {
+		for i := range 10 {
+			if who, err := c.ask(within(t, standin.Patience), grpcbox.Read, fmt.Sprint("r", i)); err != nil || who != s[1].ID {
+				return false
+			}
+		}
+		return true
+	})
+	c.cc.Close()
+	c.Close()
+	if !strings.Contains(text(), `"draining":true`) {
+		t.Errorf("kept: %s", text())
+	}
+}
+
 // What can't be meant has one error with its place.
 func TestSourcesErrors(t *testing.T) {
 	for text, want := range map[string]string{
