A plug-in that is closed writes its list down first

Cause: the list is written KeepEvery after a change by a timer, and Close ended the loop before it. Change: follow.KeepLater, which the front of an installation and the plug-in now share, writes as soon as its context ends; Close waits for it before it ends the loop.

--- a/glencartgrpc/plugin.go
+++ b/glencartgrpc/plugin.go
@@ -98,12 +98,14 @@
 	trust   *trust
 	member  *follow.Membership // nil: no Sources; on the loop, as are:
 	spare   int                // the highest tier of backends that may be sent to
-	keeping bool               // the list will be written down soon
+	ending  bool               // the list is written down a last time
 	judge   func(seen) verdict // judge, but for tests that plant a mistake
 	spoilt  *lograte.Limited
 
 	quit  chan struct{}
+	ctx   context.Context // ends first when the plug-in is closed
 	end   context.CancelFunc
+	keeps sync.WaitGroup // who writes the list down; they need the loop
 	wait  sync.WaitGroup
 	once  sync.Once
 	mute  sync.Map // endpoint: time.Time until which it is not probed, having no such service
@@ -145,7 +147,7 @@
 		return nil, fmt.Errorf("glencartgrpc: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	p.end = cancel
+	p.ctx, p.end = ctx, cancel
 	p.wait.Go(func() { p.engine.Run(p.quit) })
 	p.wait.Go(func() { p.trust.run(ctx) })
 	if p.member != nil {
@@ -284,6 +286,11 @@
 func (p *Plugin) Close() {
 	p.once.Do(func() {
 		p.end()
+		marked := make(chan struct{})
+		if p.engine.Post(func() { p.ending = true; close(marked) }) {
+			<-marked
+		}
+		p.keeps.Wait()
 		close(p.quit)
 	})
 	p.wait.Wait()
--- a/glencartgrpc/sources.go
+++ b/glencartgrpc/sources.go
@@ -45,15 +45,8 @@
 		list.Members = append(list.Members, p.line(c))
 	}
 	p.trust.take(list)
-	if p.member.Keeps() && !p.keeping {
-		p.keeping = true
-		time.AfterFunc(follow.KeepEvery, func() {
-			p.engine.Post(func() {
-				p.keeping = false
-				views := p.member.Merge.Views()
-				p.wait.Go(func() { p.member.Keep(views) })
-			})
-		})
+	if !p.ending && p.member.Changed() {
+		p.keeps.Go(func() { p.member.KeepLater(p.ctx, p.engine.Post, p.engine.Done()) })
 	}
 }
 
--- a/internal/front/http/pool.go
+++ b/internal/front/http/pool.go
@@ -46,8 +46,7 @@
 	knocks   map[string]bool  // boxes that are knocked at; on the loop
 
 	// Where boxes come from several sources, on the loop:
-	member  *follow.Membership // nil: they don't
-	keeping bool               // the list will be written down soon
+	member *follow.Membership // nil: they don't
 
 	ctx  context.Context
 	stop context.CancelFunc
--- a/internal/front/http/sources.go
+++ b/internal/front/http/sources.go
@@ -79,25 +79,7 @@
 
 // keepSoon has the list written down in a while. On the loop.
 func (q *pool) keepSoon() {
-	if !q.member.Keeps() || q.keeping {
-		return
+	if q.member.Changed() {
+		q.wg.Go(func() { q.member.KeepLater(q.ctx, q.loop.Post, q.loop.Done()) })
 	}
-	q.keeping = true
-	q.wg.Go(func() {
-		select {
-		case <-q.ctx.Done():
-		case <-time.After(follow.KeepEvery):
-		}
-		views := make(chan []merge.View, 1)
-		if q.loop.Post(func() {
-			q.keeping = false
-			views <- q.member.Merge.Views()
-		}) {
-			select {
-			case v := <-views:
-				q.member.Keep(v)
-			case <-q.loop.Done():
-			}
-		}
-	})
 }
--- a/internal/members/follow/follow.go
+++ b/internal/members/follow/follow.go
@@ -60,6 +60,7 @@
 	heard    map[int]bool             // sources that have told a list
 	from     time.Duration            // when all began
 	begun    bool                     // sources are running
+	keeping  bool                     // KeepLater is under way
 	kept     []merge.Entry            // what was kept from before, while it counts; its source is the last
 	complete map[int]bool             // sources that have told a whole list since the start
 	changes  []merge.Change
@@ -376,10 +377,35 @@
 	}
 }
 
-// Keeps tells whether there is a folder for the last list.
-func (m *Membership) Keeps() bool { return m.folder != "" }
+// Changed tells whether the list has to be written down: the caller then calls KeepLater, from a goroutine of its own. On the loop.
+func (m *Membership) Changed() bool {
+	due := m.folder != "" && !m.keeping
+	m.keeping = m.keeping || due
+	return due
+}
+
+// KeepLater writes the list down after KeepEvery, or as soon as ctx ends. post gives the loop a function, and loopEnded is closed
+// when the loop runs none any more.
+func (m *Membership) KeepLater(ctx context.Context, post func(func()) bool, loopEnded <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(KeepEvery):
+	}
+	views := make(chan []merge.View, 1)
+	if !post(func() {
+		m.keeping = false
+		views <- m.Merge.Views()
+	}) {
+		return
+	}
+	select {
+	case v := <-views:
+		m.Keep(v)
+	case <-loopEnded:
+	}
+}
 
-// Keep writes the list down, as it stands.
+// Keep writes a list down.
 func (m *Membership) Keep(views []merge.View) {
 	l := kept.List{Pool: m.pool, At: time.Now(), Sources: m.Names}
 	for _, v := range views {
