Failing tests: calls on a failing disk, and requests that arrive after they were given up

A state file that fails to be read once is replaced by one that holds the new call alone; a call that can't be written down has its yes after 2 ms and is never written; a request of 60 kB to a backend that reads on after its client has left, or after its time, comes whole: the connection was closed, and the system still sends what it holds. The same with 1 MB when the time is up.

--- /dev/null
+++ b/internal/handover/disk_test.go
@@ -0,0 +1,71 @@
+package handover
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"glencart/members"
+)
+
+// A state file that can't be read for a moment (EIO) is not written anew without what it holds, and is read as soon as it can be.
+func TestAStateThatCannotBeReadForAMoment(t *testing.T) {
+	dir := t.TempDir()
+	a, b := open(t, dir, "n1"), open(t, dir, "n1")
+	if err := a.Write([]members.Call{call("first", true, 1)}); err != nil {
+		t.Fatal(err)
+	}
+	realOpen := openFile
+	t.Cleanup(func() { openFile = realOpen })
+	openFile = func(name string, flag int, mode os.FileMode) (*os.File, error) {
+		if filepath.Base(name) == stateFile {
+			return nil, &os.PathError{Op: "open", Path: name, Err: syscall.EIO}
+		}
+		return realOpen(name, flag, mode)
+	}
+	if got := b.Read(); len(got) != 0 {
+		t.Errorf("read: %v", got)
+	}
+	if err := b.Write([]members.Call{call("second", true, 2)}); err == nil {
+		t.Error("written over what can't be read")
+	}
+	openFile = realOpen
+	if got := b.Read(); len(got) != 1 || got[0].ID != "first" {
+		t.Errorf("read when it can be: %v", got)
+	}
+}
+
+// What could not be written (ENOSPC, EIO, at whichever call) leaves the old file, whole, and no other.
+func TestAWriteThatFailsLeavesTheOldFile(t *testing.T) {
+	for name, fail := range map[string]func(){
+		"open": func() {
+			realOpen := openFile
+			openFile = func(name string, flag int, mode os.FileMode) (*os.File, error) {
+				if strings.HasSuffix(name, ".new") {
+					return nil, &os.PathError{Op: "open", Path: name, Err: syscall.ENOSPC}
+				}
+				return realOpen(name, flag, mode)
+			}
+		},
+		"rename": func() { rename = func(from, to string) error { return syscall.EIO } },
+	} {
+		t.Run(name, func(t *testing.T) {
+			realOpen, realRename := openFile, rename
+			t.Cleanup(func() { openFile, rename = realOpen, realRename })
+			p := open(t, t.TempDir(), "n1")
+			if err := p.Write([]members.Call{call("first", true, 1)}); err != nil {
+				t.Fatal(err)
+			}
+			fail()
+			if err := p.Write([]members.Call{call("second", true, 2)}); err == nil {
+				t.Error("no error")
+			}
+			openFile, rename = realOpen, realRename
+			if got := p.Calls(); len(got) != 1 || got[0].ID != "first" {
+				t.Errorf("left: %v", got)
+			}
+		})
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -69,6 +69,12 @@
 	Calls   []members.Call `json:"calls"`
 }
 
+// The calls to the file system that may fail (ENOSPC, EIO). Tests make them fail.
+var (
+	openFile = os.OpenFile
+	rename   = os.Rename
+)
+
 // Place is one process's place in the folder.
 type Place struct {
 	dir, node string
@@ -99,7 +105,7 @@
 }
 
 func (p *Place) open(name string) (*os.File, error) {
-	return os.OpenFile(filepath.Join(p.dir, name), os.O_CREATE|os.O_RDWR, 0o600)
+	return openFile(filepath.Join(p.dir, name), os.O_CREATE|os.O_RDWR, 0o600)
 }
 
 // Close gives the place up.
@@ -186,7 +192,7 @@
 }
 
 func (p *Place) load() ([]members.Call, error) {
-	f, err := os.Open(filepath.Join(p.dir, stateFile))
+	f, err := openFile(filepath.Join(p.dir, stateFile), os.O_RDONLY, 0)
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, nil
 	}
@@ -311,10 +317,15 @@
 // replace writes a file anew: killed at any point it leaves the old one or the new one, whole.
 func (p *Place) replace(name string, text []byte) error {
 	name = filepath.Join(p.dir, name)
-	if err := os.WriteFile(name+".new", text, 0o600); err != nil {
+	f, err := openFile(name+".new", os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(text)
+	if err := errors.Join(err, f.Close()); err != nil {
 		return err
 	}
-	return os.Rename(name+".new", name)
+	return rename(name+".new", name)
 }
 
 // Commands of fcntl(2) for locks of open file descriptions, which syscall does not name.
--- /dev/null
+++ b/internal/node/lastbyte_test.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+)
+
+// hardOfHearing listens with a buffer that holds a part of a request only.
+func hardOfHearing(t *testing.T) net.Listener {
+	t.Helper()
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// An attempt begins when its last byte comes. What a backend that hangs, or is cut off, has not taken when its client leaves, or when
+// the time is up, never reaches it: the system would still send what it holds after a close.
+func TestNothingArrivesAfterItsClient(t *testing.T) {
+	for _, way := range []string{"leaves", "time is up"} {
+		for _, length := range []int{60 << 10, 1 << 20} {
+			t.Run(fmt.Sprintf("%s, %d bytes", way, length), func(t *testing.T) {
+				t.Parallel()
+				l := hardOfHearing(t)
+				var whole atomic.Int32
+				heads, resume, read := make(chan struct{}, 8), make(chan struct{}), make(chan struct{}, 8)
+				go func() {
+					for {
+						c, err := l.Accept()
+						if err != nil {
+							return
+						}
+						go func() {
+							defer c.Close()
+							r, err := http.ReadRequest(bufio.NewReaderSize(c, 512))
+							if err != nil || !strings.HasPrefix(r.URL.Path, "/api/") {
+								return
+							}
+							heads <- struct{}{}
+							<-resume
+							if n, _ := io.Copy(io.Discard, r.Body); n == int64(length) {
+								whole.Add(1)
+							}
+							read <- struct{}{}
+						}()
+					}
+				}()
+				text := listText(1, true, listed{ID: "s", Addr: l.Addr().String(), Phase: "ready"})
+				n := start(t, testConfig(t, newRegistry(t, text).Addr, text))
+				eventually(t, "clients let in", n.running.Load)
+				c := n.dial(t)
+				fmt.Fprintf(c, "POST /api/x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: late-%d\r\nX-Qos: order\r\nX-Customer: acme\r\nX-Expires-In: %s\r\n"+
+					"Content-Length: %d\r\n\r\n%s", lastID.Add(1), map[string]string{"leaves": "9", "time is up": "0.4"}[way], length, strings.Repeat("x", length))
+				receive(t, "the head at the backend", heads)
+				if way == "leaves" {
+					c.Close()
+				} else if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+					t.Fatal(err)
+				}
+				eventually(t, "nothing of it", func() bool { return n.open(t) == 0 && n.front.inFlight.Load() == 0 })
+				close(resume)
+				receive(t, "the end of the request at the backend", read)
+				if whole.Load() > 0 {
+					t.Error("the whole request came after its client had gone")
+				}
+			})
+		}
+	}
+}
