--- a/internal/handover/disk_test.go
+++ b/internal/handover/disk_test.go
@@ -49,11 +49,13 @@
 				return realOpen(name, flag, mode)
 			}
 		},
+		"sync":   func() { syncFile = func(*os.File) error { return syscall.EIO } },
 		"rename": func() { rename = func(from, to string) error { return syscall.EIO } },
 	} {
 		t.Run(name, func(t *testing.T) {
-			realOpen, realRename := openFile, rename
-			t.Cleanup(func() { openFile, rename = realOpen, realRename })
+			realOpen, realRename, realSync := openFile, rename, syncFile
+			restore := func() { openFile, rename, syncFile = realOpen, realRename, realSync }
+			t.Cleanup(restore)
 			p := open(t, t.TempDir(), "n1")
 			if err := p.Write([]members.Call{call("first", true, 1)}); err != nil {
 				t.Fatal(err)
@@ -62,7 +64,7 @@
 			if err := p.Write([]members.Call{call("second", true, 2)}); err == nil {
 				t.Error("no error")
 			}
-			openFile, rename = realOpen, realRename
+			restore()
 			if got := p.Calls(); len(got) != 1 || got[0].ID != "first" {
 				t.Errorf("left: %v", got)
 			}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math"
 	"net"
 	"os"
@@ -73,6 +74,7 @@
 var (
 	openFile = os.OpenFile
 	rename   = os.Rename
+	syncFile = (*os.File).Sync
 )
 
 // Place is one process's place in the folder.
@@ -82,16 +84,21 @@
 
 	serving, next *os.File
 
-	mu    sync.Mutex
-	has   bool        // the serving lock
-	waits bool        // the next lock
-	seen  os.FileInfo // of the state file, as last read
+	mu     sync.Mutex
+	has    bool                    // the serving lock
+	waits  bool                    // the next lock
+	seen   os.FileInfo             // of the state file, as last read
+	owed   map[string]members.Call // calls that are not written down yet, by backend
+	known  map[string]members.Call // the last call on each backend that stood in the file
+	unread bool                    // the state file could not be read, as logged
+
+	failing bool // what is owed could not be written, as logged; of Run alone
 }
 
 // Open takes a place: that of the serving process, or, where one is beside, that of its successor. A folder that can't
 // be used is an error: without it the two would not know of each other.
 func Open(dir, node string, log *slog.Logger) (*Place, error) {
-	p := &Place{dir: dir, node: node, log: log}
+	p := &Place{dir: dir, node: node, log: log, owed: map[string]members.Call{}, known: map[string]members.Call{}}
 	var err error
 	if p.serving, err = p.open(servingLock); err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
@@ -160,6 +167,7 @@
 		if calls := p.Read(); len(calls) > 0 {
 			heard(calls)
 		}
+		p.settleOn()
 		select {
 		case <-ctx.Done():
 			return
@@ -169,7 +177,7 @@
 }
 
 // Read returns the calls in the state file if it has changed since it was last read. One that can't be read is told once
-// and changes nothing.
+// and changes nothing; it is read again.
 func (p *Place) Read() []members.Call {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -177,11 +185,17 @@
 	if err != nil || p.seen != nil && os.SameFile(at, p.seen) && at.ModTime().Equal(p.seen.ModTime()) && at.Size() == p.seen.Size() {
 		return nil
 	}
-	p.seen = at
 	calls, err := p.load()
-	if err != nil {
+	if err != nil && !p.unread {
 		p.log.Warn("the state that processes share can't be read: what is known here holds", "error", err)
 	}
+	p.unread = err != nil
+	if err == nil || errors.Is(err, errState) {
+		p.seen = at
+	}
+	for _, c := range calls {
+		p.known[c.ID] = later(p.known[c.ID], c)
+	}
 	return calls
 }
 
@@ -204,7 +218,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return Parse(text, p.node)
+	calls, err := Parse(text, p.node)
+	if err != nil {
+		err = fmt.Errorf("%w: %w", errState, err)
+	}
+	return calls, err
 }
 
 // Parse decodes and checks a state file of a node.
@@ -244,14 +262,17 @@
 		return fmt.Errorf("%s: %w", writeLock, err)
 	}
 	held, err := p.load()
-	if err != nil {
-		p.log.Warn("the state that processes share can't be read: it is written anew", "error", err)
+	switch {
+	case errors.Is(err, errState):
+		p.log.Warn("the state that processes share makes no sense: it is written anew", "error", err)
+	case err != nil:
+		return err // what stands there would be lost
 	}
-	latest := map[string]members.Call{}
+	p.mu.Lock()
+	latest := maps.Clone(p.known)
+	p.mu.Unlock()
 	for _, c := range append(held, calls...) {
-		if old, ok := latest[c.ID]; !ok || c.At > old.At || c.At == old.At && c.Out {
-			latest[c.ID] = c
-		}
+		latest[c.ID] = later(latest[c.ID], c)
 	}
 	s := State{Version: stateVersion, Node: p.node}
 	for _, c := range latest {
@@ -314,20 +335,6 @@
 	return l, l.At >= since && l.At <= now && now-l.At <= learnedAge
 }
 
-// replace writes a file anew: killed at any point it leaves the old one or the new one, whole.
-func (p *Place) replace(name string, text []byte) error {
-	name = filepath.Join(p.dir, name)
-	f, err := openFile(name+".new", os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(text)
-	if err := errors.Join(err, f.Close()); err != nil {
-		return err
-	}
-	return rename(name+".new", name)
-}
-
 // Commands of fcntl(2) for locks of open file descriptions, which syscall does not name.
 const ofdGetLock, ofdSetLock, ofdWaitLock = 36, 37, 38
 
@@ -344,14 +351,17 @@
 	return err == nil && l.Type != syscall.F_UNLCK
 }
 
+// control has a system call made on a file's descriptor, again where a signal interrupts it.
 func control(f *os.File, do func(uintptr) error) error {
 	raw, err := f.SyscallConn()
 	if err != nil {
 		return err
 	}
-	var failed error
-	if err := raw.Control(func(fd uintptr) { failed = do(fd) }); err != nil {
-		return err
+	failed := error(syscall.EINTR)
+	for failed == syscall.EINTR {
+		if err := raw.Control(func(fd uintptr) { failed = do(fd) }); err != nil {
+			return err
+		}
 	}
 	return failed
 }
--- a/internal/node/management.go
+++ b/internal/node/management.go
@@ -159,11 +159,12 @@
 			done <- known
 			return
 		}
-		go func() { // files may be slow
-			if err := n.place.Write([]members.Call{call}); err != nil {
-				n.log.Error("a call on a backend is not written down: another process will not know of it", "id", id, "error", err)
+		go func() { // files may be slow, and fail
+			ctx, cancel := context.WithTimeout(r.Context(), adminWaits)
+			defer cancel()
+			if n.place.Persist(ctx, []members.Call{call}) == nil {
+				done <- known
 			}
-			done <- known
 		}()
 	}) {
 		reply1(w, http.StatusServiceUnavailable, "the node is ending\n")
@@ -179,7 +180,7 @@
 		}
 		reply1(w, http.StatusOK, "ok\n")
 	case <-late.C:
-		reply1(w, http.StatusGatewayTimeout, "the node is busy: the call still counts as soon as it gets to it\n")
+		reply1(w, http.StatusGatewayTimeout, "the node is busy, or can't write the call down: it still counts as soon as it gets to it\n")
 	}
 }
 
