--- /dev/null
+++ b/internal/node/halfway_test.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// Who is within a request when its connection has to end, since the node ends or a crowd wants the place, has an answer all the same:
+// the rest may be on its way, and a request whose last byte is written has been taken.
+func TestWhoIsHalfwayIsAnswered(t *testing.T) {
+	head := func(length string) string {
+		return fmt.Sprintf("POST /api/x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: halfway-%d\r\nX-Qos: order\r\nX-Customer: acme\r\n%s\r\n\r\n",
+			lastID.Add(1), length)
+	}
+	for name, part := range map[string]string{
+		"a byte":       "P",
+		"half a head":  "POST /api/x HTTP/1.1\r\nHost: x\r\nX-Trace",
+		"a head":       head("Content-Length: 10"),
+		"half a body":  head("Content-Length: 10") + "12345",
+		"half a chunk": head("Transfer-Encoding: chunked") + "a\r\n12345",
+	} {
+		for why, end := range map[string]func(t *testing.T, n *started){
+			"the node ends": func(t *testing.T, n *started) { n.stop() },
+			"a crowd comes": func(t *testing.T, n *started) {
+				for range 3 * n.bounds.clients {
+					if c, err := net.Dial("tcp", n.Addr().String()); err == nil {
+						t.Cleanup(func() { c.Close() })
+					}
+				}
+			},
+		} {
+			t.Run(why+", "+name, func(t *testing.T) {
+				t.Parallel()
+				b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string { return ok200("x") }))
+				text := listText(1, true, listed{ID: "s", Addr: b.Addr().String(), Phase: "ready"})
+				cfg := testConfig(t, newRegistry(t, text).Addr, text, `"deadline":10000000000`, `"deadline":400000000`)
+				cfg.Limits.Sockets = leastSockets
+				n := start(t, cfg)
+				eventually(t, "clients let in", n.running.Load)
+				c := n.dial(t)
+				io.WriteString(c, part)
+				eventually(t, "some of it read", func() bool { return n.front.table.Counts().Begun == 1 })
+				end(t, n)
+				c.SetReadDeadline(time.Now().Add(patience))
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					t.Fatalf("no answer: %v", err)
+				}
+				if resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+					t.Errorf("answered %d, closes: %v", resp.StatusCode, resp.Close)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/heldup_test.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// heldUpListener lets in connections whose bytes are read late, as by a process that is held up.
+type heldUpListener struct {
+	net.Listener
+	by *atomic.Int64 // ns
+}
+
+func (l heldUpListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldUpConn{c.(*net.TCPConn), l.by}, nil
+}
+
+type heldUpConn struct {
+	*net.TCPConn
+	by *atomic.Int64
+}
+
+func (c *heldUpConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return heldUpRaw{raw, c.by}, err
+}
+
+type heldUpRaw struct {
+	syscall.RawConn
+	by *atomic.Int64
+}
+
+func (r heldUpRaw) Read(f func(fd uintptr) bool) error {
+	return r.RawConn.Read(func(fd uintptr) bool {
+		var b [1]byte
+		if n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT); err == nil && n > 0 {
+			time.Sleep(time.Duration(r.by.Swap(0)))
+		}
+		return f(fd)
+	})
+}
+
+// What a backend is told of time is what its client has left and 0.15 s at the most, counted from the client's last byte: also where that
+// waited in the socket of a node that was held up, on a connection that is kept, with a body or without.
+func TestToldDeadlines(t *testing.T) {
+	const heldUp, budget, slack = 400 * time.Millisecond, 2 * time.Second, 150 * time.Millisecond
+	told := make(chan time.Duration, 8)
+	b := newRawBackend(t, "127.0.0.1:0", answering(func(r *http.Request) string {
+		if strings.HasPrefix(r.URL.Path, "/api/") {
+			s, err := strconv.ParseFloat(r.Header.Get("X-Expires-In"), 64)
+			if err != nil {
+				t.Error(err)
+			}
+			told <- time.Duration(s * float64(time.Second))
+		}
+		return ok200("x")
+	}))
+	text := listText(1, true, listed{ID: "s", Addr: b.Addr().String(), Phase: "ready"})
+	by := new(atomic.Int64)
+	n := startAs(t, testConfig(t, newRegistry(t, text).Addr, text), func(n *Node) {
+		n.listener.Listener = heldUpListener{n.listener.Listener, by}
+	})
+	eventually(t, "clients let in", n.running.Load)
+	c := n.dial(t)
+	r := bufio.NewReader(c)
+	for i, part := range []struct{ head, body string }{
+		{"GET /api/x HTTP/1.1\r\nX-Qos: read", ""},
+		{"POST /api/x HTTP/1.1\r\nX-Qos: order\r\nContent-Length: 4", "abcd"},
+		{"GET /api/x HTTP/1.1\r\nX-Qos: read", ""},
+		{"POST /api/x HTTP/1.1\r\nX-Qos: order\r\nTransfer-Encoding: chunked", "4\r\nabcd\r\n0\r\n\r\n"},
+	} {
+		time.Sleep(50 * time.Millisecond) // the connection rests
+		by.Store(int64(heldUp))
+		written := time.Now()
+		fmt.Fprintf(c, "%s\r\nHost: x\r\nX-Trace-Id: told-%d\r\nX-Customer: acme\r\nX-Expires-In: %.3f\r\n\r\n%s", part.head, lastID.Add(1), budget.Seconds(), part.body)
+		got := receive(t, "the request at its backend", told)
+		if left := budget - time.Since(written); got > left+slack {
+			t.Errorf("request %d: told of %v, and its client has %v left", i, got, left)
+		} else if got < left-slack {
+			t.Errorf("request %d: told of %v only, and its client has %v left", i, got, left)
+		}
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("request %d: %v, %v", i, resp, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+	}
+}
