Who is halfway has a refusal, time in a socket counts, serve looks before it writes

Causes: closeUnasked closed within heads and bodies without a word, and Begin's failure panicked; Conn.Stood told of the first request on a connection only, and of the time before its body. Changes: a head that is not whole is refused by hand before its connection ends, a body's wait ends and its handler refuses; Stood counts from the answer before, by the kernel's time of the last byte, for each request that was read whole. The front of an installation looks whether its client has left before each write, aborts what it gives up, dials again what fails for a moment, and blames no box for what this machine lacks.

--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -120,7 +120,7 @@
 }
 
 // Conn is a client's connection under watch. It shows nobody its socket: the platform may refuse sendfile and splice, which the
-// library would use. Its first request's time is Stood.
+// library would use.
 type Conn struct {
 	net.Conn // the socket
 	framing
@@ -135,10 +135,11 @@
 	into   []byte // of the Read under way; net/http has one at a time
 	took   int
 	failed error
-	// notBefore is when what comes first on the connection can have come at the soonest: the listener's queue was empty then.
-	// Zero once a request has been taken.
+	// notBefore is when the next request can have come at the soonest: the listener's queue was empty then, or it is that of the
+	// answer before. Of the connection's handlers, and of Track between two of them.
 	notBefore time.Time
 
+	cut atomic.Bool // the rest of a body is not waited for any more
 	// headBy is until when the head of a further request has to be whole, from its first byte on; zero where none has begun. By taking.
 	headBy time.Time
 	// readBy is until when net/http wants to wait for what comes next; zero: for ever. By taking.
@@ -248,6 +249,9 @@
 
 // deadline is until when bytes are waited for. With taking held.
 func (c *Conn) deadline() time.Time {
+	if c.cut.Load() {
+		return c.home.born // it has passed
+	}
 	if !c.headBy.IsZero() && (c.readBy.IsZero() || c.headBy.Before(c.readBy)) {
 		return c.headBy
 	}
@@ -339,14 +343,12 @@
 // stoodLeast is how long a request may have stood in the listener's queue without it being asked about.
 const stoodLeast = 20 * time.Millisecond
 
-// Stood is how long the first request on a connection had stood there whole when it came to its handler: its time began with
-// its last byte, and the handler's began when there was room to accept it. The kernel tells when data came last; no request
-// came before the queue was empty. 0 for a later request.
+// Stood is how long a request that has been read whole had stood there: its time began with its last byte, and its handler's when
+// there was room to accept it, or the process came to read it. The kernel tells when data came last; no request came before the
+// queue was empty, or before the answer to the one ahead of it.
 func (c *Conn) Stood(now time.Time) time.Duration {
 	most := now.Sub(c.notBefore)
-	first := !c.notBefore.IsZero()
-	c.notBefore = time.Time{}
-	if !first || most < stoodLeast {
+	if most < stoodLeast {
 		return 0
 	}
 	return min(most, sock.SinceData(c.Conn))
@@ -379,19 +381,48 @@
 
 // closeUnasked closes the connection unless a whole request has been read from it, or something stands unread; unless half, nor
 // if some of one has been read. It tells whether it is ending. What comes in that very instant has crossed the end, unread.
-// It lingers for so long at the most.
+// It lingers for so long at the most. Who is within a request has a refusal first: the rest of it may be on its way.
 func (c *Conn) closeUnasked(half bool, within time.Duration) bool {
 	if !c.taking.TryLock() {
 		return false // something is being read
 	}
-	was := c.ended
-	ended := was || !c.asking() && (half || !c.begun.Load()) && !c.unread()
-	c.ended = ended
+	if c.ended || c.asking() || !half && c.begun.Load() || c.unread() {
+		ended := c.ended
+		c.taking.Unlock()
+		return ended
+	}
+	if c.begun.Load() && !c.inHead() {
+		c.cutBody()
+		c.taking.Unlock()
+		return true
+	}
+	if c.inHead() && !c.opaque {
+		c.refuseHalf()
+	}
+	c.ended = true
 	c.taking.Unlock()
-	if ended && !was {
-		c.linger(within)
+	c.linger(within)
+	return true
+}
+
+// cutBody has the handler that waits for the rest of a body meet the end of its time at once: it answers, and closes. With taking held.
+func (c *Conn) cutBody() {
+	c.cut.Store(true)
+	c.Conn.SetReadDeadline(c.deadline())
+}
+
+// Cut tells whether this side has ended the wait for the rest of a body.
+func (c *Conn) Cut() bool { return c.cut.Load() }
+
+// refusal answers a request that has not come whole. Nothing of it was sent on.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// refuseHalf writes a refusal where net/http waits for the rest of a head, and so writes nothing. It doesn't wait: what a full buffer
+// doesn't take is left out. With taking held.
+func (c *Conn) refuseHalf() {
+	if c.raw != nil {
+		c.raw.Control(func(fd uintptr) { syscall.Write(int(fd), []byte(refusal)) })
 	}
-	return ended
 }
 
 // CloseWrite lets net/http end its side first, so that a client that still sends can read its answer.
--- a/internal/clients/table.go
+++ b/internal/clients/table.go
@@ -135,6 +135,7 @@
 	case http.StateIdle:
 		if w := Of(c); w != nil {
 			w.answered()
+			w.notBefore = time.Now()
 		}
 		t.enter(c, idle)
 	case http.StateClosed, http.StateHijacked:
--- a/internal/front/http/attempt.go
+++ b/internal/front/http/attempt.go
@@ -15,6 +15,7 @@
 
 	"glencart/balance"
 	"glencart/internal/engine"
+	"glencart/internal/sock"
 	"glencart/reserve"
 )
 
@@ -96,7 +97,7 @@
 	cn, err := x.conns.get(ctx, a.To, m.unsafe)
 	if err != nil {
 		switch {
-		case errors.Is(ctx.Err(), context.Canceled):
+		case errors.Is(ctx.Err(), context.Canceled), sock.LocalFailure(err): // says nothing of the box
 			end(balance.Unused, nil)
 		case errors.Is(err, syscall.ECONNREFUSED):
 			x.ended(a.To, reserve.Refused)
@@ -107,7 +108,7 @@
 		return
 	}
 	// What streams can be taken by one attempt only, and is not taken while nothing of it has been read.
-	if ctx.Err() != nil || a.TooLate() || !c.state.CompareAndSwap(callQueued, callWriting) || m.rest != nil && !m.taken.CompareAndSwap(false, true) {
+	if ctx.Err() != nil || a.TooLate() || m.client.Gone() || !c.state.CompareAndSwap(callQueued, callWriting) || m.rest != nil && !m.taken.CompareAndSwap(false, true) {
 		cn.Close()
 		end(balance.Unused, nil)
 		return
@@ -116,12 +117,12 @@
 		began := time.Now()
 		defer func() { m.tenant.Spend(time.Since(began)) }()
 	}
-	stop := context.AfterFunc(ctx, func() { cn.Close() })
+	stop := context.AfterFunc(ctx, func() { sock.Abort(cn.Conn) })
 	cn.SetDeadline(a.Deadline)
 	text := m.wire()
 	if n, err := cn.Write(text); err != nil {
 		stop()
-		cn.Close()
+		sock.Abort(cn.Conn)
 		if n < len(text) {
 			m.taken.Store(false)
 			end(balance.DialFailed, nil) // the last byte never left
@@ -146,7 +147,7 @@
 	re, st, err := x.answer(ctx, cn, m, pumped)
 	if err != nil {
 		stop()
-		cn.Close()
+		sock.Abort(cn.Conn)
 		end(broken(ctx, err), nil)
 		return
 	}
--- a/internal/front/http/conns.go
+++ b/internal/front/http/conns.go
@@ -91,7 +91,7 @@
 		network, addr = "unix", path
 	}
 	if p.tls == nil {
-		return p.dialer.DialContext(ctx, network, addr)
+		return p.connect(ctx, &p.dialer, network, addr)
 	}
 	cfg := p.tls
 	if cfg.ServerName == "" && network == "unix" {
@@ -100,7 +100,20 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.dialer.Timeout)
 	defer cancel()
-	return (&tls.Dialer{NetDialer: &p.dialer, Config: cfg}).DialContext(ctx, network, addr)
+	return p.connect(ctx, &tls.Dialer{NetDialer: &p.dialer, Config: cfg}, network, addr)
+}
+
+// connect dials, and dials again where the system fails to for a moment.
+func (p *conns) connect(ctx context.Context, dialer interface {
+	DialContext(ctx context.Context, network, addr string) (net.Conn, error)
+}, network, addr string) (nc net.Conn, err error) {
+	ctx, cancel := context.WithTimeout(ctx, p.dialer.Timeout)
+	defer cancel()
+	err = sock.Retry(ctx, func() (err error) {
+		nc, err = dialer.DialContext(ctx, network, addr)
+		return err
+	})
+	return nc, err
 }
 
 func (c *conn) quiet() bool {
--- a/internal/front/http/handle.go
+++ b/internal/front/http/handle.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"glencart/internal/clients"
 	"glencart/internal/cluster"
 	"glencart/internal/engine"
 	"glencart/route"
@@ -46,6 +47,7 @@
 	unsafe               bool
 	within               time.Duration // until the answer's head, from the last byte of a body that streams
 	attempts             atomic.Int32
+	client               *clients.Conn   // whose it is; nil: it can't be looked at
 	tenant               *cluster.Tenant // whose use is counted over all instances; nil: nobody's
 	full                 atomic.Bool     // a box said that it has no room for it
 
@@ -139,8 +141,10 @@
 			v.book.Answered.Add(1)
 		}
 	}()
-	if !l.table.Begin(hr.Context()) {
-		panic(http.ErrAbortHandler) // it has given way
+	if !l.table.Begin(hr.Context()) { // it gives way, or the process ends
+		w.Header().Set("Connection", "close")
+		c.refuse(fullRetry, true)
+		return
 	}
 	if l.table.Crowded() {
 		w.Header().Set("Connection", "close") // after an answer crosses no request, as closing an idle connection may
@@ -374,7 +378,7 @@
 	if bodyMost > 0 && hr.ContentLength > int64(bodyMost) {
 		return nil, nil, http.StatusRequestEntityTooLarge, errors.New("the body is too long")
 	}
-	m := &message{method: hr.Method, host: hr.Host, length: hr.ContentLength, unsafe: k.Effect == "unsafe", within: time.Duration(k.Deadline),
+	m := &message{client: clients.FromContext(hr.Context()), method: hr.Method, host: hr.Host, length: hr.ContentLength, unsafe: k.Effect == "unsafe", within: time.Duration(k.Deadline),
 		ready: make(chan struct{}), pumped: make(chan struct{})}
 	protocol := ""
 	if c.tg.Upgrade {
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -21,6 +21,7 @@
 	"glencart/internal/engine"
 	"glencart/internal/lograte"
 	"glencart/internal/settings"
+	"glencart/internal/sock"
 )
 
 const (
@@ -282,7 +283,7 @@
 			cn.SetWriteDeadline(c.own.WriteBy) // it is sent with its last byte
 		}
 		// Given up means closed, at once: nothing that comes later can reach anyone.
-		stop := context.AfterFunc(ctx, cn.abort)
+		stop := context.AfterFunc(ctx, func() { sock.Abort(cn.Conn) })
 		if cn.usable() || ctx.Err() != nil { // the latter closes it
 			return cn, text, stop, nil
 		}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -92,6 +92,8 @@
 		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 		ConnState:         f.table.Track,
 		ConnContext:       clients.WithConn,
+		// What the library would answer by itself no backend has made.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
@@ -119,7 +121,6 @@
 	// Closing after an answer crosses no request, as closing an idle connection may.
 	closes(w, hr.Context(), f.closing.Load() || f.table.Crowded())
 	if frame := clients.FromContext(hr.Context()); frame != nil {
-		received = received.Add(-frame.Stood(received))
 		switch {
 		case frame.Unsure.Load(), hr.ProtoMajor == 1 && hr.ProtoMinor == 0 && frame.Chunked.Load():
 			// Two lengths, or chunks that this version of HTTP does not have: it may hide another request.
@@ -143,6 +144,11 @@
 	taken = true
 	if err != nil {
 		answered = true
+		if c := clients.FromContext(hr.Context()); c != nil && c.Cut() {
+			w.Header().Set("Connection", "close")
+			refuse(w, fullRetry)
+			return
+		}
 		f.turnAway(w, hr, err, status)
 		if t := f.tuning.Load(); t.Class(hr.Header.Get("X-Qos")) >= 0 {
 			t.counts[t.Class(hr.Header.Get("X-Qos"))].failed.Add(1)
@@ -156,16 +162,16 @@
 	if m.up != nil {
 		defer m.up.stop()
 	}
-	if !f.table.Begin(hr.Context()) {
-		panic(http.ErrAbortHandler) // it has given way
+	if !f.table.Begin(hr.Context()) { // it gives way, or the node ends
+		answered = true
+		f.refuseUnsent(w, hr.Context(), count)
+		return
 	}
 	// Only whole requests count: else a few clients that send theirs slowly would have the rest refused.
 	if f.inFlight.Add(1) > f.most.Load() {
 		f.inFlight.Add(-1)
-		closes(w, hr.Context(), true)
-		refuse(w, fullRetry)
-		count.refused.Add(1)
 		answered = true
+		f.refuseUnsent(w, hr.Context(), count)
 		return
 	}
 	defer f.inFlight.Add(-1)
@@ -195,6 +201,13 @@
 	}
 }
 
+// refuseUnsent refuses a request that the loop has not seen, and closes its connection.
+func (f *front) refuseUnsent(w http.ResponseWriter, ctx context.Context, count *classFigures) {
+	closes(w, ctx, true)
+	refuse(w, fullRetry)
+	count.refused.Add(1)
+}
+
 // turnAway answers what can't be read and closes the connection.
 func (f *front) turnAway(w http.ResponseWriter, hr *http.Request, err error, status int) {
 	w.Header().Set("Connection", "close")
@@ -407,7 +420,6 @@
 	}
 	m := &message{tuning: t, count: t.counts[r.Class], method: method, url: hr.URL, host: hr.Host, header: h, left0: left - early,
 		streams: make(chan *stream, 1), client: clients.FromContext(hr.Context()), lost: make(chan struct{})}
-	reads := time.Now()
 	switch err := f.body(w, hr, m); {
 	case errors.Is(err, errTooLong):
 		m.release()
@@ -418,7 +430,10 @@
 	}
 	// A request's time begins with its last byte.
 	if hr.ContentLength != 0 {
-		received = received.Add(time.Since(reads))
+		received = time.Now()
+	}
+	if m.client != nil && m.up == nil {
+		received = received.Add(-m.client.Stood(received))
 	}
 	r.Deadline = received.Add(left - early)
 	// A deadline that passes while the request is served would look as if the client had gone.
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -204,18 +204,9 @@
 	p.idle[c.to] = append(p.idle[c.to], c)
 }
 
-// abort ends a connection on which an attempt is given up. What the system has not sent yet of it is never sent: it would begin long
-// after, as when a machine that was cut off is back.
-func (c *conn) abort() {
-	if t, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
-		t.SetLinger(0)
-	}
-	c.Close()
-}
-
 // discard ends a connection.
 func (p *pool) discard(c *conn) {
-	c.abort()
+	sock.Abort(c.Conn)
 	p.release()
 }
 
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -79,6 +79,19 @@
 	return d
 }
 
+// Abort ends a connection with what the system has not sent of it yet (SO_LINGER 0 of socket(7)). After Close alone that is still sent:
+// long after, where the other machine was cut off, or does not read.
+func Abort(c net.Conn) error {
+	under := c
+	if t, ok := c.(interface{ NetConn() net.Conn }); ok { // TLS
+		under = t.NetConn()
+	}
+	if t, ok := under.(interface{ SetLinger(sec int) error }); ok {
+		t.SetLinger(0)
+	}
+	return under.Close()
+}
+
 // control runs do on the descriptor of what is a socket.
 func control(of any, do func(fd int) error) error {
 	sc, ok := of.(syscall.Conn)
