--- a/internal/node/heldup_test.go
+++ b/internal/node/heldup_test.go
@@ -101,3 +101,54 @@
 		io.Copy(io.Discard, resp.Body)
 	}
 }
+
+// A connection to a backend is not used so late that a node that is held up between its look at the clock and its write would
+// meet the backend's close, however short the settings' idle time is.
+func TestShortIdleTimesLeaveRoomForAHoldUp(t *testing.T) {
+	const heldUp = 150 * time.Millisecond
+	for _, idle := range []time.Duration{time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond,
+		500 * time.Millisecond, time.Second, 5 * time.Second} {
+		if _, keep := poolTimes(0, idle); keep < 0 || keep > 0 && keep+heldUp >= idle {
+			t.Errorf("closed after %v: used after %v, and written %v later", idle, keep, heldUp)
+		}
+	}
+}
+
+// A socket for datagrams that goes on failing costs next to nothing, and is heard again when it works.
+func TestAPeersSocketThatFails(t *testing.T) {
+	other, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	p, err := listenPeers(&Config{PeerListen: "127.0.0.1:0", Peers: []string{other.LocalAddr().String()}}, 8, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.conn.SetReadDeadline(time.Unix(1, 0)) // each read fails
+	heard := make(chan int, 8)
+	ended := make(chan struct{})
+	go func() {
+		p.run(t.Context(), func(peer int, _ []byte) { heard <- peer })
+		close(ended)
+	}()
+	t.Cleanup(func() { <-ended })
+	used := func() time.Duration {
+		var u syscall.Rusage
+		if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+			t.Fatal(err)
+		}
+		return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	}
+	const watched = 300 * time.Millisecond
+	before := used()
+	time.Sleep(watched)
+	if d := used() - before; d > watched/2 {
+		t.Errorf("%v of processor time in %v", d, watched)
+	}
+	p.conn.SetReadDeadline(time.Time{})
+	other.WriteTo([]byte("x"), p.conn.LocalAddr())
+	if peer := receive(t, "a datagram", heard); peer != 0 {
+		t.Errorf("of peer %d", peer)
+	}
+}
