Paths go on byte for byte, idle times leave room, a failing socket is read at a rate

Causes: the path was worded by net/url; poolTimes took seven tenths of the idle time however short it is; peers.run read on at once after an error. Changes: the request line's own target goes on; a connection is not used in the last 0.2 s before its backend may close it; a datagram socket that fails is read again after 10 ms, with a line.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -61,6 +62,7 @@
 // message is what a client asked for, as it goes on to backends.
 type message struct {
 	method string
+	uri    string // of the request line, where it is a path: net/url may word that otherwise
 	url    *url.URL
 	host   string
 	header http.Header
@@ -319,12 +321,20 @@
 	return balance.AppError
 }
 
+// target is what the request line asks for: path and query as they came.
+func (m *message) target() string {
+	if strings.HasPrefix(m.uri, "/") {
+		return m.uri
+	}
+	return m.url.RequestURI()
+}
+
 // wire words the message for a backend, in one piece. http.Request.Write does the same for a tenth of the node's
 // CPU. Names and values have been read and checked by net/http: no line of theirs can end another.
 func (m *message) wire(addr string, left time.Duration) []byte {
 	host := cmp.Or(m.host, addr)
 	b := make([]byte, 0, len(m.body)+1<<10)
-	b = append(b, m.method+" "+m.url.RequestURI()+" HTTP/1.1\r\nHost: "+host+"\r\n"...)
+	b = append(b, m.method+" "+m.target()+" HTTP/1.1\r\nHost: "+host+"\r\n"...)
 	for name, values := range m.header {
 		for _, value := range values {
 			b = append(b, name+": "+value+"\r\n"...)
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -418,7 +418,7 @@
 		io.WriteString(sum, subject)
 		r.Key, r.HasKey = sum.Sum64()>>11, true
 	}
-	m := &message{tuning: t, count: t.counts[r.Class], method: method, url: hr.URL, host: hr.Host, header: h, left0: left - early,
+	m := &message{tuning: t, count: t.counts[r.Class], method: method, uri: hr.RequestURI, url: hr.URL, host: hr.Host, header: h, left0: left - early,
 		streams: make(chan *stream, 1), client: clients.FromContext(hr.Context()), lost: make(chan struct{})}
 	switch err := f.body(w, hr, m); {
 	case errors.Is(err, errTooLong):
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"syscall"
+	"time"
 
 	"glencart/balance"
 	"glencart/internal/lograte"
@@ -15,6 +16,9 @@
 // soReusePort is SO_REUSEPORT of socket(7), which syscall does not name everywhere.
 const soReusePort = 0xf
 
+// readAgain is how long no datagram is read after the system has failed to read one.
+const readAgain = 10 * time.Millisecond
+
 // datagramMost is the longest datagram between nodes.
 const datagramMost = 256
 
@@ -119,7 +123,10 @@
 			return
 		}
 		if err != nil {
-			continue // what a peer's machine sent back for a datagram of ours
+			// What a peer's machine sent back for a datagram of ours, or a lack of this machine, which may last.
+			p.odd.Warn("datagrams can't be read for a moment", "error", err)
+			pause(ctx, readAgain)
+			continue
 		}
 		i, ok := number[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
 		if !ok || n > datagramMost {
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -65,9 +65,13 @@
 	if idleClose <= 0 {
 		idleClose = 5 * time.Second
 	}
-	return connectTimeout, idleClose * 7 / 10
+	return connectTimeout, max(0, min(idleClose*7/10, idleClose-idleMargin))
 }
 
+// idleMargin is how long before a backend may close an idle connection that is not used any more: a node may be held up for 0.15 s
+// between its look at the clock and its write, and the write has a way to go.
+const idleMargin = 200 * time.Millisecond
+
 // retune takes in times that changed in service. Connections that are idle for too long by them are not used again.
 func (p *pool) retune(connectTimeout, idleClose time.Duration) {
 	p.mu.Lock()
