A body that is cut ends at once where its place is wanted

Cause: TestSilentClientsGiveWay failed 3 of 4 times since bodies are cut with an answer (its usual client came in after 0.61 s in place of 0.45 s and was refused by then): net/http waits half a second after an answer over an unread body, and the connection lingered 0.4 s where a crowd waits.

--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -139,7 +139,8 @@
 	// answer before. Of the connection's handlers, and of Track between two of them.
 	notBefore time.Time
 
-	cut atomic.Bool // the rest of a body is not waited for any more
+	cut        atomic.Bool   // the rest of a body is not waited for any more
+	cutLingers time.Duration // and the connection may linger for so long then
 	// headBy is until when the head of a further request has to be whole, from its first byte on; zero where none has begun. By taking.
 	headBy time.Time
 	// readBy is until when net/http wants to wait for what comes next; zero: for ever. By taking.
@@ -169,11 +170,14 @@
 // Close ends the connection, and doesn't wait for its client. What comes from here on has crossed the end: nobody reads it.
 func (c *Conn) Close() error {
 	c.taking.Lock()
-	was := c.ended
+	was, within := c.ended, lingerFor
+	if c.Cut() {
+		within = c.cutLingers
+	}
 	c.ended = true
 	c.taking.Unlock() // the socket's Close waits for a Read under way, and that one for taking
 	if !was {
-		c.linger(lingerFor)
+		c.linger(within)
 	}
 	return nil
 }
@@ -191,7 +195,7 @@
 		c.home.left(false)
 		return
 	}
-	c.CloseWrite()
+	c.endSending()
 	c.Conn.SetReadDeadline(time.Now().Add(c.home.lingers(within)))
 	go func() {
 		c.raw.Read(take) // after a Read under way, which finds that it has ended
@@ -392,7 +396,7 @@
 		return ended
 	}
 	if c.begun.Load() && !c.inHead() {
-		c.cutBody()
+		c.cutBody(within)
 		c.taking.Unlock()
 		return true
 	}
@@ -405,8 +409,10 @@
 	return true
 }
 
-// cutBody has the handler that waits for the rest of a body meet the end of its time at once: it answers, and closes. With taking held.
-func (c *Conn) cutBody() {
+// cutBody has the handler that waits for the rest of a body meet the end of its time at once: it answers, and closes, and the connection
+// lingers for so long. With taking held.
+func (c *Conn) cutBody(lingers time.Duration) {
+	c.cutLingers = lingers
 	c.cut.Store(true)
 	c.Conn.SetReadDeadline(c.deadline())
 }
@@ -425,8 +431,16 @@
 	}
 }
 
-// CloseWrite lets net/http end its side first, so that a client that still sends can read its answer.
+// CloseWrite lets net/http end its side first, so that a client that still sends can read its answer. net/http then waits for half a
+// second; where the body was cut the place is wanted, or the process ends, and the connection ends at once.
 func (c *Conn) CloseWrite() error {
+	if c.Cut() {
+		return c.Close()
+	}
+	return c.endSending()
+}
+
+func (c *Conn) endSending() error {
 	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return t.CloseWrite()
 	}
