--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -115,8 +115,9 @@
 	return openFile(filepath.Join(p.dir, name), os.O_CREATE|os.O_RDWR, 0o600)
 }
 
-// Close gives the place up.
+// Close gives the place up, with a last try at what is owed.
 func (p *Place) Close() {
+	p.settleOn()
 	p.serving.Close()
 	p.next.Close()
 }
