--- a/detect/asks.go
+++ b/detect/asks.go
@@ -166,14 +166,14 @@
 	}
 	d.heardAt = d.now
 	d.take(m.From, true)
-	s := d.members[m.From.Name] // the sender; nil: there are too many
 	own, taught := d.self.Inc, d.taught
 	for _, w := range m.News {
 		if d.take(w, false); d.over {
 			return
 		}
 	}
-	if s = d.members[m.From.Name]; s != nil && s.ID == m.From.ID {
+	s := d.members[m.From.Name] // the sender; nil: there are too many
+	if s != nil && s.ID == m.From.ID {
 		d.heard(s)
 	}
 	d.takeLinks(m.Links)
