Package clients: framing and ending in files of their own; the soak likewise

A test of serve's look before its write was tried and dropped: it passed without the look, so other parts of serve see such a client too.

--- /dev/null
+++ b/cmd/glencart/soak_clients_test.go
@@ -0,0 +1,164 @@
+package main
+
+// This file has the clients of a soak, and holds what they and the backends saw against the rules.
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// client asks on one connection after another until the node has ended.
+func (s *soak) client(rng *rand.Rand) {
+	for n := 0; ; n++ {
+		select {
+		case <-s.over:
+			return
+		default:
+		}
+		s.mu.Lock()
+		closed := !s.told.IsZero() && time.Since(s.told) > stillComing
+		s.mu.Unlock()
+		if closed {
+			return
+		}
+		c, err := net.Dial("tcp", s.listen)
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		for first := true; s.ask(c, rng, first); first = false {
+		}
+		c.Close()
+	}
+}
+
+// ask sends one request and tells whether its connection may carry another.
+func (s *soak) ask(c net.Conn, rng *rand.Rand, first bool) bool {
+	q := &request{id: fmt.Sprintf("%d-%x", s.seed, rng.Uint64()), first: first}
+	q.effect = [...]string{"read", "order", "order", "token"}[rng.IntN(4)]
+	q.budget = s.deadline/4 + time.Duration(rng.Int64N(int64(s.deadline*3/4)))
+	head := "POST /api/x HTTP/1.1\r\nContent-Length: 4\r\n"
+	body := "abcd"
+	switch q.effect {
+	case "read":
+		head, body = "GET /api/x HTTP/1.1\r\n", ""
+	case "token":
+		head += "Idempotency-Key: key-" + q.id + "\r\n"
+	}
+	if body != "" && rng.IntN(5) == 0 {
+		head, body = strings.Replace(head, "Content-Length: 4", "Transfer-Encoding: chunked", 1), "4\r\nabcd\r\n0\r\n\r\n"
+	}
+	text := head + fmt.Sprintf("Host: x\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Expires-In: %.3f\r\n\r\n", q.id, q.effect, q.budget.Seconds()) + body
+	for pieces := rng.IntN(4) / 3 * 2; pieces > 0; pieces-- { // one in four writes slowly
+		cut := rng.IntN(len(text))
+		if _, err := io.WriteString(c, text[:cut]); err != nil {
+			return false
+		}
+		text = text[cut:]
+		time.Sleep(time.Duration(rng.IntN(80)) * time.Millisecond)
+	}
+	q.written = time.Now()
+	if _, err := io.WriteString(c, text); err != nil {
+		return false // it had ended before the last byte
+	}
+	leaves := rng.IntN(12) == 0
+	if leaves {
+		time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
+		q.left = time.Now()
+		c.Close()
+	}
+	more := s.await(c, q, leaves)
+	s.mu.Lock()
+	s.requests = append(s.requests, q)
+	s.mu.Unlock()
+	time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
+	return more
+}
+
+// await reads the answer to a request.
+func (s *soak) await(c net.Conn, q *request, left bool) bool {
+	if left {
+		return false
+	}
+	c.SetReadDeadline(q.written.Add(q.budget + 2*time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err == nil {
+		var text []byte
+		if text, err = io.ReadAll(resp.Body); err == nil {
+			q.status, q.body = resp.StatusCode, string(text)
+		}
+	}
+	q.ended, q.err = time.Now(), err
+	return err == nil && !resp.Close
+}
+
+// heldUpWithin tells for how long the node was held up in a time.
+func (s *soak) heldUpWithin(from, to time.Time) (d time.Duration) {
+	for _, h := range s.heldUp {
+		if h.from.Before(to) && h.to.After(from) {
+			d += h.to.Sub(h.from)
+		}
+	}
+	return d
+}
+
+// judge holds what happened against the rules.
+func (s *soak) judge() {
+	for _, q := range s.requests {
+		runs := s.arrivals[q.id]
+		mayRun := 0
+		for i, a := range runs {
+			if !a.neverRan {
+				mayRun++
+			}
+			if i > 0 && q.effect == "order" && !runs[i-1].neverRan {
+				s.fault("duplicate: %s is unsafe, and came again after it may have run", q.id)
+			}
+			if d := a.at.Sub(runs[0].at); i > 0 && q.effect == "token" && !runs[0].neverRan && d > soakWindow+ruleSlack+s.late {
+				s.fault("duplicate: %s came again after %v, repeats are dropped for %v", q.id, d, soakWindow)
+			}
+			if !q.left.IsZero() {
+				if d := a.at.Sub(q.left); d > leaveSlack+s.late+s.heldUpWithin(q.left, a.at) {
+					s.fault("lost: %s was begun %v after its client had left", q.id, d)
+				}
+			}
+			if left := q.budget - a.at.Sub(q.written); a.told > left+toldSlack+s.late {
+				s.fault("%s: its backend was told of %v, its client had %v left", q.id, a.told, left)
+			}
+		}
+		switch {
+		case !q.left.IsZero():
+		case q.err != nil && (q.first || len(runs) > 0):
+			s.fault("lost: %s (%s, first on its connection: %v, at backends: %d) %v after SIGTERM has no answer: %v",
+				q.id, q.effect, q.first, len(runs), q.written.Sub(s.told), q.err)
+		case q.err != nil: // it crossed the end of a connection that rested
+		case q.ended.Sub(q.written) > q.budget+lateSlack+s.late:
+			s.fault("lost: %s was answered after %v of %v", q.id, q.ended.Sub(q.written), q.budget)
+		case q.status == http.StatusOK && q.body != q.id:
+			s.fault("lost: %s was served with %q", q.id, q.body)
+		case q.status == http.StatusOK && mayRun == 0:
+			s.fault("lost: %s was served by nobody", q.id)
+		case q.status == http.StatusServiceUnavailable && q.effect == "order" && mayRun > 0:
+			s.fault("duplicate: %s was refused, and may have run", q.id)
+		}
+	}
+}
+
+// judgeDrains is called before a backend that drains comes back.
+func (s *soak) judgeDrain(i int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, runs := range s.arrivals {
+		for _, a := range runs {
+			if told := s.toldAt[i]; a.backend == i && !told.IsZero() && a.begun.Sub(told) > drainGrace+ruleSlack+s.late {
+				s.faults = append(s.faults, fmt.Sprintf("drain: %s came %v after s-%d was told to drain", id, a.begun.Sub(told), i))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/cmd/glencart/soak_world_test.go
@@ -0,0 +1,191 @@
+package main
+
+// This file has what stands round the node of a soak: backends, the registry, the configuration.
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// backend answers, or fails to, by chance.
+func (s *soak) backend(i int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.addrs[i] = l.Addr().String()
+	s.t.Cleanup(func() { l.Close() })
+	go func() {
+		for n := uint64(0); ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serveBackend(i, c, rand.New(rand.NewPCG(s.seed, uint64(i)<<32|n)))
+		}
+	}()
+}
+
+func (s *soak) serveBackend(i int, c net.Conn, rng *rand.Rand) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		if _, err := r.Peek(1); err != nil {
+			return
+		}
+		a := arrival{backend: i, begun: time.Now()}
+		hr, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, hr.Body); err != nil {
+			return
+		}
+		if hr.URL.Path == "/stats" {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			continue
+		}
+		a.at, a.method, a.key = time.Now(), hr.Method, hr.Header.Get("Idempotency-Key")
+		seconds, _ := strconv.ParseFloat(hr.Header.Get("X-Expires-In"), 64)
+		a.told = time.Duration(seconds * float64(time.Second))
+		chance := rng.IntN(100)
+		a.neverRan = chance >= 90 && chance < 95
+		id := hr.Header.Get("X-Trace-Id")
+		s.mu.Lock()
+		s.arrivals[id] = append(s.arrivals[id], a)
+		s.mu.Unlock()
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+		switch {
+		case chance < 12:
+			time.Sleep(time.Duration(100+rng.IntN(300)) * time.Millisecond)
+		case chance < 16: // it hangs
+			io.Copy(io.Discard, c)
+			return
+		case chance < 20:
+			c.(*net.TCPConn).SetLinger(0)
+			return
+		case chance < 24:
+			answer = "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"
+		case chance < 28: // no length: it ends with the connection
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+id)
+			return
+		case a.neverRan:
+			answer = "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
+		default:
+			time.Sleep(time.Duration(rng.IntN(15)) * time.Millisecond)
+		}
+		if _, err := io.WriteString(c, answer); err != nil {
+			return
+		}
+		if chance == 99 { // it closes a connection that rests
+			return
+		}
+	}
+}
+
+// list words the whole list. With mu held.
+func (s *soak) list() string {
+	var lines []string
+	for i, addr := range s.addrs {
+		phase := "ready"
+		if s.draining[i] {
+			phase = "draining"
+		}
+		lines = append(lines, fmt.Sprintf(`{"id":"s-%d","host_port":%q,"locality":"a","flavor":"m","cell":0,"phase":%q,"size":1,"up_since_ms":0}`, i, addr, phase))
+	}
+	return fmt.Sprintf(`{"revision":%d,"complete":true,"members":[%s]}`, s.revision, strings.Join(lines, ","))
+}
+
+// registry serves the list at both addresses.
+func (s *soak) registry() {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
+		after, _ := strconv.Atoi(hr.URL.Query().Get("after"))
+		wait, _ := strconv.Atoi(hr.URL.Query().Get("wait_ms"))
+		end := time.After(time.Duration(wait) * time.Millisecond)
+		for hr.URL.RawQuery != "" {
+			s.mu.Lock()
+			changed, news := s.changed, s.revision > after
+			s.mu.Unlock()
+			if news {
+				break
+			}
+			select {
+			case <-changed:
+				continue
+			case <-hr.Context().Done():
+				return
+			case <-end:
+			}
+			break
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if io.WriteString(w, s.list()); http.NewResponseController(w).Flush() == nil {
+			for i := range s.draining {
+				if s.draining[i] && s.toldAt[i].IsZero() {
+					s.toldAt[i] = time.Now()
+				}
+			}
+		}
+	})
+	for i := range s.discover {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		srv := &http.Server{Handler: handler}
+		go srv.Serve(l)
+		s.t.Cleanup(func() { srv.Close() })
+		s.discover[i] = l.Addr().String()
+	}
+}
+
+// drain has a backend begin to drain, or come back as it was.
+func (s *soak) drain(i int, is bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining[i], s.toldAt[i] = is, time.Time{}
+	s.revision++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// configure writes the configuration with a discovery; broken: a file that can't be read.
+func (s *soak) configure(discovery string, broken bool) {
+	ns := func(d time.Duration) int64 { return int64(d) }
+	class := func(name, effect string) map[string]any {
+		return map[string]any{"name": name, "effect": effect, "aim": ns(s.deadline / 2), "deadline": ns(s.deadline),
+			"keyScope": "all", "window": ns(soakWindow), "points": 1}
+	}
+	text, err := json.Marshal(map[string]any{
+		"name": "n", "listen": s.listen, "discovery": discovery, "seed": fmt.Sprintf("%x", s.seed+1),
+		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": 256},
+		"known":  map[string]any{"revision": 0, "complete": true, "members": []any{}},
+		"settings": map[string]any{"nInstances": 1, "zones": []string{"a"}, "skus": []string{"m"},
+			"classes":     []any{class("read", "pure"), class("order", "side_effect"), class("token", "token")},
+			"limits":      map[string]any{"cancelling": true, "probing": true, "maxAttempts": 4, "connectTimeout": ns(100 * time.Millisecond), "idleClose": ns(5 * time.Second)},
+			"obligations": map[string]any{"drainGrace": ns(drainGrace), "coldShare": 0.12, "warmWithin": ns(22 * time.Second), "fallMultiple": 3, "overloadFor": ns(1500 * time.Millisecond)},
+			"loadReport":  map[string]any{"source": "on_probe", "columns": []string{"active"}}},
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if broken {
+		text = text[:len(text)/2]
+	}
+	if err := os.WriteFile(s.config+".new", text, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	if err := os.Rename(s.config+".new", s.config); err != nil {
+		s.t.Fatal(err)
+	}
+}
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -1,14 +1,11 @@
 package clients
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -17,108 +14,6 @@
 	"glencart/internal/sock"
 )
 
-// framing watches how the requests on a client's connection are framed, as they pass. net/http drops
-// Content-Length where Transfer-Encoding stands beside it, before a handler can see both; yet such a request may
-// hide another in its body from who goes by the length. Nothing is held back or changed here.
-type framing struct {
-	// Unsure: a head gave its length in two ways, or in a way that can't be followed. It is never taken back:
-	// where a request ends is not known any more, so nothing further on the connection can be trusted.
-	Unsure atomic.Bool
-	// Chunked: a body came in chunks, whose end is not looked for here: this request is the last one.
-	Chunked atomic.Bool
-
-	// asked is how many whole requests have been read and not been answered: some may stand behind the first.
-	asked atomic.Int32
-
-	// begun: some of a request has been read, and not all of it. net/http tells of a request once its head is whole.
-	begun atomic.Bool
-
-	// opaque: what passes is TLS, and its requests can't be told. All that has come since the last answer is taken for one.
-	opaque bool
-
-	readAfter atomic.Int64 // how long after its listener a byte came last, ns; 0: none has
-
-	line   []byte // the head's line so far, cut at lineMost
-	long   bool   // and whether it is longer
-	lines  int    // of the head so far
-	length int64  // by the head so far; -1 when it gives none
-	coded  bool   // the head has Transfer-Encoding
-	rest   int64  // of the body
-}
-
-// lineMost is longer than any line that matters here.
-const lineMost = 64
-
-// saw takes in what has been read.
-func (f *framing) saw(p []byte) {
-	if f.opaque {
-		if len(p) > 0 {
-			f.asked.Store(1)
-		}
-		return
-	}
-	if len(p) == 0 {
-		return
-	}
-	// Of what is not followed further nobody knows where it ends: some of it is under way until it has its answer.
-	defer func() {
-		f.begun.Store(f.rest > 0 || f.lines > 0 || len(f.line) > 0 || f.Unsure.Load() || f.Chunked.Load())
-	}()
-	for len(p) > 0 && !f.Unsure.Load() && !f.Chunked.Load() {
-		if f.rest > 0 {
-			n := min(f.rest, int64(len(p)))
-			f.rest -= n
-			p = p[n:]
-			if f.rest == 0 {
-				f.asked.Add(1)
-			}
-			continue
-		}
-		part := p
-		end := bytes.IndexByte(p, '\n')
-		if end >= 0 {
-			part, p = p[:end], p[end+1:]
-		} else {
-			p = nil
-		}
-		room := min(lineMost-len(f.line), len(part))
-		f.line, f.long = append(f.line, part[:room]...), f.long || room < len(part)
-		if end >= 0 {
-			f.headLine()
-			f.line, f.long = f.line[:0], false
-		}
-	}
-}
-
-// headLine takes in a line of a head.
-func (f *framing) headLine() {
-	line := strings.TrimSuffix(string(f.line), "\r")
-	f.lines++
-	name, value, _ := strings.Cut(line, ":")
-	switch {
-	case line == "" && !f.long:
-		switch {
-		case f.coded && f.length >= 0:
-			f.Unsure.Store(true)
-		case f.coded:
-			f.Chunked.Store(true)
-		case f.length <= 0:
-			f.asked.Add(1)
-		}
-		f.rest, f.length, f.coded, f.lines = max(f.length, 0), -1, false, 0
-		return
-	case strings.EqualFold(strings.TrimSpace(name), "Transfer-Encoding"):
-		f.coded = true
-	case strings.EqualFold(strings.TrimSpace(name), "Content-Length"):
-		n, err := strconv.ParseUint(strings.TrimSpace(value), 10, 63)
-		if err != nil || f.long || f.length >= 0 && f.length != int64(n) {
-			f.Unsure.Store(true)
-			return
-		}
-		f.length = int64(n)
-	}
-}
-
 // Conn is a client's connection under watch. It shows nobody its socket: the platform may refuse sendfile and splice, which the
 // library would use.
 type Conn struct {
@@ -149,13 +44,6 @@
 	ended bool // by taking: it is ending, and linger is its owner. Nothing more is read: its client asks again elsewhere
 }
 
-const (
-	// lingerFor and lingerMost bound how long, and how much of what comes, an ending connection is read and dropped. Its client
-	// ends its side as soon as it has read that this one has ended. lingerCrowd is for where the place is wanted.
-	lingerFor, lingerCrowd = 400 * time.Millisecond, 40 * time.Millisecond
-	lingerMost             = 256 << 10
-)
-
 // watch returns a connection of a client under watch.
 func watch(c net.Conn, home *Listener) *Conn {
 	f := &Conn{Conn: c, home: home, framing: framing{length: -1}}
@@ -167,64 +55,6 @@
 	return f
 }
 
-// Close ends the connection, and doesn't wait for its client. What comes from here on has crossed the end: nobody reads it.
-func (c *Conn) Close() error {
-	c.taking.Lock()
-	was, within := c.ended, lingerFor
-	if c.Cut() {
-		within = c.cutLingers
-	}
-	c.ended = true
-	c.taking.Unlock() // the socket's Close waits for a Read under way, and that one for taking
-	if !was {
-		c.linger(within)
-	}
-	return nil
-}
-
-// linger ends the sending side, drops what comes until the client has ended its own, to a bound, and gives the place back. A close
-// over unread bytes makes a reset, and what was written last can go with it. Only who has set ended may call it.
-func (c *Conn) linger(within time.Duration) {
-	left, over := lingerMost, false
-	take := func(fd uintptr) bool {
-		over = drop(fd, &left)
-		return over
-	}
-	if c.raw == nil || c.raw.Control(func(fd uintptr) { take(fd) }) != nil || over {
-		c.Conn.Close()
-		c.home.left(false)
-		return
-	}
-	c.endSending()
-	c.Conn.SetReadDeadline(time.Now().Add(c.home.lingers(within)))
-	go func() {
-		c.raw.Read(take) // after a Read under way, which finds that it has ended
-		c.Conn.Close()
-		c.home.left(true)
-	}()
-}
-
-// dropped is what is read of ending connections.
-var dropped = sync.Pool{New: func() any { return new([4 << 10]byte) }}
-
-// drop reads what stands on a socket and forgets it. It tells whether nothing more is to be waited for.
-func drop(fd uintptr, left *int) (over bool) {
-	into := dropped.Get().(*[4 << 10]byte)
-	defer dropped.Put(into)
-	for *left > 0 {
-		switch n, err := syscall.Read(int(fd), into[:]); {
-		case err == syscall.EINTR:
-		case err == syscall.EAGAIN:
-			return false
-		case err != nil || n == 0:
-			return true
-		default:
-			*left -= n
-		}
-	}
-	return true
-}
-
 // SetReadDeadline is net/http's: once the connection is ending, linger's own holds, and a head that has begun has its own end.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.taking.Lock()
@@ -358,95 +188,12 @@
 	return min(most, sock.SinceData(c.Conn))
 }
 
-// inHead tells whether a head has begun and is not whole.
-func (f *framing) inHead() bool { return f.rest == 0 && (f.lines > 0 || len(f.line) > 0) }
-
-// asking tells whether a whole request has been read that has no answer yet.
-func (f *framing) asking() bool { return f.asked.Load() > 0 }
-
-// Behind tells whether a further whole request has been read behind the one that is under way: an answer that closes would lose it.
-func (f *framing) Behind() bool { return f.asked.Load() > 1 && !f.Chunked.Load() && !f.Unsure.Load() }
-
-// answered takes in that a request has had its answer. Reading may add to them meanwhile.
-func (f *framing) answered() {
-	if f.asked.Load() > 0 {
-		f.asked.Add(-1)
-	}
-	if f.Chunked.Load() || f.Unsure.Load() {
-		f.begun.Store(false)
-	}
-}
-
 // unread tells whether something has come on the connection that has not been read.
 func (c *Conn) unread() bool {
 	n, _ := sock.Peek(c.Conn)
 	return n > 0
 }
 
-// closeUnasked closes the connection unless a whole request has been read from it, or something stands unread; unless half, nor
-// if some of one has been read. It tells whether it is ending. What comes in that very instant has crossed the end, unread.
-// It lingers for so long at the most. Who is within a request has a refusal first: the rest of it may be on its way.
-func (c *Conn) closeUnasked(half bool, within time.Duration) bool {
-	if !c.taking.TryLock() {
-		return false // something is being read
-	}
-	if c.ended || c.asking() || !half && c.begun.Load() || c.unread() {
-		ended := c.ended
-		c.taking.Unlock()
-		return ended
-	}
-	if c.begun.Load() && !c.inHead() {
-		c.cutBody(within)
-		c.taking.Unlock()
-		return true
-	}
-	if c.inHead() && !c.opaque {
-		c.refuseHalf()
-	}
-	c.ended = true
-	c.taking.Unlock()
-	c.linger(within)
-	return true
-}
-
-// cutBody has the handler that waits for the rest of a body meet the end of its time at once: it answers, and closes, and the connection
-// lingers for so long. With taking held.
-func (c *Conn) cutBody(lingers time.Duration) {
-	c.cutLingers = lingers
-	c.cut.Store(true)
-	c.Conn.SetReadDeadline(c.deadline())
-}
-
-// Cut tells whether this side has ended the wait for the rest of a body.
-func (c *Conn) Cut() bool { return c.cut.Load() }
-
-// refusal answers a request that has not come whole. Nothing of it was sent on.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-
-// refuseHalf writes a refusal where net/http waits for the rest of a head, and so writes nothing. It doesn't wait: what a full buffer
-// doesn't take is left out. With taking held.
-func (c *Conn) refuseHalf() {
-	if c.raw != nil {
-		c.raw.Control(func(fd uintptr) { syscall.Write(int(fd), []byte(refusal)) })
-	}
-}
-
-// CloseWrite lets net/http end its side first, so that a client that still sends can read its answer. net/http then waits for half a
-// second; where the body was cut the place is wanted, or the process ends, and the connection ends at once.
-func (c *Conn) CloseWrite() error {
-	if c.Cut() {
-		return c.Close()
-	}
-	return c.endSending()
-}
-
-func (c *Conn) endSending() error {
-	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return t.CloseWrite()
-	}
-	return nil
-}
-
 // Of finds the watched connection under c, which may be one of TLS; nil if there is none.
 func Of(c net.Conn) *Conn {
 	if t, ok := c.(interface{ NetConn() net.Conn }); ok {
