--- a/cmd/glencart/soak_test.go
+++ b/cmd/glencart/soak_test.go
@@ -111,7 +111,8 @@
 	s.config = s.t.TempDir() + "/config.json"
 	s.configure(s.discover[0], false)
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), "GLENCART_TEST_RUN=1", "BALANCER_CONFIG="+s.config)
+	// Under the race detector a process would sleep for a second at its exit.
+	cmd.Env = append(os.Environ(), "GLENCART_TEST_RUN=1", "BALANCER_CONFIG="+s.config, "GORACE=atexit_sleep_ms=0")
 	if err := cmd.Start(); err != nil {
 		s.t.Fatal(err)
 	}
