handover: whether what is owed fails is told without a race at the end

The race detector found Run and Close, which tries a last time, at one flag (TestACallOutlastsADiskThatFails).

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -18,6 +18,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -92,7 +93,7 @@
 	known  map[string]members.Call // the last call on each backend that stood in the file
 	unread bool                    // the state file could not be read, as logged
 
-	failing bool // what is owed could not be written, as logged; of Run alone
+	failing atomic.Bool // what is owed could not be written, as logged
 }
 
 // Open takes a place: that of the serving process, or, where one is beside, that of its successor. A folder that can't
--- a/internal/handover/store.go
+++ b/internal/handover/store.go
@@ -62,14 +62,14 @@
 // settleOn is settle, with a line when it begins to fail and when it no longer does.
 func (p *Place) settleOn() {
 	err := p.settle()
+	failed := p.failing.Swap(err != nil)
 	switch {
-	case err != nil && !p.failing:
+	case err != nil && !failed:
 		p.log.Error("calls on backends can't be written down, another process will not know of them: this goes on being tried: look at the disk",
 			"error", err)
-	case err == nil && p.failing:
+	case err == nil && failed:
 		p.log.Info("calls on backends can be written down again")
 	}
-	p.failing = err != nil
 }
 
 // later returns the later of two calls on one backend. Of two at the same time the one that takes it out holds.
