--- a/internal/node/stopped_test.go
+++ b/internal/node/stopped_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 )
@@ -21,6 +22,8 @@
 		return fmt.Sprintf("POST /api/x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: stops-%d\r\nX-Qos: order\r\nX-Customer: acme\r\n%s\r\n\r\n",
 			lastID.Add(1), length)
 	}
+	var stopped sync.WaitGroup // all at once: parallel tests are as many as there are cores
+	defer stopped.Wait()
 	for name, part := range map[string]string{
 		"nothing":               "",
 		"a byte":                "P",
@@ -37,9 +40,8 @@
 			if kept && part == "" {
 				continue // it rests
 			}
-			t.Run(fmt.Sprintf("%s, kept %v", name, kept), func(t *testing.T) {
-				t.Parallel()
-				c := n.dial(t)
+			c := n.dial(t)
+			stopped.Go(func() {
 				if kept {
 					askOn(t, c)
 					time.Sleep(500 * time.Millisecond)
@@ -49,10 +51,10 @@
 				c.SetReadDeadline(began.Add(2 * owed))
 				got := make([]byte, 1)
 				if _, err := io.ReadFull(c, got); err != nil && err != io.EOF {
-					t.Errorf("neither an answer nor a close: %v", err)
+					t.Errorf("%s, kept %v: neither an answer nor a close: %v", name, kept, err)
 				}
 				if d := time.Since(began); d > owed-margin {
-					t.Errorf("ended after %v", d)
+					t.Errorf("%s, kept %v: ended after %v", name, kept, d)
 				}
 			})
 		}
