handover: what is known of the state file is bounded as the file is

Cause: Place.known took in each call that was ever read and forgot none, and Write put forgotten ones back. Change: it holds what the file held when it was last read or written. TestWhatIsKnownIsBounded fails without that. A second time-out round a TLS dial of serve, which connect sets itself, is taken out.

--- a/internal/front/http/conns.go
+++ b/internal/front/http/conns.go
@@ -98,8 +98,6 @@
 		cfg = cfg.Clone()
 		cfg.ServerName = "localhost"
 	}
-	ctx, cancel := context.WithTimeout(ctx, p.dialer.Timeout)
-	defer cancel()
 	return p.connect(ctx, &tls.Dialer{NetDialer: &p.dialer, Config: cfg}, network, addr)
 }
 
--- a/internal/handover/disk_test.go
+++ b/internal/handover/disk_test.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -71,3 +72,21 @@
 		})
 	}
 }
+
+// What a process remembers of the file is bounded as the file is, however many backends come and go.
+func TestWhatIsKnownIsBounded(t *testing.T) {
+	p := open(t, t.TempDir(), "n1")
+	for round := range 3 {
+		var calls []members.Call
+		for i := range callsMost {
+			calls = append(calls, call(fmt.Sprintf("%d-%d", round, i), false, round*callsMost+i+1))
+		}
+		if err := p.Write(calls); err != nil {
+			t.Fatal(err)
+		}
+		p.Read()
+	}
+	if len(p.known) > callsMost {
+		t.Errorf("%d calls are known, a file holds %d", len(p.known), callsMost)
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -195,8 +195,8 @@
 	if err == nil || errors.Is(err, errState) {
 		p.seen = at
 	}
-	for _, c := range calls {
-		p.known[c.ID] = later(p.known[c.ID], c)
+	if err == nil {
+		p.know(calls)
 	}
 	return calls
 }
@@ -297,7 +297,21 @@
 	if err != nil {
 		return err
 	}
-	return p.replace(stateFile, text)
+	if err := p.replace(stateFile, text); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.know(s.Calls)
+	return nil
+}
+
+// know takes in what the file holds, and forgets what it no longer does: the file is bounded. With mu held.
+func (p *Place) know(calls []members.Call) {
+	clear(p.known)
+	for _, c := range calls {
+		p.known[c.ID] = c
+	}
 }
 
 // learnedAge is how old what a process has learned may be to be of use to the next.
