Tests: an address that a server is to have is reserved until it has it

standin.ReserveAddr binds a socket that does not listen, so the system gives the port to nobody who asks for any. Six other tests that closed a listener to have an address where nobody is take it too.

--- a/cmd/glencart/soak_test.go
+++ b/cmd/glencart/soak_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"glencart/internal/standin"
 )
 
 // This file plays short lives of real nodes on sockets, drawn from seeds, and holds what clients and backends see against the rules.
@@ -102,12 +104,7 @@
 		s.backend(i)
 	}
 	s.registry()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.listen = l.Addr().String()
-	l.Close()
+	s.listen = standin.ReserveAddr(s.t)
 	s.config = s.t.TempDir() + "/config.json"
 	s.configure(s.discover[0], false)
 	cmd := exec.Command(os.Args[0])
--- a/internal/front/http/front_test.go
+++ b/internal/front/http/front_test.go
@@ -318,9 +318,8 @@
 		w.(http.Flusher).Flush()
 		w.Header().Set("Answer-Sum", "42")
 	}
-	refusing, _ := net.Listen("tcp", "127.0.0.1:0")
-	refusing.Close()
-	n := serve(t, twoBoxes, map[string]string{"a": handler(t, hash), "b": refusing.Addr().String()})
+	refusing := standin.ReserveAddr(t)
+	n := serve(t, twoBoxes, map[string]string{"a": handler(t, hash), "b": refusing})
 	for _, length := range []int64{int64(len(big)), -1} {
 		for range 4 { // whichever box it comes to first
 			req, _ := http.NewRequest("PUT", "http://"+n.Addr("web")+"/file", io.NopCloser(bytes.NewReader(big)))
@@ -605,9 +604,7 @@
 func TestBackups(t *testing.T) {
 	var usual, spare atomic.Int64
 	good := func(c net.Conn, _ *http.Request) { io.WriteString(c, fine) }
-	l, _ := net.Listen("tcp", "127.0.0.1:0")
-	addr := l.Addr().String()
-	l.Close()
+	addr := standin.ReserveAddr(t)
 	text := strings.ReplaceAll(twoBoxes, `address = "{b}"`, `address = "{b}", backup = true`)
 	text = strings.ReplaceAll(text, `name = "p"`, "name = \"p\"\nslow_start = \"20s\"\nfail_within = \"50ms\"")
 	n := serve(t, text, map[string]string{"a": addr, "b": scripted(t, &spare, good)})
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,6 +12,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"glencart/internal/standin"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -132,9 +133,7 @@
 	if k, err := ParseKind("3 POST /orders 512 300ms"); err != nil || k != (Kind{"POST", "/orders", 3, 512, 300 * time.Millisecond}) {
 		t.Errorf("%+v %v", k, err)
 	}
-	l, _ := net.Listen("tcp", "127.0.0.1:0")
-	l.Close()
-	r, err := Run(context.Background(), Config{URL: "http://" + l.Addr().String(), Kinds: []Kind{k}, Rate: 100, For: 100 * time.Millisecond}, nil)
+	r, err := Run(context.Background(), Config{URL: "http://" + standin.ReserveAddr(t), Kinds: []Kind{k}, Rate: 100, For: 100 * time.Millisecond}, nil)
 	if err != nil || r.Lost != r.Asked || r.MayHaveRun != 0 {
 		t.Errorf("nobody there: %+v %v", r, err)
 	}
--- a/internal/members/checks/checks_test.go
+++ b/internal/members/checks/checks_test.go
@@ -48,12 +48,7 @@
 	unix.Start()
 	t.Cleanup(unix.Close)
 	silent := standin.NewRaw(t, "127.0.0.1:0", func(c net.Conn, _ *bufio.Reader) { io.Copy(io.Discard, c) }).Listener.Addr().String()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	gone := l.Addr().String()
-	l.Close()
+	gone := standin.ReserveAddr(t)
 	gl, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -17,6 +17,7 @@
 	"glencart/internal/clients"
 	"glencart/internal/engine"
 	"glencart/internal/settings"
+	"glencart/internal/standin"
 )
 
 // exchangesFor returns exchanges with a pool of their own.
@@ -115,12 +116,7 @@
 
 // A connection that nobody takes, or that breaks before the last byte is written, never ran.
 func TestNeverRan(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := l.Addr().String()
-	l.Close()
+	addr := standin.ReserveAddr(t)
 	if r := try(t, exchangesFor(t), engine.Endpoint{Addr: addr}, get("refused")); r.Status != balance.DialFailed {
 		t.Errorf("refused connection: %v", r.Status)
 	}
@@ -133,7 +129,7 @@
 		})
 	}
 	lc := net.ListenConfig{Control: small}
-	l, err = lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/client_test.go
+++ b/internal/node/client_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"glencart/internal/standin"
 )
 
 func TestServedAnswerIsTheBackendsOwn(t *testing.T) {
@@ -264,13 +266,7 @@
 
 // What no server can take is refused at once, and the refusal says when to come back.
 func TestRefusalSaysWhenToComeBack(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := l.Addr().String()
-	l.Close() // nobody is there: connections are refused
-	n := startOn(t, addr)
+	n := startOn(t, standin.ReserveAddr(t)) // nobody is there: connections are refused
 	began := time.Now()
 	resp, _ := do(t, ask(t, n.url+"/api/x", "order"))
 	var after float64
