Failing test: SIGTERM while a process still waits for what it opens

Seen in the traces of TestSoak's failure: a node whose address is taken was still there 1.1 s after SIGTERM. It has nothing to answer then; it ends only when its 3 s of trying are over, with an error.

--- a/cmd/glencart/main_test.go
+++ b/cmd/glencart/main_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -144,3 +145,38 @@
 		t.Errorf("ended by SIGTERM: %v", err)
 	}
 }
+
+// A process that is told to end while it still waits for what it opens has nothing to answer: it ends at once, and in order.
+func TestToldToEndWhileItOpens(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	path := t.TempDir() + "/config.json"
+	text := fmt.Sprintf(`{"name":"n","listen":%q,"discovery":"127.0.0.1:1","settings":{"classes":[{"name":"read"}]}}`, taken.Addr())
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "GLENCART_TEST_RUN=1", "BALANCER_CONFIG="+path, "GORACE=atexit_sleep_ms=0")
+	logged, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	lines := bufio.NewScanner(logged)
+	for lines.Scan() && !strings.Contains(lines.Text(), "msg=bounds") {
+	}
+	told := time.Now()
+	cmd.Process.Signal(syscall.SIGTERM)
+	for lines.Scan() {
+	}
+	err = cmd.Wait()
+	if took := time.Since(told); err != nil || took > time.Second {
+		t.Errorf("ended %v after SIGTERM with %v", took, err)
+	}
+}
