A process told to end while it still opens its sockets ends at once

Effect: a node whose address is taken, or whose shared folder fails, tried on for up to 3 s after SIGTERM and then ended with an error. Cause: node.New knew of no signal. Worse, the clients' listener was opened before the operators' endpoint and the shared folder: while these were tried, clients could be taken, and were reset if they failed in the end. Fix: New takes a context, and the clients' listener is opened last. A shared folder that was opened is given up again where New fails.

--- a/cmd/glencart/main.go
+++ b/cmd/glencart/main.go
@@ -65,11 +65,11 @@
 	log := slog.New(slog.NewTextHandler(out, nil))
 	golog.SetFlags(0)
 	golog.SetOutput(&lograte.Limited{Log: log})
-	if ctx.Err() != nil { // told to end before anybody could come
-		return nil
-	}
-	n, err := node.New(cfg, log)
+	n, err := node.New(ctx, cfg, log)
 	if err != nil {
+		if ctx.Err() != nil { // told to end before anybody could come
+			return nil
+		}
 		return err
 	}
 	go func() {
--- a/glencartgrpc/sockets_test.go
+++ b/glencartgrpc/sockets_test.go
@@ -129,7 +129,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, err := node.New(cfg, standin.Quiet())
+	n, err := node.New(t.Context(), cfg, standin.Quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -50,7 +50,7 @@
 		return Config{}, errors.New("configuration: no file named")
 	}
 	var text []byte
-	if err := tryForAMoment(func(context.Context) (err error) {
+	if err := tryForAMoment(context.Background(), func(context.Context) (err error) {
 		text, err = os.ReadFile(path)
 		return err
 	}); err != nil {
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -85,7 +85,7 @@
 		{`"coldShare":0.12`, `"coldShare":12`, "obligations.coldShare: 12 is no part of a capacity: give 0 to 1"},
 	} {
 		cfg := testConfig(t, "127.0.0.1:1", listText(1, true), c.old, c.new)
-		n, err := New(cfg, quiet())
+		n, err := New(t.Context(), cfg, quiet())
 		if want := "configuration: settings: " + c.want; err == nil || err.Error() != want {
 			t.Errorf("%s: %v, want %q", c.new, err, want)
 		}
@@ -93,7 +93,7 @@
 			n.close()
 		}
 		in := testConfig(t, "127.0.0.1:1", listText(1, true))
-		if n, err = New(in, quiet()); err != nil {
+		if n, err = New(t.Context(), in, quiet()); err != nil {
 			t.Fatal(err)
 		}
 		before := n.front.tuning.Load()
--- a/internal/node/descriptors_test.go
+++ b/internal/node/descriptors_test.go
@@ -37,7 +37,7 @@
 	cfg, err := ParseConfig([]byte(text))
 	fail(err)
 	fail(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: leastSockets, Max: leastSockets}))
-	n, err := New(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	n, err := New(context.Background(), cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 	fail(err)
 	ctx, stop := context.WithCancel(context.Background())
 	go func() {
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -21,7 +21,7 @@
 	other := newRawBackend(t, "127.0.0.1:0", serve("other"))
 	text := listText(1, true, listed{ID: "old", Addr: old.Addr().String(), Phase: "ready", Up: 0})
 	reg := newRegistry(t, text)
-	n, err := New(testConfig(t, reg.Addr, text), quiet())
+	n, err := New(t.Context(), testConfig(t, reg.Addr, text), quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -21,7 +21,7 @@
 // startAs is start for a node that is changed before it runs.
 func startAs(t *testing.T, cfg Config, change func(*Node)) *started {
 	t.Helper()
-	n, err := New(cfg, quiet())
+	n, err := New(t.Context(), cfg, quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/heldup_test.go
+++ b/internal/node/heldup_test.go
@@ -121,7 +121,7 @@
 		t.Fatal(err)
 	}
 	defer other.Close()
-	p, err := listenPeers(&Config{PeerListen: "127.0.0.1:0", Peers: []string{other.LocalAddr().String()}}, 8, quiet())
+	p, err := listenPeers(t.Context(), &Config{PeerListen: "127.0.0.1:0", Peers: []string{other.LocalAddr().String()}}, 8, quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,8 +48,8 @@
 	lag      living.Lag
 }
 
-// New returns a node that is ready to run.
-func New(cfg Config, log *slog.Logger) (*Node, error) {
+// New returns a node that is ready to run. If ctx ends while it still opens what the node needs, New fails.
+func New(ctx context.Context, cfg Config, log *slog.Logger) (*Node, error) {
 	if err := cfg.Settings.Check(); err != nil {
 		return nil, fmt.Errorf("configuration: settings: %w", err)
 	}
@@ -86,47 +86,53 @@
 	n.disco.Near()
 	n.loop.Ask, n.loop.Saw = n.disco.Ask, n.saw
 	if cfg.PeerListen != "" {
-		if n.peers, err = listenPeers(&cfg, n.bounds.tell, log); err != nil {
+		if n.peers, err = listenPeers(ctx, &cfg, n.bounds.tell, log); err != nil {
 			return nil, fmt.Errorf("peer_listen: %w", err)
 		}
 		n.loop.Tell = n.peers.tell
 	}
 	n.recall(cfg)
-	// Last: who connects from here on has been taken, and waits.
-	l, err := openListener(func(ctx context.Context) (net.Listener, error) {
-		if cfg.AcceptFD != "" {
-			return handover.Listener(ctx, cfg.AcceptFD)
-		}
-		return net.Listen("tcp", cfg.Listen)
-	})
-	if err != nil {
+	if err := n.open(ctx, most); err != nil {
 		n.close()
-		return nil, fmt.Errorf("listen: %w", err)
+		return nil, err
 	}
-	n.listener = clients.Limit(l, most)
-	n.listener.HeadWithin = headWithin
-	n.living.Tell(life.Event{Kind: life.Opened})
-	if cfg.Management != "" {
-		listen := func(context.Context) (net.Listener, error) { return net.Listen("tcp", cfg.Management) }
-		if n.admin, err = openListener(listen); err != nil {
-			n.close()
-			return nil, fmt.Errorf("management: %w", err)
+	return n, nil
+}
+
+// open opens the operators' endpoint, the folder shared with another process, and the clients' listener.
+func (n *Node) open(ctx context.Context, clientsMost int) (err error) {
+	if n.cfg.Management != "" {
+		listen := func(context.Context) (net.Listener, error) { return net.Listen("tcp", n.cfg.Management) }
+		if n.admin, err = openListener(ctx, listen); err != nil {
+			return fmt.Errorf("management: %w", err)
 		}
 	}
-	if cfg.Shared != "" {
-		if err = tryForAMoment(func(context.Context) (err error) {
-			n.place, err = handover.Open(cfg.Shared, cfg.Name, log)
+	if n.cfg.Shared != "" {
+		if err = tryForAMoment(ctx, func(context.Context) (err error) {
+			n.place, err = handover.Open(n.cfg.Shared, n.cfg.Name, n.log)
 			return err
 		}); err != nil {
-			n.close()
-			return nil, err
+			return err
 		}
 		n.hand.Hear(n.place.Read(), n.loop.Clock())
-		if n.place.Follows() {
-			n.beside(true)
+	}
+	// Last: who connects from here on has been taken, and waits.
+	l, err := openListener(ctx, func(ctx context.Context) (net.Listener, error) {
+		if n.cfg.AcceptFD != "" {
+			return handover.Listener(ctx, n.cfg.AcceptFD)
 		}
+		return net.Listen("tcp", n.cfg.Listen)
+	})
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
 	}
-	return n, nil
+	n.listener = clients.Limit(l, clientsMost)
+	n.listener.HeadWithin = headWithin
+	n.living.Tell(life.Event{Kind: life.Opened})
+	if n.place != nil && n.place.Follows() {
+		n.beside(true)
+	}
+	return nil
 }
 
 // recall takes in the list that the node remembers.
@@ -153,6 +159,9 @@
 	if n.admin != nil {
 		n.admin.Close()
 	}
+	if n.place != nil {
+		n.place.Close()
+	}
 }
 
 // Addr is the address that the node listens on for clients.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -109,7 +109,7 @@
 
 func start(t *testing.T, cfg Config) *started {
 	t.Helper()
-	n, err := New(cfg, quiet())
+	n, err := New(t.Context(), cfg, quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/odd_test.go
+++ b/internal/node/odd_test.go
@@ -42,7 +42,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("x") }))
 			text := listText(1, true, listed{ID: "s", Addr: b.Addr().String(), Phase: "ready", Up: 0})
-			n, err := New(testConfig(t, newRegistry(t, text).Addr, text, c.change...), quiet())
+			n, err := New(t.Context(), testConfig(t, newRegistry(t, text).Addr, text, c.change...), quiet())
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -37,7 +37,7 @@
 }
 
 // listenPeers opens the node's socket for datagrams, of which so many may wait to be sent.
-func listenPeers(cfg *Config, most int, log *slog.Logger) (*peers, error) {
+func listenPeers(ctx context.Context, cfg *Config, most int, log *slog.Logger) (*peers, error) {
 	addr, err := net.ResolveUDPAddr("udp", cfg.PeerListen)
 	if err != nil {
 		return nil, err
@@ -69,7 +69,7 @@
 		}
 	}
 	var pc net.PacketConn
-	if err := tryForAMoment(func(ctx context.Context) (err error) {
+	if err := tryForAMoment(ctx, func(ctx context.Context) (err error) {
 		pc, err = lc.ListenPacket(ctx, "udp", addr.String())
 		return err
 	}); err != nil {
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -25,7 +25,7 @@
 func TestPeers(t *testing.T) {
 	peer, stranger := udp(t), udp(t)
 	var logged bytes.Buffer // read when run has ended
-	p, err := listenPeers(&Config{PeerListen: "127.0.0.1:0", PeersAll: peer.LocalAddr().String(),
+	p, err := listenPeers(t.Context(), &Config{PeerListen: "127.0.0.1:0", PeersAll: peer.LocalAddr().String(),
 		Peers: []string{"127.0.0.1:1", peer.LocalAddr().String()}}, tellLeast, slog.New(slog.NewTextHandler(&logged, nil)))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -105,7 +105,7 @@
 	text := listText(1, true)
 	cfg := testConfig(t, newRegistry(t, text).Addr, text)
 	var log bytes.Buffer
-	n, err := New(cfg, slog.New(slog.NewTextHandler(&log, nil)))
+	n, err := New(t.Context(), cfg, slog.New(slog.NewTextHandler(&log, nil)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -161,7 +161,7 @@
 func TestReloadShortensHowLongConnectionsAreKept(t *testing.T) {
 	text := listText(1, true)
 	cfg := testConfig(t, "127.0.0.1:1", text)
-	n, err := New(cfg, quiet())
+	n, err := New(t.Context(), cfg, quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/room_test.go
+++ b/internal/node/room_test.go
@@ -39,7 +39,7 @@
 				}
 				cfg.PeerListen = "127.0.0.1:0"
 				b.StartTimer()
-				n, err := New(cfg, quiet())
+				n, err := New(t.Context(), cfg, quiet())
 				if err != nil {
 					b.Fatal(err)
 				}
@@ -79,7 +79,7 @@
 				goroutines := runtime.NumGoroutine()
 				cfg := testConfig(&testing.T{}, "127.0.0.1:1", listText(1, true, members...))
 				cfg.Limits = Limits{Cores: 1, MemoryMB: 32, Sockets: 256}
-				n, err := New(cfg, quiet())
+				n, err := New(context.Background(), cfg, quiet())
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/internal/node/taken_test.go
+++ b/internal/node/taken_test.go
@@ -50,7 +50,7 @@
 		cfg.Peers = append(cfg.Peers, fmt.Sprintf("127.0.0.1:%d", 1000+i))
 	}
 	b := boundsOf(Limits{MemoryMB: 32, Sockets: 256}, many)
-	p, err := listenPeers(&cfg, b.tell, quiet())
+	p, err := listenPeers(t.Context(), &cfg, b.tell, quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -153,7 +153,7 @@
 func TestToldToEndBeforeItServes(t *testing.T) {
 	b := newRawBackend(t, "127.0.0.1:0", answering(func(*http.Request) string { return ok200("done") }))
 	text := listText(1, true, listed{ID: "s", Addr: b.Addr().String(), Phase: "ready"})
-	n, err := New(testConfig(t, newRegistry(t, text).Addr, text, `"deadline":10000000000`, `"deadline":300000000`), quiet())
+	n, err := New(t.Context(), testConfig(t, newRegistry(t, text).Addr, text, `"deadline":10000000000`, `"deadline":300000000`), quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
