--- a/life/life_test.go
+++ b/life/life_test.go
@@ -374,6 +374,26 @@
 	t.Error("SIGKILL")
 }
 
+// Connections that only linger, with nobody's request on them, are not waited for until the last moment: the exit of the process takes
+// time too, and more on a busy machine.
+func TestLingeringConnectionsLeaveRoomForTheExit(t *testing.T) {
+	l := New(Platform, time.Second)
+	l.Handle(0, Event{Kind: Opened}, nil)
+	l.Handle(0, Event{Kind: Told}, nil)
+	kill := time.Second + Platform.Grace
+	for now := time.Duration(0); now < kill; now += 10 * ms {
+		for _, a := range l.Handle(now, Event{Kind: Seen, Conns: 1}, nil) {
+			if a.Kind == End {
+				if now > kill-Late/2 {
+					t.Errorf("ends at %v, SIGKILL may come at %v", now, kill)
+				}
+				return
+			}
+		}
+	}
+	t.Error("SIGKILL")
+}
+
 // A lag that passes takes no time from anybody: only one that is there when the last answers are due has them sooner.
 func TestLagThatPasses(t *testing.T) {
 	w := newWorld(t, 3*time.Second)
