A node with nothing but lingering connections ends 100 ms before SIGKILL

Effect: with a crowd of clients that stop within a request, a node ended some 50 ms before SIGKILL may come, whatever was left to do; on a busy machine the exit came too late (TestLingeringConnectionsLeaveRoomForTheExit has the counts). Cause: life waited for connections that only linger for as long as for a request that is open. Fix: connections without a request are cut at half of life.Late before SIGKILL; a request keeps its last moment.

--- a/life/life.go
+++ b/life/life.go
@@ -148,8 +148,14 @@
 // End is when the node ends at the latest while all goes well: Late before SIGKILL may come. It counts once it is told to end.
 func (l *Life) End() time.Duration { return l.kill - Late }
 
-// cutAt is when it ends whatever is open.
-func (l *Life) cutAt() time.Duration { return l.kill - Late/4 }
+// cutAt is when it ends whatever is open. A request has until the last moment that the exit of the process leaves; connections that have
+// none, and only linger for their clients to end too, are not worth the risk that a busy machine is late with the exit.
+func (l *Life) cutAt(ev Event) time.Duration {
+	if ev.Kind == Seen && ev.Asked == 0 {
+		return l.kill - Late/2
+	}
+	return l.kill - Late/4
+}
 
 func (l *Life) String() string {
 	return fmt.Sprintf("%s ready=%t stopped=%t closing=%t", l.phase, l.ready, l.stopped, l.closing)
@@ -264,7 +270,7 @@
 	case seen && stopped && ev.Conns == 0 && !ev.Queued: // seen after the listener was closed
 		l.phase = Ended
 		out = append(out, Action{Kind: End})
-	case now >= l.cutAt():
+	case now >= l.cutAt(ev):
 		l.phase = Ended
 		left := 0
 		if seen {
