The plug-in writes no keyed repeat after its window

Effect: a repeat that waits for a connection or for a stream went out whenever that ended, also when its backend may have forgotten the first attempt: its effect twice. Cause: call.Send and the picker never looked at Attempt.WriteBy, which the engine's contract asks of each transport. Fix: a repeat of which nothing has left lapses at WriteBy, and takes no connection from then on; the module is told that it never left.

--- a/glencartgrpc/call.go
+++ b/glencartgrpc/call.go
@@ -101,6 +101,11 @@
 		return
 	}
 	c.last = t
+	if !a.WriteBy.IsZero() {
+		t.writeBy = a.WriteBy
+		lapse := time.AfterFunc(time.Until(a.WriteBy), t.lapse)
+		context.AfterFunc(t.Context, func() { lapse.Stop() })
+	}
 	c.next.Store(a) // in the place of one that was given up before the goroutine came to it
 	select {
 	case c.run <- struct{}{}:
--- a/glencartgrpc/try.go
+++ b/glencartgrpc/try.go
@@ -27,6 +27,7 @@
 	stream   bool            // the application may send or receive more than one message
 	link     *link           // set by the pick that began it, in the goroutine of the call
 	attempt  *engine.Attempt // of a stream: the engine hears when its answer begins
+	writeBy  time.Time       // of a repeat: its backend may have forgotten the first attempt after that; zero: it is none
 
 	mu      sync.Mutex
 	trailer metadata.MD
@@ -72,14 +73,25 @@
 	return t.Context.Value(key)
 }
 
-// begin marks that a connection is taken. It fails for a try that was barred.
+// begin marks that a connection is taken. It fails for a try that was barred, or is a repeat that comes too late.
 func (t *try) begin() bool {
+	if !t.writeBy.IsZero() && !time.Now().Before(t.writeBy) {
+		t.bar()
+		return false
+	}
 	return t.state.CompareAndSwap(tryQueued, tryBegun) || t.state.Load() == tryBegun
 }
 
 // bar keeps a try that has no connection yet from ever getting one.
 func (t *try) bar() bool { return t.state.CompareAndSwap(tryQueued, tryBarred) }
 
+// lapse ends a try of which nothing has left: its time to be written is over.
+func (t *try) lapse() {
+	if t.bar() || !t.has(sawHead) {
+		t.stop()
+	}
+}
+
 // stop ends a try at once.
 func (t *try) stop() {
 	t.stopped.Store(true)
