A process told to end before it opens its listener lets nobody in

Seen when the change of node.New was read again: the look at the signal had gone from main to what opens, which tries each thing once even so; a process told at its very start opened all, and left in order half a second later. The look stands before the clients' listener now.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,6 +116,9 @@
 		}
 		n.hand.Hear(n.place.Read(), n.loop.Clock())
 	}
+	if ctx.Err() != nil { // nobody is to be let in any more
+		return ctx.Err()
+	}
 	// Last: who connects from here on has been taken, and waits.
 	l, err := openListener(ctx, func(ctx context.Context) (net.Listener, error) {
 		if n.cfg.AcceptFD != "" {
