The plug-in ends a repeat whose message has not left by its window

Seen when the change was read again: a unary repeat whose headers had left in time and whose message waited for flow control went on, and its handler starts with the message.

--- a/glencartgrpc/try.go
+++ b/glencartgrpc/try.go
@@ -85,9 +85,9 @@
 // bar keeps a try that has no connection yet from ever getting one.
 func (t *try) bar() bool { return t.state.CompareAndSwap(tryQueued, tryBarred) }
 
-// lapse ends a try of which nothing has left: its time to be written is over.
+// lapse ends a try that has not left: its time to be written is over. No handler of a unary call starts without the message.
 func (t *try) lapse() {
-	if t.bar() || !t.has(sawHead) {
+	if t.bar() || !t.has(sawHead) || !t.stream && !t.has(sawMessage) {
 		t.stop()
 	}
 }
--- a/glencartgrpc/window_test.go
+++ b/glencartgrpc/window_test.go
@@ -15,13 +15,14 @@
 	const window = 100 * time.Millisecond
 	for _, c := range []struct {
 		name    string
-		repeat  bool // it has a WriteBy
-		left    bool // its headers have left in time
+		repeat  bool   // it has a WriteBy
+		left    uint32 // what of it has left in time
 		stopped bool
 	}{
-		{"a repeat that waits", true, false, true},
-		{"a repeat that has left", true, true, false},
-		{"no repeat", false, false, false},
+		{"a repeat that waits", true, 0, true},
+		{"a repeat whose headers have left, and its message has not", true, sawHead, true},
+		{"a repeat that has left", true, sawHead | sawMessage, false},
+		{"no repeat", false, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -34,16 +35,16 @@
 				new(Plugin).Send(attempt)
 				sent := attempt.State.(*try)
 				defer sent.cancel()
-				if c.left {
+				if c.left != 0 {
 					sent.begin()
-					sent.set(sawHead)
+					sent.set(c.left)
 				}
 				time.Sleep(2 * window)
 				synctest.Wait()
 				if stopped := sent.Err() == context.Canceled; stopped != c.stopped {
 					t.Errorf("stopped %v after its window", stopped)
 				}
-				if !c.left && sent.begin() == c.stopped {
+				if c.left == 0 && sent.begin() == c.stopped {
 					t.Errorf("begins %v after its window", !c.stopped)
 				}
 			})
