--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -102,6 +102,7 @@
 // Listed is one line of a registry's list. Up is a Unix time in milliseconds.
 type Listed struct {
 	ID, Addr, Phase string
+	Cell            int
 	Up              int64
 }
 
@@ -113,8 +114,8 @@
 		if i > 0 {
 			b.WriteByte(',')
 		}
-		fmt.Fprintf(&b, `{"id":%q,"host_port":%q,"locality":"a","flavor":"m","cell":0,"phase":%q,"size":1.0,"up_since_ms":%d}`,
-			m.ID, m.Addr, m.Phase, m.Up)
+		fmt.Fprintf(&b, `{"id":%q,"host_port":%q,"locality":"a","flavor":"m","cell":%d,"phase":%q,"size":1.0,"up_since_ms":%d}`,
+			m.ID, m.Addr, m.Cell, m.Phase, m.Up)
 	}
 	b.WriteString("]}")
 	return b.String()
