serve: a client can no longer get the answer to another client's request

serve checked a kept connection when it was taken, before the dial of others returned, and not before the write; the order of answers was taken for granted as in the node. Clients got what was made for other clients, and requests that ran were sent again. Upgrades have a new connection.

--- a/internal/front/http/attempt.go
+++ b/internal/front/http/attempt.go
@@ -16,7 +16,9 @@
 	"glencart/balance"
 	"glencart/internal/engine"
 	"glencart/internal/sock"
+	"glencart/internal/upstream"
 	"glencart/reserve"
+	"glencart/reuse"
 )
 
 const (
@@ -42,7 +44,7 @@
 	reports bool
 	idle    time.Duration                             // between two writes of a body
 	ended   func(to engine.Endpoint, end reserve.End) // told before the engine is
-	report  func(string) balance.Load
+	report  func(string) (balance.Load, error)
 }
 
 // call is an exchange under way.
@@ -80,7 +82,7 @@
 func (x *transport) Cancel(a *engine.Attempt) { a.State.(*call).cancel() }
 
 // CloseIdle ends the idle connections to a box.
-func (x *transport) CloseIdle(to engine.Endpoint) { x.conns.drop(to) }
+func (x *transport) CloseIdle(to engine.Endpoint) { x.conns.Drop(to) }
 
 // exchange carries out one attempt on one connection, once.
 func (x *transport) exchange(ctx context.Context, c *call, a *engine.Attempt, m *message) {
@@ -94,7 +96,11 @@
 		}
 		a.Done(res)
 	}
-	cn, err := x.conns.get(ctx, a.To, m.unsafe)
+	request := upstream.Request{NeedsNew: m.upgrade} // what follows an upgrade is not counted in answers
+	if m.unsafe {
+		request.MaxIdleAge = freshFor
+	}
+	cn, err := x.conns.ready(ctx, a.To, request)
 	if err != nil {
 		switch {
 		case errors.Is(ctx.Err(), context.Canceled), sock.IsLocalError(err): // says nothing of the box
@@ -109,7 +115,7 @@
 	}
 	// What streams can be taken by one attempt only, and is not taken while nothing of it has been read.
 	if ctx.Err() != nil || a.TooLate() || m.client.HasClientClosed() || !c.state.CompareAndSwap(callQueued, callWriting) || m.rest != nil && !m.taken.CompareAndSwap(false, true) {
-		cn.Close()
+		x.conns.Discard(cn, upstream.Unsent)
 		end(balance.Unused, nil)
 		return
 	}
@@ -120,9 +126,10 @@
 	stop := context.AfterFunc(ctx, func() { sock.Abort(cn.Conn) })
 	cn.SetDeadline(a.Deadline)
 	text := m.wire()
+	ex := &exchange{conn: cn, writtenAt: time.Now(), deadline: a.Deadline}
 	if n, err := cn.Write(text); err != nil {
 		stop()
-		sock.Abort(cn.Conn)
+		x.conns.Discard(cn, upstream.WriteFailed)
 		if n < len(text) {
 			m.taken.Store(false)
 			end(balance.DialFailed, nil) // the last byte never left
@@ -135,7 +142,7 @@
 	if m.rest != nil {
 		if !m.begin() {
 			stop()
-			cn.Close()
+			x.conns.Discard(cn, upstream.Cancelled)
 			end(balance.Cancelled, nil)
 			return
 		}
@@ -144,11 +151,10 @@
 		pumped = make(chan error, 1)
 		go func() { pumped <- m.pump(cn, x.idle) }()
 	}
-	re, st, err := x.answer(ctx, cn, m, pumped)
+	re, st, err := x.answer(ex, m, pumped)
 	if err != nil {
 		stop()
-		sock.Abort(cn.Conn)
-		end(broken(ctx, err), nil)
+		end(x.endBroken(ctx, cn, err), nil)
 		return
 	}
 	if !stop() {
@@ -173,6 +179,36 @@
 	}
 }
 
+// exchange is a request on a connection, from its write to its answer.
+type exchange struct {
+	conn      *upstream.Conn
+	writtenAt time.Time
+	deadline  time.Time
+	isProbe   bool
+}
+
+// errOrderLost reports that an answer may belong to another request. The connection is closed already.
+var errOrderLost = errors.New("answer of another request")
+
+// endBroken closes a connection whose request was written whole and got no whole answer, and returns the status of the attempt.
+func (x *transport) endBroken(ctx context.Context, cn *upstream.Conn, err error) balance.Status {
+	if errors.Is(err, errOrderLost) {
+		return balance.Dropped
+	}
+	status := broken(ctx, err)
+	switch {
+	case status == balance.Expired:
+		x.conns.Discard(cn, upstream.TimedOut)
+	case status == balance.Cancelled:
+		x.conns.Discard(cn, upstream.Cancelled)
+	case cn.State.IsReused() && upstream.HasBytesBefore(err):
+		x.conns.DiscardSurplus(cn, reuse.BytesBeforeAnswer)
+	default:
+		x.conns.Discard(cn, upstream.Broken)
+	}
+	return status
+}
+
 // broken tells how an attempt ended that was written whole and got no whole answer. It may have run.
 func broken(ctx context.Context, err error) balance.Status {
 	switch {
@@ -192,8 +228,8 @@
 	length  int64              // -1: not told
 	held    []byte             // the body, if it is held whole
 	body    io.Reader          // or where it comes from
-	tunnel  *conn              // or what was upgraded
-	conn    *conn
+	tunnel  *upstream.Conn     // or what was upgraded
+	conn    *upstream.Conn
 	release func(clean bool) // gives the connection back, once
 	to      engine.Endpoint
 	load    balance.Load
@@ -203,7 +239,8 @@
 func (r *reply) drop() { r.release(false) }
 
 // answer reads the head of an answer, and its body where that is to be held.
-func (x *transport) answer(ctx context.Context, cn *conn, m *message, pumped chan error) (*reply, balance.Status, error) {
+func (x *transport) answer(ex *exchange, m *message, pumped chan error) (*reply, balance.Status, error) {
+	cn := ex.conn
 	if pumped != nil {
 		// Until the body has left, its own idle time counts; then the answer's. An answer may come before that.
 		gone := make(chan struct{})
@@ -228,10 +265,10 @@
 	}
 	req := &http.Request{Method: m.method}
 	for range informMost {
-		cn.limit.N = headMost
-		resp, err := http.ReadResponse(cn.read, req)
+		cn.Limit.N = headMost
+		resp, err := http.ReadResponse(cn.Reader, req)
 		if err != nil {
-			if cn.limit.N <= 0 {
+			if cn.Limit.N <= 0 {
 				err = errors.New("head too long")
 			}
 			return nil, 0, err
@@ -239,17 +276,19 @@
 		if resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		cn.limit.N = math.MaxInt64
-		return x.reply(cn, m, resp, pumped)
+		cn.Limit.N = math.MaxInt64
+		return x.reply(ex, m, resp, pumped)
 	}
 	return nil, 0, errors.New("too many 1xx answers")
 }
 
-func (x *transport) reply(cn *conn, m *message, resp *http.Response, pumped chan error) (*reply, balance.Status, error) {
+func (x *transport) reply(ex *exchange, m *message, resp *http.Response, pumped chan error) (*reply, balance.Status, error) {
+	cn := ex.conn
+	elapsed := time.Since(ex.writtenAt)
 	re := &reply{conn: cn, status: resp.StatusCode, header: resp.Header, length: resp.ContentLength,
 		trailer: func() http.Header { return resp.Trailer }}
 	if text := resp.Header.Get(reportHeader); text != "" && x.reports {
-		re.load = x.report(text)
+		re.load, _ = x.report(text)
 	}
 	given := false
 	re.release = func(clean bool) {
@@ -265,10 +304,15 @@
 			default:
 			}
 		}
-		if clean && whole && !resp.Close && cn.read.Buffered() == 0 {
-			x.conns.put(cn)
-		} else {
-			cn.Close()
+		switch {
+		case !clean:
+			x.conns.Discard(cn, upstream.Cancelled)
+		case !whole || resp.Close:
+			x.conns.Discard(cn, upstream.AfterAnswer)
+		case cn.Reader.Buffered() > 0:
+			x.conns.DiscardSurplus(cn, reuse.BytesBehindAnswer)
+		default:
+			x.conns.Put(cn, elapsed, upstream.Request{IsProbe: ex.isProbe})
 		}
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
@@ -289,6 +333,10 @@
 			m.full.Store(true)
 		}
 	}
+	if !x.conns.KeepsOrder(cn) {
+		x.conns.Discard(cn, upstream.OrderLost)
+		return nil, 0, errOrderLost
+	}
 	if st == balance.Delivered && (resp.ContentLength < 0 || resp.ContentLength > answerMost) && m.method != http.MethodHead {
 		re.body = resp.Body
 		cn.SetDeadline(time.Time{})
@@ -301,6 +349,9 @@
 	case len(body) > answerMost:
 		return nil, 0, errors.New("an error's body is too long to be held")
 	}
+	if !ex.isProbe && !x.conns.AcceptsAnswer(cn, time.Since(ex.writtenAt), ex.deadline) {
+		return nil, 0, errOrderLost
+	}
 	re.held = body
 	if re.length < 0 && m.method != http.MethodHead {
 		re.length = int64(len(body))
@@ -313,39 +364,43 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeWithin)
 		defer cancel()
-		cn, err := x.conns.get(ctx, to, false)
+		cn, err := x.conns.ready(ctx, to, upstream.Request{IsProbe: true})
 		if err != nil {
 			told(engine.Result{Status: balance.DialFailed})
 			return
 		}
-		cn.SetDeadline(time.Now().Add(probeWithin))
+		ex := &exchange{conn: cn, writtenAt: time.Now(), deadline: time.Now().Add(probeWithin), isProbe: true}
+		cn.SetDeadline(ex.deadline)
 		m := &message{method: http.MethodGet, target: x.probe, host: to.Addr, header: http.Header{}}
 		_, err = cn.Write(m.wire())
 		var re *reply
 		var st balance.Status
 		if err == nil {
-			re, st, err = x.answer(ctx, cn, m, nil)
+			re, st, err = x.answer(ex, m, nil)
 		}
 		switch {
 		case err != nil:
-			cn.Close()
-			told(engine.Result{Status: broken(ctx, err)})
+			told(engine.Result{Status: x.endBroken(ctx, cn, err)})
 			return
 		case st != balance.Delivered || re.status != http.StatusOK || re.body != nil:
 			re.drop()
 			told(engine.Result{Status: balance.Shed})
 			return
 		}
-		re.release(true)
 		if re.load.Has == 0 {
-			re.load = x.report(string(re.held))
+			if re.load, err = x.report(string(re.held)); err != nil && cn.State.IsReused() {
+				x.conns.DiscardSurplus(cn, reuse.UnreadableReport)
+				told(engine.Result{Status: balance.Dropped})
+				return
+			}
 		}
+		re.release(true)
 		told(engine.Result{Status: balance.Delivered, Load: re.load})
 	}()
 }
 
 // pump sends what is left of a client's body, as it comes. A client that sends nothing for idle has given up.
-func (m *message) pump(cn *conn, idle time.Duration) error {
+func (m *message) pump(cn *upstream.Conn, idle time.Duration) error {
 	defer close(m.pumped)
 	buf := make([]byte, 32<<10)
 	for {
--- a/internal/front/http/conns.go
+++ b/internal/front/http/conns.go
@@ -1,58 +1,46 @@
 package httpfront
 
 import (
-	"bufio"
+	"cmp"
 	"context"
 	"crypto/tls"
-	"io"
-	"math"
+	"errors"
+	"log/slog"
 	"net"
 	"strings"
-	"sync"
 	"time"
 
 	"glencart/internal/engine"
 	"glencart/internal/site"
 	"glencart/internal/sock"
+	"glencart/internal/upstream"
 )
 
 const (
-	// maxHeadBytes bounds the head of a box's answer.
+	// headMost bounds the head of a backend's answer, in bytes.
 	headMost = 64 << 10
-	// freshFor is how long a connection may have stood idle that takes an unsafe request. A box closes idle connections
+	// freshFor is how long a connection may have been idle that carries an unsafe request. A backend closes idle connections
 	// when it likes, and a request that crosses that is one that may have run.
 	freshFor = 500 * time.Millisecond
+	// defaultIdleTimeout is how long a connection may be idle, and defaultMaxIdle is how many may be to one backend, where the
+	// file does not say.
+	defaultIdleTimeout, defaultMaxIdle = 4 * time.Second, 64
+	// readBufferBytes is the size of the read buffer of a connection to a backend.
+	readBufferBytes = 4 << 10
 )
 
-// conn is a connection to a box. It carries one request at a time.
-type conn struct {
-	net.Conn
-	to     engine.Endpoint
-	limit  io.LimitedReader
-	read   *bufio.Reader
-	idleAt time.Time
-}
+// errNewConnNotQuiet reports that a new connection ended, or had bytes to read, before anything was written.
+var errNewConnNotQuiet = errors.New("new backend connection closed or readable before the request")
 
-// conns keeps the connections to the boxes of one pool.
+// conns holds the connections to the backends of one pool.
 type conns struct {
+	*upstream.Pool
 	dialer net.Dialer
-	tls    *tls.Config   // nil: plain
-	keep   time.Duration // how long one may stand idle
-	most   int           // idle ones to one box
-
-	mu     sync.Mutex
-	closed bool
-	idle   map[engine.Endpoint][]*conn // the one used last is at the end
+	tls    *tls.Config // nil: plain
 }
 
-func newConns(p *site.Pool) (*conns, error) {
-	c := &conns{
-		dialer: net.Dialer{Timeout: p.Connect.Or(time.Second)},
-		keep:   p.Idle.Or(4 * time.Second), most: p.Keep, idle: map[engine.Endpoint][]*conn{},
-	}
-	if c.most == 0 {
-		c.most = 64
-	}
+func newConns(p *site.Pool, log *slog.Logger) (*conns, error) {
+	c := &conns{dialer: net.Dialer{Timeout: p.Connect.Or(time.Second)}}
 	if p.TLS {
 		ca, err := p.Authorities()
 		if err != nil {
@@ -60,29 +48,26 @@
 		}
 		c.tls = &tls.Config{RootCAs: ca, ServerName: p.TLSName, InsecureSkipVerify: p.TLSInsecure, NextProtos: []string{"http/1.1"}}
 	}
+	c.Pool = upstream.NewPool(upstream.Options{Dial: c.dial, MaxIdle: cmp.Or(p.Keep, defaultMaxIdle),
+		IdleTimeout: p.Idle.Or(defaultIdleTimeout), ReadBufferBytes: readBufferBytes, Log: log})
 	return c, nil
 }
 
-// get returns an idle connection that is still up, or dials one.
-func (p *conns) get(ctx context.Context, to engine.Endpoint, unsafe bool) (*conn, error) {
+// ready returns a connection that may carry a request and is still up.
+func (p *conns) ready(ctx context.Context, to engine.Endpoint, request upstream.Request) (*upstream.Conn, error) {
 	for {
-		c := p.take(to)
-		if c == nil {
-			break
+		c, err := p.Get(ctx, to, request)
+		if err != nil {
+			return nil, err
 		}
-		if (!unsafe || time.Since(c.idleAt) < freshFor) && c.read.Buffered() == 0 && c.quiet() {
+		if c.IsUsable() || p.tls != nil && !c.State.IsReused() { // a TLS server may send session tickets behind its handshake
 			return c, nil
 		}
-		c.Close()
-	}
-	nc, err := p.dial(ctx, to.Addr)
-	if err != nil {
-		return nil, err
+		p.DiscardNotIdle(c)
+		if !c.State.IsReused() {
+			return nil, errNewConnNotQuiet
+		}
 	}
-	c := &conn{Conn: nc, to: to}
-	c.limit.R = nc
-	c.read = bufio.NewReaderSize(&c.limit, 4<<10)
-	return c, nil
 }
 
 func (p *conns) dial(ctx context.Context, addr string) (net.Conn, error) {
@@ -113,83 +98,3 @@
 	})
 	return nc, err
 }
-
-func (c *conn) quiet() bool {
-	if t, ok := c.Conn.(*tls.Conn); ok {
-		return sock.IsIdle(t.NetConn())
-	}
-	return sock.IsIdle(c.Conn)
-}
-
-func (p *conns) take(to engine.Endpoint) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[to]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	p.set(to, list[:len(list)-1])
-	return c
-}
-
-func (p *conns) set(to engine.Endpoint, list []*conn) {
-	if len(list) == 0 {
-		delete(p.idle, to)
-	} else {
-		p.idle[to] = list
-	}
-}
-
-// put takes back a connection whose last answer came whole.
-func (p *conns) put(c *conn) {
-	c.SetDeadline(time.Time{})
-	c.limit.N = math.MaxInt64
-	c.idleAt = time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed || len(p.idle[c.to]) >= p.most {
-		c.Close()
-		return
-	}
-	p.idle[c.to] = append(p.idle[c.to], c)
-}
-
-// drop ends the idle connections to an endpoint.
-func (p *conns) drop(to engine.Endpoint) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[to] {
-		c.Close()
-	}
-	delete(p.idle, to)
-}
-
-// run ends connections that have been idle for long, until ctx ends, and then all.
-func (p *conns) run(ctx context.Context) {
-	t := time.NewTicker(p.keep/4 + time.Millisecond)
-	defer t.Stop()
-	for {
-		keep := p.keep
-		select {
-		case <-ctx.Done():
-			keep = 0
-		case <-t.C:
-		}
-		p.mu.Lock()
-		p.closed = keep == 0
-		for to, list := range p.idle {
-			n := 0
-			for n < len(list) && time.Since(list[n].idleAt) >= keep {
-				list[n].Close()
-				n++
-			}
-			p.set(to, list[n:])
-		}
-		p.mu.Unlock()
-		if keep == 0 {
-			return
-		}
-	}
-}
--- a/internal/front/http/handle.go
+++ b/internal/front/http/handle.go
@@ -640,7 +640,7 @@
 	}
 	ended := make(chan int64, 2)
 	go func() {
-		n, _ := io.Copy(client, box.read)
+		n, _ := io.Copy(client, box.Reader)
 		closeWrite(client)
 		ended <- n
 	}()
--- a/internal/front/http/pool.go
+++ b/internal/front/http/pool.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("pool %q: %w", p.Name, err)
 	}
-	cs, err := newConns(p)
+	cs, err := newConns(p, log)
 	if err != nil {
 		return nil, fmt.Errorf("pool %q: %w", p.Name, err)
 	}
@@ -106,12 +106,12 @@
 		spare: reserve.New(reserve.Config{MaxFails: p.MaxFails, FailWithin: time.Duration(p.FailWithin)})}
 	complain := &lograte.Limited{Log: log}
 	x := &transport{conns: cs, probe: p.Probe, reports: p.Reports, idle: s.Limits.BodyIdle.Or(time.Minute), ended: q.ended,
-		report: func(text string) balance.Load {
+		report: func(text string) (balance.Load, error) {
 			l, err := settings.ParseReport(text)
 			if err != nil {
 				complain.Warn("malformed load report", "error", err)
 			}
-			return l
+			return l, err
 		}}
 	ctx, cancel := context.WithCancel(context.Background())
 	q.ctx, q.stop, q.knocks, q.backup = ctx, cancel, map[string]bool{}, map[string]bool{}
@@ -142,7 +142,7 @@
 		q.take(p.Boxes, 0)
 	}
 	q.wg.Go(func() { q.loop.Run(ctx.Done()) })
-	q.wg.Go(func() { cs.run(ctx) })
+	q.wg.Go(func() { cs.Run(ctx) })
 	return q, nil
 }
 
