--- a/cmd/glencart/soak_setup_test.go
+++ b/cmd/glencart/soak_setup_test.go
@@ -13,6 +13,8 @@
 	"os"
 	"strconv"
 	"time"
+
+	"glencart/internal/standin/surplus"
 )
 
 // backend starts a backend that answers, fails or hangs at random.
@@ -50,7 +52,8 @@
 			return
 		}
 		if hr.URL.Path == "/stats" {
-			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			io.WriteString(c, surplus.OK("TEXT inflight=1"))
+			s.sendSecond(c, rng, surplus.OK("TEXT inflight=1"))
 			continue
 		}
 		a.at, a.method, a.key = time.Now(), hr.Method, hr.Header.Get("Idempotency-Key")
@@ -88,7 +91,20 @@
 		if chance == 99 { // it closes an idle connection
 			return
 		}
+		s.sendSecond(c, rng, answer)
+	}
+}
+
+// sendSecond sends some answers once more, or another answer or a part of one, up to earlyLimit later.
+func (s *soak) sendSecond(c net.Conn, rng *rand.Rand, answer string) {
+	if s.secondShare == 0 || rng.Float64() >= s.secondShare {
+		return
 	}
+	second := [...]string{answer, answer, "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 50"}[rng.IntN(4)]
+	s.mu.Lock()
+	s.seconds++
+	s.mu.Unlock()
+	time.AfterFunc(time.Duration(rng.Int64N(int64(earlyLimit))), func() { io.WriteString(c, second) })
 }
 
 // configure writes the configuration with this discovery address. If broken is set, it writes a file that can't
--- a/cmd/glencart/soak_test.go
+++ b/cmd/glencart/soak_test.go
@@ -58,6 +58,7 @@
 	seed          uint64
 	rng           *rand.Rand // used by the driver
 	deadline      time.Duration
+	secondShare   float64   // share of the answers that backends send twice
 	registryAddrs [2]string // two addresses of one registry
 	listen        string
 	config        string // path of the configuration file
@@ -69,6 +70,7 @@
 	drainSendableAt [soakBackends]time.Time // when the registry could send that list; zero if not before it did
 	currentStall    stall
 	stalls          int
+	seconds         int           // second answers that backends sent
 	changed         chan struct{} // closed at the next change of the list
 	addrs           [soakBackends]string
 	arrivals        map[string][]arrival
@@ -103,6 +105,7 @@
 func (s *soak) run() []string {
 	s.rng = rand.New(rand.NewPCG(s.seed, 1))
 	s.deadline = [...]time.Duration{400 * time.Millisecond, time.Second, 3 * time.Second}[s.rng.IntN(3)]
+	s.secondShare = [...]float64{0, 0.01, 0.1}[rand.New(rand.NewPCG(s.seed, 2)).IntN(3)]
 	s.arrivals, s.changed, s.done, s.revision = map[string][]arrival{}, make(chan struct{}), make(chan struct{}), 1
 	for i := range soakBackends {
 		s.backend(i)
@@ -267,8 +270,9 @@
 }
 
 // TestSoak runs a node for a short time with drains, reloads, stops of the process, crowds of connections and a
-// stalling discovery, and ends it with one or more SIGTERM. Clients reuse each connection for as long as it is
-// open. It guards against lost requests, duplicate runs, and requests to draining backends.
+// stalling discovery, and ends it with one or more SIGTERM. In some runs backends send some answers twice. Clients reuse each
+// connection for as long as it is open. It guards against lost requests, duplicate runs, answers of other requests, and requests to
+// draining backends.
 func TestSoak(t *testing.T) {
 	for i := range *soakSeeds {
 		seed := *soakFirst + uint64(i)
@@ -288,8 +292,8 @@
 					crossed++
 				}
 			}
-			t.Logf("deadline %v: %d requests, %d answered, %d served, %d without an answer; held up %d times, discovery %d; late by %v",
-				s.deadline, len(s.requests), answered, served, crossed, len(s.stopped), s.stalls, s.late)
+			t.Logf("deadline %v: %d requests, %d answered, %d served, %d without an answer; held up %d times, discovery %d; %d second answers; late by %v",
+				s.deadline, len(s.requests), answered, served, crossed, len(s.stopped), s.stalls, s.seconds, s.late)
 			if served < minServed {
 				t.Errorf("%d requests, %d served: too few for a valid run", len(s.requests), served)
 			}
