reuse: named answers need no quiet time; a dial beside a wait leaves room

A quiet time for each connection costs dials. A request that waits for a quiet connection dials another one only while a quarter of the connections is free, so that it takes none from requests that have no connection.

--- a/internal/front/http/attempt.go
+++ b/internal/front/http/attempt.go
@@ -312,7 +312,7 @@
 		case cn.Reader.Buffered() > 0:
 			x.conns.DiscardSurplus(cn, reuse.BytesBehindAnswer)
 		default:
-			x.conns.Put(cn, elapsed, upstream.Request{IsProbe: ex.isProbe})
+			x.conns.Put(cn, reuse.Answer{Elapsed: elapsed, IsProbe: ex.isProbe})
 		}
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
@@ -333,7 +333,7 @@
 			m.full.Store(true)
 		}
 	}
-	if !x.conns.KeepsOrder(cn) {
+	if !x.conns.KeepsOrder(cn, false) {
 		x.conns.Discard(cn, upstream.OrderLost)
 		return nil, 0, errOrderLost
 	}
@@ -349,7 +349,7 @@
 	case len(body) > answerMost:
 		return nil, 0, errors.New("an error's body is too long to be held")
 	}
-	if !ex.isProbe && !x.conns.AcceptsAnswer(cn, time.Since(ex.writtenAt), ex.deadline) {
+	if !ex.isProbe && !x.conns.AcceptsAnswer(cn, reuse.Answer{Elapsed: time.Since(ex.writtenAt)}, ex.deadline) {
 		return nil, 0, errOrderLost
 	}
 	re.held = body
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -10,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -257,7 +259,9 @@
 	}
 	x.logEnded(cn, m, resp.StatusCode, nil)
 	x.pool.breakRates.record(cn.IdleAge, false)
-	return x.handleAnswer(ctx, c, m, &exchange{conn: cn, stop: stop, elapsed: time.Since(writtenAt), deadline: deadline}, resp, body)
+	answer := reuse.Answer{Elapsed: time.Since(writtenAt), IsProbe: m.probe, IsServed: outcome(resp) == balance.Delivered,
+		IsNamed: resp.Body == http.NoBody && namesRequest(resp, body, m)}
+	return x.handleAnswer(ctx, c, m, &exchange{conn: cn, stop: stop, answer: answer, deadline: deadline}, resp, body)
 }
 
 // logWritten logs that a request was written on a connection.
@@ -279,8 +283,8 @@
 // exchange is an attempt or a probe of which the answer, or a part of it, has been read.
 type exchange struct {
 	conn     *upstream.Conn
-	stop     func() bool   // ends the watch for cancellation; false: it was cancelled
-	elapsed  time.Duration // from the request to the answer
+	stop     func() bool // ends the watch for cancellation; false: it was cancelled
+	answer   reuse.Answer
 	deadline time.Time
 }
 
@@ -300,7 +304,7 @@
 	switch {
 	case !isWhole && r.Status == balance.Delivered:
 		return x.startStream(ctx, c.attempt, ex.stop, m, &stream{reply: whole, length: resp.ContentLength, rest: resp.Body, cn: ex.conn,
-			isReusable: !resp.Close, pool: x.pool, elapsed: ex.elapsed}, r.Load)
+			isReusable: !resp.Close, pool: x.pool, elapsed: ex.answer.Elapsed}, r.Load)
 	case !isWhole, resp.Close:
 		x.pool.Discard(ex.conn, upstream.AfterAnswer)
 	case ex.conn.Reader.Buffered() > 0:
@@ -308,7 +312,7 @@
 	case !ex.stop():
 		x.pool.Discard(ex.conn, upstream.Cancelled)
 	default:
-		x.pool.Put(ex.conn, ex.elapsed, upstream.Request{IsProbe: m.probe}) // the next request sets its own deadline
+		x.pool.Put(ex.conn, ex.answer) // the next request sets its own deadline
 	}
 	if r.Status == balance.Delivered {
 		r.Body = &whole
@@ -321,12 +325,12 @@
 func (x *transport) isOwnAnswer(m *message, ex *exchange, resp *http.Response, body []byte) bool {
 	switch {
 	case resp.Body != http.NoBody:
-		if !x.pool.KeepsOrder(ex.conn) {
+		if !x.pool.KeepsOrder(ex.conn, false) {
 			x.pool.Discard(ex.conn, upstream.OrderLost)
 			return false
 		}
 	case !m.probe:
-		return x.pool.AcceptsAnswer(ex.conn, ex.elapsed, ex.deadline)
+		return x.pool.AcceptsAnswer(ex.conn, ex.answer, ex.deadline)
 	case ex.conn.State.IsReused() && resp.StatusCode == http.StatusOK && resp.Header.Get(reportHeader) == "":
 		if _, err := settings.ParseReport(string(body)); err != nil {
 			x.limitedLog.Warn("malformed load report", "id", ex.conn.To.ID, "connection", ex.conn.Number, "error", err)
@@ -337,6 +341,26 @@
 	return true
 }
 
+// minNameLength is the length of the shortest request id that is looked for in answers. Shorter ones may be there by chance.
+const minNameLength = 12
+
+// namesRequest reports whether an answer contains the id of its request. Many services return it for tracing.
+func namesRequest(resp *http.Response, body []byte, m *message) bool {
+	id := m.header.Get("X-Trace-Id")
+	if len(id) < minNameLength {
+		return false
+	}
+	if bytes.Contains(body, []byte(id)) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, func(value string) bool { return strings.Contains(value, id) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // endBroken closes a connection whose request was written whole and got no whole answer, and returns the status of the attempt.
 func (x *transport) endBroken(ctx context.Context, cn *upstream.Conn, err error) balance.Status {
 	status := x.brokenStatus(ctx, err)
--- a/internal/node/bodies.go
+++ b/internal/node/bodies.go
@@ -311,7 +311,7 @@
 	case s.cn.Reader.Buffered() > 0:
 		s.pool.DiscardSurplus(s.cn, reuse.BytesBehindAnswer)
 	default:
-		s.pool.Put(s.cn, s.elapsed, upstream.Request{})
+		s.pool.Put(s.cn, reuse.Answer{Elapsed: s.elapsed})
 	}
 }
 
--- a/internal/standin/surplus/surplus.go
+++ b/internal/standin/surplus/surplus.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -52,6 +53,8 @@
 	ShedShare    float64 // share of the requests that are rejected with X-Never-Ran, and have not run
 	SlowShare    float64 // share of the requests whose answers take from minSlow to maxSlow
 
+	Anonymous bool // bodies don't contain the id of their request
+
 	ProbePath string // path of probes; their answer is Report
 	Report    string
 }
@@ -61,7 +64,7 @@
 
 // Draw returns a random configuration of a backend whose surplus bytes come at most maxLate after the answer.
 func Draw(rng *rand.Rand, maxLate time.Duration) Config {
-	return Config{
+	cfg := Config{
 		Form:         Form(rng.IntN(numberOfForms)),
 		Share:        [...]float64{0.01, 0.1, 0.1, 1}[rng.IntN(4)],
 		MaxLate:      [...]time.Duration{maxLate / 20, maxLate / 2, maxLate}[rng.IntN(3)],
@@ -74,6 +77,18 @@
 		ProbePath:    "/stats",
 		Report:       "TEXT inflight=1",
 	}
+	cfg.Anonymous = rng.IntN(2) == 0
+	return cfg
+}
+
+// Body returns the body of the answer to the request with this id.
+func (c Config) Body(id string) string {
+	if !c.Anonymous {
+		return "done: " + id
+	}
+	sum := fnv.New64a()
+	io.WriteString(sum, id)
+	return fmt.Sprintf("done: %x", sum.Sum64())
 }
 
 // String describes the configuration in a line.
@@ -85,6 +100,9 @@
 	if c.InPieces {
 		when += " in pieces"
 	}
+	if c.Anonymous {
+		when += ", anonymous"
+	}
 	if c.BehindProbes {
 		when += ", behind probes too"
 	}
@@ -202,7 +220,7 @@
 		shortest, longest = minSlow, maxSlow
 	}
 	time.Sleep(shortest + time.Duration(rng.Int64N(int64(longest-shortest)+1)))
-	return OK(RequestID(r))
+	return OK(b.cfg.Body(RequestID(r)))
 }
 
 // RequestID returns the id of a request: X-Trace-Id, or the last part of its path.
--- /dev/null
+++ b/internal/upstream/pool_test.go
@@ -0,0 +1,159 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"glencart/internal/engine"
+	"glencart/internal/standin"
+	"glencart/reuse"
+)
+
+// fixture is a pool with one backend. Its ends of the connections arrive on accepted.
+type fixture struct {
+	*Pool
+	to       engine.Endpoint
+	accepted chan net.Conn
+	blocked  atomic.Bool // dials fail when their context ends, not before
+}
+
+func newFixture(t *testing.T, maxConns int) *fixture {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fixture{to: engine.Endpoint{ID: "s", Addr: l.Addr().String()}, accepted: make(chan net.Conn, 16)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			f.accepted <- c
+		}
+	}()
+	ended := make(chan struct{})
+	f.Pool = NewPool(Options{MaxConns: maxConns, IdleTimeout: time.Minute, ReadBufferBytes: 512, Log: slog.New(slog.DiscardHandler),
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			if f.blocked.Load() {
+				<-ended
+				return nil, errors.New("dial ended with the test")
+			}
+			return net.Dial("tcp", addr)
+		}})
+	ctx, cancel := context.WithCancel(context.Background())
+	go f.Run(ctx)
+	t.Cleanup(func() { close(ended); cancel(); l.Close() })
+	return f
+}
+
+// get gets a connection for a request.
+func (f *fixture) get(t *testing.T) *Conn {
+	t.Helper()
+	c, err := f.Get(t.Context(), f.to, Request{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// counter returns a counter of the pool.
+func (f *fixture) counter(name string) int64 {
+	for _, c := range f.Counters() {
+		if c.Name == name {
+			return c.Value
+		}
+	}
+	return -1
+}
+
+// A second answer may still be on its way when a connection becomes idle. The next request must wait until the connection was quiet
+// for long enough, even if no other connection comes up or there is no room for one.
+func TestRequestWaitsForQuietConnection(t *testing.T) {
+	for name, maxConns := range map[string]int{"dials hang": 0, "no room": 1} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, maxConns)
+			c := f.get(t)
+			f.blocked.Store(true)
+			f.Put(c, reuse.Answer{Elapsed: time.Millisecond})
+			freeAt := time.Now()
+			if next := f.get(t); next != c || time.Since(freeAt) < reuse.QuietTime-time.Millisecond {
+				t.Errorf("same connection: %v, after %v", next == c, time.Since(freeAt))
+			}
+		})
+	}
+}
+
+// A connection that comes up sooner than another one is quiet must carry the request, and the other one stays in the pool.
+func TestNewConnectionIsUsedIfItIsUpFirst(t *testing.T) {
+	f := newFixture(t, 0)
+	c := f.get(t)
+	f.Put(c, reuse.Answer{Elapsed: time.Millisecond})
+	if next := f.get(t); next == c || next.State.IsReused() {
+		t.Error("the connection that was not quiet was used")
+	}
+	if idle := f.Idle(f.to); len(idle) != 1 || idle[0] != c {
+		t.Errorf("%d idle connections, want the one that was not used", len(idle))
+	}
+}
+
+// Surplus bytes that come late on an idle connection show that they may reach requests. The connection is closed when they come, and
+// the backend's connections are no longer reused.
+func TestLateSurplusEndsReuse(t *testing.T) {
+	f := newFixture(t, 0)
+	c := f.get(t)
+	backend := standin.Receive(t, "the connection", f.accepted)
+	f.Put(c, reuse.Answer{Elapsed: time.Millisecond})
+	time.Sleep(reuse.QuietTime)
+	io.WriteString(backend, "HTTP/1.1 200 OK\r\n\r\n")
+	standin.Eventually(t, "the end of the connection", func() bool { return f.Open() == 0 })
+	if n := f.counter("surplus.bytes_while_idle"); n != 1 {
+		t.Errorf("surplus bytes counted %d times", n)
+	}
+	f.Put(f.get(t), reuse.Answer{Elapsed: time.Millisecond})
+	if f.Open() != 0 || f.counter("closed.distrusted") != 1 {
+		t.Errorf("%d connections open, %d closed as distrusted; want 0 and 1", f.Open(), f.counter("closed.distrusted"))
+	}
+}
+
+// A backend that closes an idle connection does nothing wrong. The connection leaves the pool at once and nothing else changes.
+func TestConnectionClosedByBackendLeavesPool(t *testing.T) {
+	f := newFixture(t, 0)
+	f.Put(f.get(t), reuse.Answer{Elapsed: time.Millisecond})
+	standin.Receive(t, "the connection", f.accepted).Close()
+	standin.Eventually(t, "the end of the connection", func() bool { return f.Open() == 0 })
+	if f.counter("closed.by_backend") != 1 || f.counter("distrusted_backends") != 0 {
+		t.Errorf("closed by backend: %d, distrusted: %d", f.counter("closed.by_backend"), f.counter("distrusted_backends"))
+	}
+}
+
+// An answer that comes sooner than its backend can answer is held back. If another one follows, neither may be passed on.
+func TestSecondAnswerBehindEarlyOneIsNoticed(t *testing.T) {
+	f := newFixture(t, 0)
+	for range 16 { // until the answer time of the backend is known
+		f.Put(f.get(t), reuse.Answer{Elapsed: 100 * time.Millisecond})
+		f.Drop(f.to)
+		standin.Receive(t, "the connection", f.accepted)
+	}
+	c := f.get(t)
+	backend := standin.Receive(t, "the connection", f.accepted)
+	f.Put(c, reuse.Answer{Elapsed: 100 * time.Millisecond})
+	time.Sleep(reuse.QuietTime)
+	if next := f.get(t); next != c {
+		t.Fatal("the quiet connection was not reused")
+	}
+	time.Sleep(reuse.QuietTime) // an answer in this time would not be accepted for another reason
+	io.WriteString(backend, "HTTP/1.1 200 OK\r\n\r\n")
+	if f.AcceptsAnswer(c, reuse.Answer{Elapsed: time.Millisecond}, time.Now().Add(time.Minute)) {
+		t.Error("an early answer with another one behind it was accepted")
+	}
+	if f.counter("surplus.second_answer") != 1 || f.Open() != 0 {
+		t.Errorf("second answers: %d, open: %d", f.counter("surplus.second_answer"), f.Open())
+	}
+}
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -87,7 +87,7 @@
 // is up first, and nil if the other one is to be used.
 func (p *Pool) connectMeanwhile(ctx context.Context, to engine.Endpoint, waiting *Conn, wait time.Duration) (*Conn, error) {
 	dialing := &dial{pool: p}
-	if wait > waitBeforeDial {
+	if wait > waitBeforeDial && p.hasSpareRoom() {
 		dialing = p.startDial(ctx, to)
 	}
 	quiet := time.NewTimer(wait)
@@ -118,6 +118,18 @@
 // round trips, and work of a backend that holds few connections.
 const waitBeforeDial = 60 * time.Millisecond
 
+// spareRoomDivisor is the share of the connections that a dial beside a wait leaves to requests that find no idle connection: one
+// part in spareRoomDivisor.
+const spareRoomDivisor = 4
+
+// hasSpareRoom reports whether a request that has a connection may dial another one.
+func (p *Pool) hasSpareRoom() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit := p.options.MaxConns
+	return limit == 0 || p.open < limit-limit/spareRoomDivisor
+}
+
 // dial is a connection that is being dialed beside another way to send a request.
 type dial struct {
 	pool *Pool
@@ -164,11 +176,11 @@
 	return true
 }
 
-// Put returns a connection to the pool after a whole answer, which came elapsed after its request.
-func (p *Pool) Put(c *Conn, elapsed time.Duration, request Request) {
+// Put returns a connection to the pool after a whole answer.
+func (p *Pool) Put(c *Conn, answer reuse.Answer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.policy.Answered(p.now(), backendKey(c.To), &c.State, elapsed, request.IsProbe)
+	p.policy.Answered(p.now(), backendKey(c.To), &c.State, answer)
 	p.addIdle(c)
 }
 
--- a/internal/upstream/surplus.go
+++ b/internal/upstream/surplus.go
@@ -51,12 +51,12 @@
 	}
 }
 
-// KeepsOrder reports whether the answer that arrives on a connection can be the one to its request, as far as other connections to the
-// same backend tell.
-func (p *Pool) KeepsOrder(c *Conn) bool {
+// KeepsOrder reports whether the answer that arrives on a connection can be the one to its request, as far as its time, its name and other
+// connections to the same backend tell.
+func (p *Pool) KeepsOrder(c *Conn, isNamed bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.policy.AcceptsAnswer(p.now(), backendKey(c.To), &c.State)
+	return p.policy.AcceptsAnswer(p.now(), backendKey(c.To), &c.State, isNamed)
 }
 
 // HasBytesBefore reports whether an answer could not be read because bytes stood before its status line.
@@ -69,14 +69,14 @@
 
 // AcceptsAnswer reports whether the whole answer on a connection can be the one to its request. It holds back an answer that came too
 // soon, to see whether another one follows. If the answer is not accepted, the connection is closed.
-func (p *Pool) AcceptsAnswer(c *Conn, elapsed time.Duration, deadline time.Time) bool {
+func (p *Pool) AcceptsAnswer(c *Conn, answer reuse.Answer, deadline time.Time) bool {
 	key := backendKey(c.To)
-	if !p.KeepsOrder(c) {
+	if !p.KeepsOrder(c, answer.IsNamed) {
 		p.Discard(c, OrderLost)
 		return false
 	}
 	p.mu.Lock()
-	hold := p.policy.Hold(key, &c.State, elapsed)
+	hold := p.policy.Hold(p.now(), key, &c.State, answer)
 	p.mu.Unlock()
 	if hold = min(hold, time.Until(deadline)-holdMargin); hold <= 0 {
 		return true
--- a/reuse/answertimes.go
+++ b/reuse/answertimes.go
@@ -47,5 +47,10 @@
 	if elapsed >= t.bound() {
 		return 0
 	}
+	return t.longHold(elapsed)
+}
+
+// longHold returns how long to hold back an answer that came elapsed after its request and is suspect for another reason.
+func (t *answerTimes) longHold(elapsed time.Duration) time.Duration {
 	return max(min(holdMeans*t.mean, maxHold)-elapsed, 0)
 }
--- a/reuse/reuse.go
+++ b/reuse/reuse.go
@@ -2,9 +2,10 @@
 // goroutines, no clock.
 //
 // An HTTP/1.1 answer names no request. It belongs to one by order alone. A backend that answers a request twice therefore shifts
-// every later answer on that connection by one request. The package keeps the order in four ways:
+// every later answer on that connection by one request. The package keeps the order in five ways:
 //
 //   - A connection carries another request only after it has been quiet for QuietTime.
+//   - Where the answers of a backend name their requests, each must name its own, and no quiet time is needed.
 //   - At first, only one connection to a backend is reused at a time.
 //   - Surplus bytes are remembered. The later they come, the longer a backend must be quiet from then on. One whose surplus may
 //     reach requests nevertheless gets one request per connection. When several backends do, all of them are treated so.
@@ -31,6 +32,9 @@
 	// probation is how long only one reused connection to a backend is in use at a time, from its first answer on. If answers are
 	// one ahead of requests from the start, one request is harmed before that is noticed.
 	probation = 2 * time.Second
+	// minNamedInRow is how many served answers in a row must have named their requests before a connection is reused without
+	// a quiet time. unnamedPause is how long that ends after an answer that did not, such as a rejection.
+	minNamedInRow, unnamedPause = 32, 2 * time.Second
 	// fleetBackends is how many backends with one request per connection cause the same for all.
 	fleetBackends = 3
 	// forgetAfter is how long a backend without use or distrust stays in memory.
@@ -44,10 +48,19 @@
 
 	takenAt     time.Duration // when it was last taken for a request
 	answerTime  time.Duration // of its last answer
+	wasNamed    bool          // its last answer named its request
 	unconfirmed bool          // nothing has confirmed yet that answerTime belongs to its own request
 	isForProbes bool          // it carries probes only
 }
 
+// Answer is what a Policy is told of a whole answer.
+type Answer struct {
+	Elapsed  time.Duration // from the request to the answer
+	IsProbe  bool          // it answers a probe
+	IsServed bool          // its backend has served the request
+	IsNamed  bool          // it contains the id of its request
+}
+
 // IsReused reports whether the connection has carried an answer before.
 func (c *Conn) IsReused() bool { return c.Answers > 0 }
 
@@ -115,6 +128,8 @@
 	trial           *Conn         // the one connection that is reused during probation
 	trialEnds       time.Duration // when trial is known to be in order; 0: its answer has not come
 	times           answerTimes
+	namedInRow      int           // served answers in a row that named their requests
+	unnamedAt       time.Duration // when an answer last named no request
 }
 
 // New returns a Policy that trusts all backends.
@@ -166,12 +181,21 @@
 		return 0, false
 	}
 	b := p.backends[key]
-	if b == nil {
+	switch {
+	case b == nil:
 		return c.FreeAt + QuietTime, true
+	case b.namesRequests(now):
+		return c.FreeAt, true
 	}
 	return c.FreeAt + max(b.requiredQuiet(now)-b.times.bound(), minQuietTime), !b.hasTrial(now)
 }
 
+// namesRequests reports whether the backend's answers name their requests. Then each answer shows for itself whether it belongs to
+// its request.
+func (b *backend) namesRequests(now time.Duration) bool {
+	return b.namedInRow >= minNamedInRow && now-b.unnamedAt > unnamedPause
+}
+
 // requiredQuiet returns how long after an answer the next one can come that belongs to its own request.
 func (b *backend) requiredQuiet(now time.Duration) time.Duration {
 	if now < b.distrustedUntil {
@@ -252,8 +276,8 @@
 	}
 }
 
-// Answered records a whole answer that came elapsed after its request. Answers to probes are not compared with those to requests.
-func (p *Policy[K]) Answered(now time.Duration, key K, c *Conn, elapsed time.Duration, isProbe bool) {
+// Answered records a whole answer. Answers to probes are not compared with those to requests.
+func (p *Policy[K]) Answered(now time.Duration, key K, c *Conn, answer Answer) {
 	b := p.backend(now, key)
 	if b.trustedFrom == 0 {
 		b.trustedFrom = now + probation
@@ -263,23 +287,44 @@
 	}
 	isFirst := !c.IsReused()
 	c.Answers++
-	c.FreeAt, c.answerTime, c.unconfirmed = now, elapsed, !isProbe && !isFirst
-	if isFirst && !isProbe {
-		p.addAnswerTime(now, key, elapsed)
+	c.FreeAt, c.answerTime, c.wasNamed = now, answer.Elapsed, answer.IsNamed
+	c.unconfirmed = !answer.IsProbe && !isFirst
+	if answer.IsProbe {
+		return
+	}
+	b.countNamed(now, answer)
+	if isFirst {
+		p.addAnswerTime(now, key, answer.Elapsed)
 	}
 }
 
+// countNamed records whether an answer named its request.
+func (b *backend) countNamed(now time.Duration, answer Answer) {
+	switch {
+	case answer.IsNamed:
+		b.namedInRow++
+		return
+	case answer.IsServed:
+		b.namedInRow = 0
+	}
+	b.unnamedAt = now
+}
+
 func (p *Policy[K]) addAnswerTime(now time.Duration, key K, elapsed time.Duration) {
 	p.backend(now, key).times.add(now, elapsed)
 	p.fleet.add(now, elapsed)
 }
 
 // Hold returns how long an answer must be held back to see whether another one follows. Most answers are not held.
-func (p *Policy[K]) Hold(key K, c *Conn, elapsed time.Duration) time.Duration {
-	if !c.IsReused() {
+func (p *Policy[K]) Hold(now time.Duration, key K, c *Conn, answer Answer) time.Duration {
+	if !c.IsReused() || answer.IsNamed {
 		return 0
 	}
-	return p.timesOf(key).hold(elapsed)
+	times := p.timesOf(key)
+	if b := p.backends[key]; b != nil && answer.IsServed && b.namesRequests(now) {
+		return times.longHold(answer.Elapsed) // all others of this backend named their requests
+	}
+	return times.hold(answer.Elapsed)
 }
 
 // timesOf returns the answer times of a backend, or those of all while its own are too few.
@@ -290,11 +335,11 @@
 	return &p.fleet
 }
 
-// AcceptsAnswer reports whether the answer that arrives on a connection can be taken for the one to its request. On a reused
-// connection it can't if it arrives within QuietTime of the answer before, or if a surplus answer of the same backend was
+// AcceptsAnswer reports whether the answer that arrives on a connection can be taken for the one to its request. If it names its
+// request, it can. Otherwise, on a reused connection, it can't if it arrives within QuietTime of the answer before, or if a surplus answer of the same backend was
 // noticed after the request was written.
-func (p *Policy[K]) AcceptsAnswer(now time.Duration, key K, c *Conn) bool {
-	if !c.IsReused() || c.isForProbes {
+func (p *Policy[K]) AcceptsAnswer(now time.Duration, key K, c *Conn, isNamed bool) bool {
+	if isNamed || !c.IsReused() || c.isForProbes {
 		return true
 	}
 	b := p.backends[key]
@@ -351,7 +396,7 @@
 // followsWrongAnswer reports whether the bytes behind an answer on a reused connection may be the real answer. That is unlikely the
 // first time, if the answer took as long as others.
 func (p *Policy[K]) followsWrongAnswer(now time.Duration, key K, c *Conn) bool {
-	if c.Answers <= 1 {
+	if c.Answers <= 1 || c.wasNamed {
 		return false
 	}
 	times := p.timesOf(key)
