reuse: unreadable reports bar one connection; distrust of all follows the fleet

A backend whose reports have a form that this node doesn't know would have got one request per connection, and three such backends all others too, in a fleet of any size. An unreadable report now bars its connection from requests; if it was another answer, the real one follows and is noticed. All backends are distrusted when three are, and one in four. A connection that is put back into a closed pool is closed.

--- a/internal/front/http/attempt.go
+++ b/internal/front/http/attempt.go
@@ -389,9 +389,7 @@
 		}
 		if re.load.Has == 0 {
 			if re.load, err = x.report(string(re.held)); err != nil && cn.State.IsReused() {
-				x.conns.DiscardSurplus(cn, reuse.UnreadableReport)
-				told(engine.Result{Status: balance.Dropped})
-				return
+				x.conns.ReportUnreadable(cn)
 			}
 		}
 		re.release(true)
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -334,8 +334,7 @@
 	case ex.conn.State.IsReused() && resp.StatusCode == http.StatusOK && resp.Header.Get(reportHeader) == "":
 		if _, err := settings.ParseReport(string(body)); err != nil {
 			x.limitedLog.Warn("malformed load report", "id", ex.conn.To.ID, "connection", ex.conn.Number, "error", err)
-			x.pool.DiscardSurplus(ex.conn, reuse.UnreadableReport)
-			return false
+			x.pool.ReportUnreadable(ex.conn)
 		}
 	}
 	return true
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -217,6 +217,10 @@
 		go p.discardWatched(c)
 		return
 	}
+	if p.isClosed {
+		p.close(c, IdleTimeout)
+		return
+	}
 	p.policy.Released(backendKey(c.To), &c.State)
 	list := p.idle[c.To]
 	i, _ := slices.BinarySearchFunc(list, c.IdleAt, func(other *Conn, at time.Time) int { return other.IdleAt.Compare(at) })
--- a/internal/upstream/surplus.go
+++ b/internal/upstream/surplus.go
@@ -64,6 +64,14 @@
 	return strings.HasPrefix(err.Error(), "malformed HTTP") && strings.Contains(err.Error(), "HTTP/1.")
 }
 
+// ReportUnreadable records that the answer to a probe on a reused connection was no load report. The connection stays in use.
+func (p *Pool) ReportUnreadable(c *Conn) {
+	p.stats.surplus[reuse.UnreadableReport].Add(1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.policy.Report(p.now(), backendKey(c.To), &c.State, reuse.UnreadableReport)
+}
+
 // holdMargin is how long before the deadline of its attempt an answer is no longer held back.
 const holdMargin = 5 * time.Millisecond
 
--- a/reuse/reuse.go
+++ b/reuse/reuse.go
@@ -35,8 +35,9 @@
 	// minNamedInRow is how many served answers in a row must have named their requests before a connection is reused without
 	// a quiet time. unnamedPause is how long that ends after an answer that did not, such as a rejection.
 	minNamedInRow, unnamedPause = 32, 2 * time.Second
-	// fleetBackends is how many backends with one request per connection cause the same for all.
-	fleetBackends = 3
+	// fleetBackends is how many backends with one request per connection cause the same for all, if they are at least one in
+	// fleetDivisor.
+	fleetBackends, fleetDivisor = 3, 4
 	// forgetAfter is how long a backend without use or distrust stays in memory.
 	forgetAfter = time.Hour
 )
@@ -349,10 +350,15 @@
 	return now >= c.FreeAt+b.requiredQuiet(c.takenAt) && (b.orderLostAt == 0 || c.takenAt > b.orderLostAt)
 }
 
-// Report records evidence that a connection to a backend carried more answers than requests. The caller closes that connection and
-// the idle ones to the backend.
+// Report records evidence that a connection to a backend carried more answers than requests. The caller closes that connection, and the
+// idle ones that carry no further request. An unreadable report changes only its connection, which stays open: the backend may have
+// another form of reports, and if the report was another answer, the real one follows and is noticed.
 func (p *Policy[K]) Report(now time.Duration, key K, c *Conn, evidence Evidence) Distrust {
 	b := p.backend(now, key)
+	if evidence == UnreadableReport {
+		c.isForProbes = true
+		return Distrust{Level: p.LevelOf(now, key)}
+	}
 	level := Cautious
 	if p.mayHaveMisled(now, key, c, evidence) {
 		level = SingleUse
@@ -373,7 +379,7 @@
 		result.Begins = true
 	}
 	result.For = b.distrustedUntil - now
-	if p.count(now, SingleUse) >= fleetBackends && now >= p.distrustedAll {
+	if p.count(now, SingleUse) >= max(fleetBackends, len(p.backends)/fleetDivisor) && now >= p.distrustedAll {
 		p.distrustedAll = b.distrustedUntil
 		result.All = true
 	}
@@ -387,8 +393,6 @@
 		return p.followsWrongAnswer(now, key, c) || now-c.FreeAt > p.backends[key].requiredQuiet(now)
 	case BytesBehindAnswer:
 		return p.followsWrongAnswer(now, key, c)
-	case UnreadableReport:
-		return !c.isForProbes
 	}
 	return true
 }
--- a/reuse/reuse_test.go
+++ b/reuse/reuse_test.go
@@ -103,6 +103,20 @@
 	}
 }
 
+// A report that can't be read may be the answer to another request, or a form that this node doesn't know. Its connection must carry no
+// request, and its backend must not lose the reuse of all connections.
+func TestUnreadableReportChangesOnlyItsConnection(t *testing.T) {
+	p := New[string]()
+	c, other := &Conn{Answers: 1}, &Conn{Answers: 1}
+	if d := p.Report(time.Second, "a", c, UnreadableReport); d.Begins || p.LevelOf(time.Second, "a") != Trusted {
+		t.Errorf("%+v, level %v", d, p.LevelOf(time.Second, "a"))
+	}
+	choose := func(c *Conn) int { return p.ChooseForRequest(9*time.Second, "a", []*Conn{c}).Index }
+	if choose(c) != -1 || choose(other) != 0 {
+		t.Error("exactly the connection with the report must carry no request")
+	}
+}
+
 // If every answer comes twice, several requests must not be harmed at the same time before the first one shows it.
 func TestOneConnectionIsReusedDuringProbation(t *testing.T) {
 	p := New[string]()
@@ -174,6 +188,15 @@
 			t.Errorf("backend %d: %+v", key, d)
 		}
 	}
+	large := New[int]()
+	for key := range 100 {
+		large.Answered(0, key, &Conn{}, Answer{Elapsed: ms})
+	}
+	for key := range fleetBackends {
+		if d := large.Report(time.Second, key, &Conn{Answers: 1}, SecondAnswer); d.All {
+			t.Errorf("%d of 100 backends cause distrust of all", key+1)
+		}
+	}
 	if p.LevelOf(time.Second, 99) != SingleUse || p.LevelOf(time.Second+minDistrust, 99) != Trusted {
 		t.Error("all backends must be distrusted for one period")
 	}
