Comments on reused connections in plain terms

Three new comments used wording that the project has given up. They describe answers and surplus bytes now.

--- a/cmd/glencart/second_answers_test.go
+++ b/cmd/glencart/second_answers_test.go
@@ -285,7 +285,7 @@
 	}
 }
 
-// A second answer that arrives up to 2 s late, or with the first bytes of the next request, can't be told from the answer to that
+// A second answer that arrives up to 2 s late, or with the first bytes of the next request, looks like the answer to that
 // request the first time. It must have an effect once at most for each node and backend, since the node notices the surplus and
 // uses no connection to that backend twice from then on.
 func TestLateSecondAnswersAreNoticed(t *testing.T) {
--- a/internal/upstream/surplus.go
+++ b/internal/upstream/surplus.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// KeepsOrder reports whether the answer that arrives on a connection can be the one to its request, as far as its time, its name and other
-// connections to the same backend tell.
+// KeepsOrder reports whether the answer that arrives on a connection can be the one to its request, by its time, its name and the surplus
+// bytes of other connections to the same backend.
 func (p *Pool) KeepsOrder(c *Conn, isNamed bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/reuse/reuse.go
+++ b/reuse/reuse.go
@@ -54,7 +54,7 @@
 	isForProbes bool          // it carries probes only
 }
 
-// Answer is what a Policy is told of a whole answer.
+// Answer describes a whole answer.
 type Answer struct {
 	Elapsed  time.Duration // from the request to the answer
 	IsProbe  bool          // it answers a probe
