upstream: an early answer without time to hold it is not accepted

A client near its deadline could get another request's answer: an answer that came sooner than its backend can answer was accepted without the hold when less time was left than the hold takes. Such an attempt now ends as one that may have run. TestEarlyAnswerIsNotAcceptedWithoutTimeToHoldIt failed before and passes.

--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -157,3 +157,26 @@
 		t.Errorf("second answers: %d, open: %d", f.counter("surplus.second_answer"), f.Open())
 	}
 }
+
+// An early answer may be another request's. When its attempt has no time left to see whether another answer follows, it must not be
+// accepted, because nothing shows that it is the right one.
+func TestEarlyAnswerIsNotAcceptedWithoutTimeToHoldIt(t *testing.T) {
+	f := newFixture(t, 0)
+	for range 16 { // until the answer time of the backend is known
+		f.Put(f.get(t), reuse.Answer{Elapsed: 100 * time.Millisecond})
+		f.Drop(f.to)
+	}
+	c := f.get(t)
+	f.Put(c, reuse.Answer{Elapsed: 100 * time.Millisecond})
+	time.Sleep(reuse.QuietTime)
+	if next := f.get(t); next != c {
+		t.Fatal("the quiet connection was not reused")
+	}
+	time.Sleep(reuse.QuietTime) // an answer in this time would not be accepted for another reason
+	if f.AcceptsAnswer(c, reuse.Answer{Elapsed: time.Millisecond}, time.Now().Add(20*time.Millisecond)) {
+		t.Error("an early answer was accepted without being held for long enough")
+	}
+	if f.Open() != 0 || f.counter("closed.order_lost") != 1 {
+		t.Errorf("%d connections open, %d closed since their order is lost", f.Open(), f.counter("closed.order_lost"))
+	}
+}
--- a/internal/upstream/surplus.go
+++ b/internal/upstream/surplus.go
@@ -72,7 +72,7 @@
 	p.policy.Report(p.now(), backendKey(c.To), &c.State, reuse.UnreadableReport)
 }
 
-// holdMargin is how long before the deadline of its attempt an answer is no longer held back.
+// holdMargin is how long before the deadline of its attempt an answer must have been held back.
 const holdMargin = 5 * time.Millisecond
 
 // AcceptsAnswer reports whether the whole answer on a connection can be the one to its request. It holds back an answer that came too
@@ -86,8 +86,12 @@
 	p.mu.Lock()
 	hold := p.policy.Hold(p.now(), key, &c.State, answer)
 	p.mu.Unlock()
-	if hold = min(hold, time.Until(deadline)-holdMargin); hold <= 0 {
+	switch {
+	case hold == 0:
 		return true
+	case hold > time.Until(deadline)-holdMargin:
+		p.Discard(c, OrderLost) // there is no time to see whether another answer follows
+		return false
 	}
 	p.stats.held.Add(1)
 	c.Limit.N = watchedBytes
