upstream: a waiting connection is not used after its backend is distrusted

A request that waited for a connection to be quiet used it although, meanwhile, another connection had shown that the backend sends surplus answers; its answer counted as asked for after the evidence, so it was accepted. The level is looked at again after the wait.

--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -180,3 +180,23 @@
 		t.Errorf("%d connections open, %d closed since their order is lost", f.Open(), f.counter("closed.order_lost"))
 	}
 }
+
+// A backend may be found to send surplus answers while a request waits for one of its connections to be quiet. The connection must
+// not carry the request after that.
+func TestWaitingConnectionIsNotUsedAfterDistrust(t *testing.T) {
+	f := newFixture(t, 0)
+	waiting, faulty := f.get(t), f.get(t)
+	f.Put(waiting, reuse.Answer{Elapsed: time.Millisecond})
+	f.blocked.Store(true)
+	got := make(chan *Conn, 1)
+	go func() {
+		c, _ := f.Get(t.Context(), f.to, Request{})
+		got <- c
+	}()
+	standin.Eventually(t, "the wait", func() bool { return f.counter("waits_for_quiet") == 1 })
+	f.blocked.Store(false) // the next dial succeeds; the one beside the wait goes on
+	f.DiscardSurplus(faulty, reuse.SecondAnswer)
+	if c := standin.Receive(t, "a connection", got); c == waiting {
+		t.Error("a connection of a backend with surplus answers was reused")
+	}
+}
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -162,8 +162,8 @@
 	}()
 }
 
-// stopWatch prepares a connection taken from the pool for a request. It reports false if something had arrived on it. Then the
-// connection is closed.
+// stopWatch prepares a connection taken from the pool for a request. It reports false if something had arrived on it, or if its
+// backend is no longer trusted. Then the connection is closed.
 func (p *Pool) stopWatch(c *Conn) bool {
 	if !c.watch.stop() {
 		p.discardWatched(c)
@@ -171,6 +171,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if c.State.IsReused() && p.policy.LevelOf(p.now(), backendKey(c.To)) == reuse.SingleUse {
+		p.close(c, Distrusted) // surplus bytes were noticed while it waited
+		return false
+	}
 	p.stats.reused.Add(1)
 	p.policy.Taken(p.now(), backendKey(c.To), &c.State)
 	return true
