--- a/cmd/glencart/main_test.go
+++ b/cmd/glencart/main_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"glencart/internal/standin/roles"
 )
 
 func TestMain(m *testing.M) {
@@ -25,6 +27,7 @@
 		runAgents(setup)
 		os.Exit(0)
 	}
+	roles.RunIfAsked()
 	os.Exit(m.Run())
 }
 
