upstream: the loop and the pool's lock no longer wait for connections to close

Callers saw answers held up when a list removed many backends. Close of a connection returns only when no read is in progress, and since idle connections are watched one always is: it waits until the watching goroutine runs, behind all others of a node with one processor. CloseIdle did that on the loop, once for each idle connection, and every close was made under the pool's lock, for which all attempts wait.

Connections are now closed after the lock is released: by the caller, or for Drop, which the loop calls, by another goroutine.

TestDropDoesNotWaitForConnectionsToClose: before, Drop did not return while a Close was held up (20 s); now it does.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -38,7 +38,8 @@
 
 	mu         sync.Mutex
 	idle       map[engine.Endpoint][]*Conn // in the order of IdleAt
-	open       int
+	open       int                         // without those in closing
+	closing    []*Conn                     // to be closed once mu is unlocked
 	isClosed   bool
 	lastNumber uint64
 	policy     *reuse.Policy[string]
@@ -84,7 +85,7 @@
 // Resize changes the limit on connections. It closes idle ones to meet the limit, but none in use.
 func (p *Pool) Resize(maxConns int) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndClose()
 	p.options.MaxConns = maxConns
 	for p.isOverfull() {
 		oldest := p.removeOldestIdle()
@@ -118,7 +119,7 @@
 // longest.
 func (p *Pool) reserve() bool {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndClose()
 	p.open++
 	if !p.isOverfull() {
 		return true
@@ -161,14 +162,42 @@
 	}
 }
 
-// close closes a connection that is in use by nobody. The caller holds mu.
+// close has a connection closed that is in use by nobody, once mu is unlocked. The caller holds mu and unlocks it with unlockAndClose or
+// unlockAndCloseLater.
+//
+// Close of a connection that is watched returns only when the goroutine of its watch has left its read. That takes as long as the other
+// goroutines of the process take, so nobody waits for it under the lock.
 func (p *Pool) close(c *Conn, reason CloseReason) {
 	p.stats.closed[reason].Add(1)
 	p.policy.Released(backendKey(c.To), &c.State)
-	c.Close()
+	p.closing = append(p.closing, c)
 	p.open--
 }
 
+// unlockAndClose unlocks mu and waits until the connections of earlier calls of close are closed.
+func (p *Pool) unlockAndClose() { closeConns(p.unlockWithClosing()) }
+
+// unlockAndCloseLater is unlockAndClose for callers that must not wait.
+func (p *Pool) unlockAndCloseLater() {
+	if conns := p.unlockWithClosing(); len(conns) > 0 {
+		go closeConns(conns)
+	}
+}
+
+// unlockWithClosing unlocks mu and returns the connections to close.
+func (p *Pool) unlockWithClosing() []*Conn {
+	conns := p.closing
+	p.closing = nil
+	p.mu.Unlock()
+	return conns
+}
+
+func closeConns(conns []*Conn) {
+	for _, c := range conns {
+		c.Close()
+	}
+}
+
 // closeIdle closes all idle connections to an endpoint. The caller holds mu.
 func (p *Pool) closeIdle(to engine.Endpoint, reason CloseReason) {
 	for _, c := range p.idle[to] {
@@ -181,14 +210,14 @@
 func (p *Pool) Discard(c *Conn, reason CloseReason) {
 	sock.Abort(c.Conn)
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndClose()
 	p.close(c, reason)
 }
 
-// Drop closes the idle connections to an endpoint.
+// Drop closes the idle connections to an endpoint. It does not wait until they are closed, because the loop of an engine calls it.
 func (p *Pool) Drop(to engine.Endpoint) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndCloseLater()
 	p.closeIdle(to, BackendRemoved)
 }
 
@@ -213,7 +242,7 @@
 
 func (p *Pool) closeOld() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndClose()
 	p.policy.Prune(p.now())
 	for to := range p.idle {
 		for len(p.idle[to]) > 0 && time.Since(p.idle[to][0].IdleAt) >= p.options.IdleTimeout {
@@ -224,7 +253,7 @@
 
 func (p *Pool) closeAll() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndClose()
 	p.isClosed = true
 	for to := range p.idle {
 		p.closeIdle(to, IdleTimeout)
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -20,7 +20,19 @@
 	*Pool
 	to       engine.Endpoint
 	accepted chan net.Conn
-	blocked  atomic.Bool // dials fail when their context ends, not before
+	blocked  atomic.Bool   // dials fail when their context ends, not before
+	closing  chan struct{} // if it is not nil, Close of a connection waits for a value
+}
+
+// slowConn is a connection whose Close waits, as that of a connection with a read in progress does.
+type slowConn struct {
+	net.Conn
+	closing <-chan struct{}
+}
+
+func (c slowConn) Close() error {
+	<-c.closing
+	return c.Conn.Close()
 }
 
 func newFixture(t *testing.T, maxConns int) *fixture {
@@ -45,7 +57,11 @@
 				<-ended
 				return nil, errors.New("dial ended with the test")
 			}
-			return net.Dial("tcp", addr)
+			c, err := net.Dial("tcp", addr)
+			if err == nil && f.closing != nil {
+				c = slowConn{c, f.closing}
+			}
+			return c, err
 		}})
 	ctx, cancel := context.WithCancel(context.Background())
 	go f.Run(ctx)
@@ -200,3 +216,20 @@
 		t.Error("a connection of a backend with surplus answers was reused")
 	}
 }
+
+// A list that removed most backends at once made the loop close their idle connections one by one. Each Close waits for the goroutine
+// that watches the connection, and the lock of the pool was held meanwhile, so all requests of the node waited too. Neither Drop nor
+// the use of other connections may wait for a Close.
+func TestDropDoesNotWaitForConnectionsToClose(t *testing.T) {
+	f := newFixture(t, 0)
+	f.closing = make(chan struct{})
+	f.Put(f.get(t), reuse.Answer{Elapsed: time.Millisecond})
+	dropped := make(chan struct{})
+	go func() {
+		f.Drop(f.to)
+		f.Put(f.get(t), reuse.Answer{Elapsed: time.Millisecond})
+		close(dropped)
+	}()
+	standin.Receive(t, "Drop and another connection", dropped)
+	close(f.closing)
+}
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -47,7 +47,7 @@
 // take takes an idle connection out of the pool, and returns how long it must still be quiet.
 func (p *Pool) take(to engine.Endpoint, request Request) (*Conn, time.Duration) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndClose()
 	for {
 		choice := p.choose(to, request)
 		if choice.Index < 0 {
@@ -170,7 +170,7 @@
 		return false
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndClose()
 	if c.State.IsReused() && p.policy.LevelOf(p.now(), backendKey(c.To)) == reuse.SingleUse {
 		p.close(c, Distrusted) // surplus bytes were noticed while it waited
 		return false
@@ -183,7 +183,7 @@
 // Put returns a connection to the pool after a whole answer.
 func (p *Pool) Put(c *Conn, answer reuse.Answer) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndClose()
 	p.policy.Answered(p.now(), backendKey(c.To), &c.State, answer)
 	p.addIdle(c)
 }
@@ -191,7 +191,7 @@
 // putNew puts a connection into the pool that has carried nothing.
 func (p *Pool) putNew(c *Conn) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndClose()
 	c.State.FreeAt = p.now()
 	p.addIdle(c)
 }
@@ -216,7 +216,7 @@
 // putBack puts a connection back that was taken and not used.
 func (p *Pool) putBack(c *Conn) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndClose()
 	if c.watch.hasEnded() {
 		go p.discardWatched(c)
 		return
--- a/internal/upstream/surplus.go
+++ b/internal/upstream/surplus.go
@@ -33,7 +33,7 @@
 	p.stats.surplus[evidence].Add(1)
 	key := backendKey(c.To)
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndClose()
 	now := p.now()
 	distrust := p.policy.Report(now, key, &c.State, evidence)
 	p.close(c, Surplus)
