engine: due timers run between posted functions; a panic leaves the loop to others

Callers of a busy node had answers after their time: the loop ran posted functions until none was left, and only then timers, which have the deadlines of requests. While functions came as fast as they ran, no timer fired. Now timers run between two batches.

In the same place Submit and Deliver held the loop's lock without defer. After a panic in a decision that a caller recovers (the gRPC plug-in inside a handler with a recovery interceptor) the loop stayed locked, and no later call had an answer. The node and serve post instead, so a panic there ends the process; this was not the cause of the incident. What a panicking batch had not run yet is queued again.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -145,56 +146,70 @@
 	}
 }
 
-// tryAcquireLoop makes the calling goroutine the loop if the loop is idle, and runs all posted functions. The caller calls
-// releaseLoop if it returns true.
-func (e *Engine) tryAcquireLoop() bool {
+// tryRunOnLoop makes the calling goroutine the loop if the loop is idle, and runs f behind the posted functions. It reports whether it
+// did. A panic of f leaves the loop to others.
+func (e *Engine) tryRunOnLoop(f func()) bool {
 	if !e.loopMu.TryLock() {
 		return false
 	}
+	defer e.releaseLoop()
 	e.mu.Lock()
 	ended := e.ended
 	e.mu.Unlock()
 	if ended {
-		e.loopMu.Unlock()
 		return false
 	}
 	e.runPosted()
+	f()
+	e.runPosted()
 	return true
 }
 
-// releaseLoop ends what tryAcquireLoop began. Functions posted later wake Run.
+// releaseLoop leaves the loop to Run, and wakes it if it has something to do.
 func (e *Engine) releaseLoop() {
-	e.runPosted()
-	earlier := len(e.timers) > 0 && e.timers[0].at < e.nextCheckAt
+	isDue := len(e.timers) > 0 && e.timers[0].at < e.nextCheckAt
 	e.loopMu.Unlock()
-	if earlier {
+	e.mu.Lock()
+	hasPosted := len(e.queue)+len(e.urgentQueue) > 0
+	e.mu.Unlock()
+	if isDue || hasPosted {
 		e.wakeLoop()
 	}
 }
 
-// runPosted runs posted functions until none is left. It reports whether there were any. On the loop.
+// runPosted runs the functions that are posted now, and the urgent ones that are posted meanwhile. It reports whether there were any.
+// On the loop.
 func (e *Engine) runPosted() bool {
-	ran := false
-	for {
-		ran = e.runUrgent() || ran
-		e.mu.Lock()
-		batch := e.queue
-		e.queue = e.spareQueue[:0]
-		e.mu.Unlock()
-		if len(batch) == 0 {
-			e.spareQueue = batch
-			return ran
-		}
-		ran = true
-		for i, f := range batch {
-			batch[i] = nil
-			f()
-			if e.hasUrgent.Load() {
-				e.runUrgent()
-			}
+	ran := e.runUrgent()
+	e.mu.Lock()
+	batch := e.queue
+	e.queue = e.spareQueue[:0]
+	e.mu.Unlock()
+	next := 0
+	defer func() {
+		if next < len(batch) { // a function panicked: the others are still to run
+			e.requeue(batch[next:])
+			return
 		}
 		e.spareQueue = batch[:0]
+	}()
+	for next < len(batch) {
+		f := batch[next]
+		batch[next] = nil
+		next++
+		f()
+		if e.hasUrgent.Load() {
+			e.runUrgent()
+		}
 	}
+	return ran || len(batch) > 0
+}
+
+// requeue puts functions back in front of those posted meanwhile.
+func (e *Engine) requeue(functions []func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.queue = append(slices.Clone(functions), e.queue...)
 }
 
 // runUrgent runs the functions posted with PostFirst. On the loop.
@@ -258,9 +273,14 @@
 	}
 }
 
-// runDue runs posted functions and due timers until there are none.
+// runDue runs posted functions and due timers until there are none. The timers come between two batches of functions, because they have
+// the deadlines of requests, and functions may be posted faster than they run.
 func (e *Engine) runDue() {
-	for e.runPosted() || e.fireTimers() {
+	for {
+		ran := e.runPosted()
+		if fired := e.fireTimers(); !ran && !fired {
+			return
+		}
 	}
 }
 
@@ -294,6 +314,10 @@
 		return
 	}
 	e.isHandling = true
+	defer func() { // also after a panic, or no later event would be handled
+		clear(e.pendingEvents)
+		e.pendingEvents, e.isHandling = e.pendingEvents[:0], false
+	}()
 	for i := 0; i < len(e.pendingEvents); i++ {
 		now := e.Clock()
 		e.actions = e.Balancer.Handle(now, e.pendingEvents[i], e.actions[:0])
@@ -304,8 +328,6 @@
 			e.execute(&e.actions[j])
 		}
 	}
-	clear(e.pendingEvents)
-	e.pendingEvents, e.isHandling = e.pendingEvents[:0], false
 }
 
 func (e *Engine) execute(a *balance.Action) {
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -53,9 +53,7 @@
 // Submit calls Arrive on the loop, directly in this goroutine if the loop is idle. It reports false if the engine has
 // ended. It is safe for concurrent use. The caller must hold no lock that a method of the Transport acquires.
 func (e *Engine) Submit(r *Request) bool {
-	if e.tryAcquireLoop() {
-		e.Arrive(r)
-		e.releaseLoop()
+	if e.tryRunOnLoop(func() { e.Arrive(r) }) {
 		return true
 	}
 	return e.Post(func() { e.Arrive(r) })
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -107,11 +107,9 @@
 // false if the client gets another answer. Then the caller passes nothing on. After true, no answer is sent to Reply.
 func (a *Attempt) Deliver(res Result) bool {
 	won := a.Request.answerClaimed.CompareAndSwap(false, true)
-	if e := a.engine; e.tryAcquireLoop() {
-		e.handleDelivered(a, res, won)
-		e.releaseLoop()
-	} else {
-		e.Post(func() { e.handleDelivered(a, res, won) })
+	handle := func() { a.engine.handleDelivered(a, res, won) }
+	if !a.engine.tryRunOnLoop(handle) {
+		a.engine.Post(handle)
 	}
 	return won
 }
