node, serve: an overdue request is answered by its handler, whatever the loop does

Clients had no answer half a second after their time while the loop was held up: the deadline of a request was a timer of the loop and nothing else. Now the goroutine that serves the client looks at the deadline too. 100 ms after it, it claims the final answer and answers 504: an attempt may have run. The loop then ends the attempts and sends nothing more; a request that the loop has not received yet never reaches a backend. Uploads that stream have idle limits of their own instead.

--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -12,6 +12,9 @@
 // Arrive accepts a request. It answers a request whose id is in use by an open one with Duplicate, because backends could not
 // distinguish the two. On the loop.
 func (e *Engine) Arrive(r *Request) {
+	if r.answerClaimed.Load() {
+		return // the front end has answered it meanwhile
+	}
 	if e.requests[r.ID] != nil {
 		r.reply(Answer{Kind: Duplicate})
 		return
@@ -50,6 +53,10 @@
 	}
 }
 
+// ClaimAnswer claims the final answer of a request for the front end, which answers it itself and calls ClientGone. It reports false if
+// another answer is on its way. It is for a request whose answer is overdue, and is safe for concurrent use.
+func (r *Request) ClaimAnswer() bool { return r.answerClaimed.CompareAndSwap(false, true) }
+
 // Submit calls Arrive on the loop, directly in this goroutine if the loop is idle. It reports false if the engine has
 // ended. It is safe for concurrent use. The caller must hold no lock that a method of the Transport acquires.
 func (e *Engine) Submit(r *Request) bool {
--- a/internal/front/http/handle.go
+++ b/internal/front/http/handle.go
@@ -264,31 +264,66 @@
 	}
 	p := c.tg.pool
 	c.goes()
+	overdue, stopTimer := m.overdue(r.Deadline)
+	defer stopTimer()
 	p.loop.Post(func() { p.loop.Arrive(r) })
-	select {
-	case <-m.ready:
-		c.served(r, m)
-		if m.attempts.Load() > 1 {
-			delete(m.reply.header, neverRanHeader) // this box knows nothing of the others
+	c.await(t, r, m, overdue)
+}
+
+// overdueMargin is how long after its deadline a request is answered by its handler, if the loop has not answered it.
+const overdueMargin = 100 * time.Millisecond
+
+// overdue returns a channel that receives a value when the answer to a request is overdue. A body that streams has no such time.
+func (m *message) overdue(deadline time.Time) (at <-chan time.Time, stop func()) {
+	if m.rest != nil {
+		return nil, func() {}
+	}
+	timer := time.NewTimer(time.Until(deadline) + overdueMargin)
+	return timer.C, func() { timer.Stop() }
+}
+
+// await waits for the answer to a request and passes it on.
+func (c *visit) await(t cluster.Ticket, r *engine.Request, m *message, overdue <-chan time.Time) {
+	p := c.tg.pool
+	for {
+		select {
+		case <-m.ready:
+			c.served(r, m)
+			if m.attempts.Load() > 1 {
+				delete(m.reply.header, neverRanHeader) // this box knows nothing of the others
+			}
+			m.tenant.Ask(true)
+			c.ended(t, m, nil)
+			c.pass(m.reply)
+		case a := <-r.Reply:
+			c.endUnserved(t, r, m, a)
+		case <-overdue:
+			if !r.ClaimAnswer() {
+				overdue = nil // another answer is on its way
+				continue
+			}
+			p.loop.PostFirst(func() { p.loop.ClientGone(r) })
+			c.endUnserved(t, r, m, engine.Answer{Kind: engine.Failed, Late: true, MayHaveRun: true})
+		case <-c.hr.Context().Done():
+			p.loop.Post(func() { p.loop.ClientGone(r) })
+			c.log.end = "gone"
+			panic(http.ErrAbortHandler) // returning would word an empty 200
+		case <-p.loop.Done(): // the node is ending
+			c.here(http.StatusBadGateway, "")
+			c.log.end = "failed"
 		}
-		m.tenant.Ask(true)
-		c.ended(t, m, nil)
-		c.pass(m.reply)
-	case a := <-r.Reply:
-		m.tenant.Ask(a.Kind != engine.Refused)
-		c.ended(t, m, &a)
-		c.unserved(r, m, a)
-		c.answer(m, a)
-	case <-c.hr.Context().Done():
-		p.loop.Post(func() { p.loop.ClientGone(r) })
-		c.log.end = "gone"
-		panic(http.ErrAbortHandler) // returning would word an empty 200
-	case <-p.loop.Done(): // the node is ending
-		c.here(http.StatusBadGateway, "")
-		c.log.end = "failed"
+		return
 	}
 }
 
+// endUnserved answers a request that no backend has served.
+func (c *visit) endUnserved(t cluster.Ticket, r *engine.Request, m *message, a engine.Answer) {
+	m.tenant.Ask(a.Kind != engine.Refused)
+	c.ended(t, m, &a)
+	c.unserved(r, m, a)
+	c.answer(m, a)
+}
+
 // close ends what a message holds.
 func (c *visit) close(m *message) {
 	c.log.attempts = m.attempts.Load()
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -23,6 +23,7 @@
 	"glencart/internal/clients"
 	"glencart/internal/engine"
 	"glencart/internal/living"
+	"glencart/internal/lograte"
 	"glencart/internal/settings"
 )
 
@@ -47,6 +48,8 @@
 	// clientCheckInterval is the interval at which the node checks whether a waiting client has left. net/http
 	// sees that only while no byte follows the request. Each attempt is checked once more before its write.
 	clientCheckInterval = 100 * time.Millisecond
+	// overdueMargin is how long after its deadline a request is answered by its handler, if the loop has not answered it.
+	overdueMargin = 100 * time.Millisecond
 	// fullRetryAfter is the retry-after of a request that is rejected because the node is full.
 	fullRetryAfter = 250 * time.Millisecond
 )
@@ -66,12 +69,14 @@
 	isTimingWrites    atomic.Bool  // the time for writing answers is measured
 	meanWriteNanos    atomic.Int64 // mean time for encoding and writing an answer, in ns
 	requestCounts     living.RequestCounts
+	overdue           atomic.Int64 // requests answered by answerOverdue
+	overdueLog        lograte.Limited
 	table             *clients.Table
 }
 
 // newFront returns the client side of a node with these limits on connections of clients and to backends.
 func newFront(l *engine.Engine, names settings.Settings, maxClients, maxBackends int, counts *counters, log *slog.Logger) *front {
-	f := &front{loop: l, log: log, table: clients.NewTable(maxClients, clients.PlatformThresholds)}
+	f := &front{loop: l, log: log, overdueLog: lograte.Limited{Log: log}, table: clients.NewTable(maxClients, clients.PlatformThresholds)}
 	f.settings.Store(newActiveSettings(names, counts))
 	f.maxBodyBytes.Store(maxUploadBytes)
 	f.setLimits(maxClients, maxBackends)
@@ -251,7 +256,7 @@
 
 // serve passes a request to the loop and writes its one final answer.
 func (f *front) serve(w http.ResponseWriter, ctx context.Context, r *engine.Request) {
-	m := r.Message.(*message)
+	m, deadline := r.Message.(*message), r.Deadline // the loop may change the deadline
 	m.markClientGone = sync.OnceFunc(func() {
 		m.clientHasGone.Store(true)
 		f.loop.PostFirst(func() { f.loop.ClientGone(r) }) // if the loop has not received the request yet, it never will
@@ -287,6 +292,10 @@
 			return
 		case <-look.C:
 			m.checkClientGone()
+			if m.upload == nil && time.Since(deadline) > overdueMargin && r.ClaimAnswer() {
+				f.answerOverdue(w, r, time.Since(deadline))
+				return
+			}
 		case <-ctx.Done():
 			m.markClientGone()
 		case <-m.clientGoneSignal:
@@ -303,6 +312,16 @@
 	}
 }
 
+// answerOverdue answers a request that should have its answer from the loop already. An attempt may have run.
+func (f *front) answerOverdue(w http.ResponseWriter, r *engine.Request, late time.Duration) {
+	m := r.Message.(*message)
+	f.overdueLog.Warn("request answered by its handler: the loop is late", "id", r.ID, "late", late)
+	f.overdue.Add(1)
+	m.counters.answered(engine.Failed)
+	f.loop.PostFirst(func() { f.loop.ClientGone(r) })
+	writeFailed(w, http.StatusGatewayTimeout)
+}
+
 // checkClientGone reports whether the client has left. It is called right before the write of each attempt. The
 // loop and net/http may not have seen it yet. net/http never sees it if a byte came after the request.
 func (m *message) checkClientGone() bool {
