clients: eviction wakes when there are too many connections, not 50 times a second

A node that did nothing woke every 20 ms to look for connections to evict. In a fleet of 200 nodes on one machine that is 10,000 wake-ups a second, beside requests that wait for the processor. RunEviction now sleeps until a new connection or a smaller limit leaves too many, and then looks every 20 ms until there is room. What is evicted, and when, is as before.

--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -139,7 +139,7 @@
 	}
 	idle := acceptOne(time.Hour, http.StateNew, http.StateActive, http.StateIdle)
 	fresh, silent := acceptOne(100*time.Millisecond, http.StateNew), acceptOne(time.Second, http.StateNew)
-	table.EvictExcess()
+	table.evictExcess()
 	if table.conns[idle] == nil || table.conns[fresh] == nil || table.conns[silent] != nil {
 		t.Errorf("kept: idle %t, fresh %t, silent %t", table.conns[idle] != nil, table.conns[fresh] != nil, table.conns[silent] != nil)
 	}
--- a/internal/clients/table.go
+++ b/internal/clients/table.go
@@ -23,8 +23,8 @@
 	tlsQuietTimeout = time.Second
 	// maxEvictionTries limits how many connections are tried for one eviction.
 	maxEvictionTries = 8
-	// EvictInterval is the interval for calls of EvictExcess.
-	EvictInterval = 20 * time.Millisecond
+	// evictInterval is how often connections are evicted while there are too many.
+	evictInterval = 20 * time.Millisecond
 )
 
 // Thresholds are thresholds for the open connections, in percent of the listener's limit.
@@ -45,7 +45,8 @@
 	crowdedAbove int // number of connections above which answers close theirs
 	evictAbove   int // number of connections above which some are evicted
 	conns        map[net.Conn]*entry
-	waitingCount int // connections in stateWaiting
+	waitingCount int           // connections in stateWaiting
+	excess       chan struct{} // receives a value when there are too many connections; capacity 1
 }
 
 // entry is the state of a connection.
@@ -64,7 +65,7 @@
 
 // NewTable returns the table of a listener with at most maxOpen connections.
 func NewTable(maxOpen int, parts Thresholds) *Table {
-	t := &Table{thresholds: parts, conns: map[net.Conn]*entry{}}
+	t := &Table{thresholds: parts, conns: map[net.Conn]*entry{}, excess: make(chan struct{}, 1)}
 	t.Resize(maxOpen)
 	return t
 }
@@ -74,6 +75,39 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.crowdedAbove, t.evictAbove = maxOpen*t.thresholds.CrowdedPercent/100, maxOpen*t.thresholds.EvictPercent/100
+	t.signalExcess()
+}
+
+// signalExcess wakes RunEviction if there are too many connections. It requires mu.
+func (t *Table) signalExcess() {
+	if len(t.conns) <= t.evictAbove {
+		return
+	}
+	select {
+	case t.excess <- struct{}{}:
+	default: // it is awake
+	}
+}
+
+// RunEviction evicts connections above the threshold until ctx ends. Track evicts only when a new connection is accepted, and a full
+// listener accepts none.
+func (t *Table) RunEviction(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.excess:
+		}
+		for hasExcess := true; hasExcess; hasExcess = t.evictExcess() {
+			pause := time.NewTimer(evictInterval)
+			select {
+			case <-ctx.Done():
+				pause.Stop()
+				return
+			case <-pause.C:
+			}
+		}
+	}
 }
 
 // DisableEviction disables evictions, and the closing of connections by answers.
@@ -83,13 +117,13 @@
 	t.crowdedAbove, t.evictAbove = math.MaxInt, math.MaxInt
 }
 
-// EvictExcess evicts connections above the threshold. Track evicts only when a new connection is accepted, and a full listener accepts
-// none.
-func (t *Table) EvictExcess() {
+// evictExcess evicts connections above the threshold. It reports whether there are still too many.
+func (t *Table) evictExcess() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for len(t.conns) > t.evictAbove && t.evict() {
 	}
+	return len(t.conns) > t.evictAbove
 }
 
 // CloseIdle closes the connections with no part of a request, read or unread. With includePartial it also closes those with an
@@ -129,6 +163,7 @@
 		if len(t.conns) > t.evictAbove {
 			t.evict()
 		}
+		t.signalExcess()
 	case http.StateActive:
 		if e := t.conns[c]; e != nil && e.state == stateIdle {
 			t.setState(c, stateWaiting)
--- a/internal/front/http/life.go
+++ b/internal/front/http/life.go
@@ -3,9 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"sync"
 	"time"
 
-	"glencart/internal/clients"
 	"glencart/internal/site"
 	"glencart/life"
 )
@@ -71,18 +71,11 @@
 	return ev
 }
 
-// relieve has connections that can be missed give way until ctx ends.
-func (v *Server) relieve(ctx context.Context) {
-	t := time.NewTicker(clients.EvictInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			for _, l := range v.listeners {
-				l.table.EvictExcess()
-			}
-		}
+// runEviction evicts clients' connections above the thresholds until ctx ends.
+func (v *Server) runEviction(ctx context.Context) {
+	var running sync.WaitGroup
+	for _, l := range v.listeners {
+		running.Go(func() { l.table.RunEviction(ctx) })
 	}
+	running.Wait()
 }
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -370,7 +370,7 @@
 	}
 	relieving, stop := context.WithCancel(context.Background())
 	defer stop()
-	go v.relieve(relieving)
+	go v.runEviction(relieving)
 	var err error
 	select {
 	case err = <-failed:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -192,7 +192,7 @@
 	defer stop()
 	wg.Go(func() { n.loop.Run(work.Done()) })
 	wg.Go(func() { n.pool.Run(work) })
-	wg.Go(func() { every(work, clients.EvictInterval, n.front.table.EvictExcess) })
+	wg.Go(func() { n.front.table.RunEviction(work) })
 	wg.Go(func() { n.discovery.Run(work) })
 	if n.peers != nil {
 		wg.Go(func() {
