balance: fewer probes, and less weight of their reports, while replies are late

Cause: each arrival earned three probes, whatever became of them. When replies took over 150 ms each probe timed out (28 of 33 in half a second, in the log of one node), and its connection was closed, so that the next probe needed a new one. Probes and their connections then took most of what the backends could do. Requests met slow backends, were rejected, and each rejected one had cost three more probes. The load did not depend on the cause any more: a metastable failure.

Now the share of late or missing replies decides: up to a quarter changes nothing; from there on fewer probes are sent, down to a twentieth. Reports that come seldom say little of the load of other nodes, so they, and the slowdown learned meanwhile, weigh less by the same share, and service times are not learned from a queue that is not known.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// Each arrival earns as many probes as cost probeCostBudget points of the result. At most
-	// maxProbesPerTick are sent in a tick.
-	maxProbesPerTick, probeCostBudget = 3, 0.004
 	// An arrival is held for its probes for at most maxHoldFraction of its aim. A node probes backends
 	// twice in a row at most maxProbePairs times, to learn the interval between two of their load reports.
 	maxHoldFraction, maxProbePairs = 0.05, 16
@@ -101,6 +98,7 @@
 
 	windowStartedAt, lastAdjustedAt time.Duration // lastAdjustedAt: of the admission factor
 
+	probes          probeReplies
 	probeCredit     float64     // probes that arrivals have earned
 	admissionFactor float64     // part of the headroom that queues may take up
 	subsetSize      int         // backends of a zone that this node uses
@@ -289,6 +287,7 @@
 	case Timer:
 		b.onTimer(ev.TimerID)
 	case Probed:
+		b.probes.observe(b.now, ev.Status, ev.Elapsed)
 		if s := b.backends[ev.Backend]; s != nil {
 			b.applyReport(s, ev.Load)
 			b.forwardReport(s, ev.Load)
@@ -434,7 +433,7 @@
 func (b *Balancer) pick(r *request, maxWait float64) *backend {
 	var best *backend
 	lowest, ties := 0.0, 0
-	baseTime, isRetry := b.meanBaseTime()/b.recent.factor, len(r.attempts) > 0
+	baseTime, isRetry := b.meanBaseTime()/b.slowdownFactor(), len(r.attempts) > 0
 	meanWeight, minSends := b.declaredShares()
 	for _, s := range b.ready {
 		if isRetry && (r.tried(s) || !b.mayRetryOn(r, s)) || !b.warmUpAllows(r, s) {
@@ -593,34 +592,6 @@
 		r.class.Effect == Keyed && r.class.Scope == ScopeAll && b.now+after < first.retryUntil(r.class)
 }
 
-// sendProbes probes distinct random backends, once in each tick with arrivals.
-func (b *Balancer) sendProbes() {
-	earned := min(maxProbesPerTick, probeCostBudget/max(b.cfg.Prices.Probe, 1e-9))
-	if b.forwardsReports() {
-		earned = min(maxProbesPerTick, probeCostBudget/max(b.cfg.Prices.Probe+b.forwardPrice(), 1e-9))
-	}
-	if b.isStarting() {
-		earned = max(earned, 1)
-	}
-	b.probeCredit = min(b.probeCredit+earned, 2*maxProbesPerTick)
-	if !b.cfg.Limits.Probing || b.probedAt == b.now {
-		return
-	}
-	b.probedAt = b.now
-	count := min(int(b.probeCredit), maxProbesPerTick, len(b.ready))
-	b.probeCredit -= float64(count)
-	for _, i := range b.rng.Perm(len(b.ready))[:count] {
-		b.probesSent++
-		b.emit(Action{Kind: Probe, Backend: b.ready[i].Backend})
-	}
-	if count > 1 && b.reportInterval < b.meanServiceTime {
-		b.pendingProbes += count
-	}
-}
-
-// isStarting reports whether this node lacks estimates: it has sent fewer probes than it has backends.
-func (b *Balancer) isStarting() bool { return b.probesSent < float64(len(b.ready)) }
-
 // queueEstimate returns the estimated queue: peer load, own pending attempts and unconfirmed load.
 func (b *Balancer) queueEstimate(s *backend) float64 {
 	return b.peerLoad(s, b.serviceTime(s)) + s.inFlight + s.unconfirmed
@@ -655,7 +626,7 @@
 
 // serviceTime returns the current service time per queued request. A backend gets faster as it warms up.
 func (b *Balancer) serviceTime(s *backend) float64 {
-	return b.warmServiceTime(s) * b.recent.factor / b.warmFraction(s)
+	return b.warmServiceTime(s) * b.slowdownFactor() / b.warmFraction(s)
 }
 
 // warmServiceTime returns the service time per queued request once warm. The default is the mean.
@@ -680,7 +651,7 @@
 // longer queues only make requests late. It is a part of the base time if that is more, or slow backends
 // would be idle.
 func (b *Balancer) meanMaxWait() float64 {
-	return b.admissionFactor * max(b.headroom(), b.meanBaseTime()) / b.recent.factor
+	return b.admissionFactor * max(b.headroom(), b.meanBaseTime()) / b.slowdownFactor()
 }
 
 // headroom returns the longest wait with which an average request still meets its aim.
@@ -776,6 +747,10 @@
 		}
 	}
 	s.lastResponseAt = b.now
+	if b.probes.share() < 1 {
+		b.learnSlowdown(normalized, a.queueMet, recentWeight)
+		return // too little is known of the queue that the request has met
+	}
 	// A long queue shows the service time better: a short one is no load for a backend with many cores.
 	weight := min(sampleWeight*(a.queueMet+1)/(s.queueMet+1), 1)
 	s.responseTime += weight * (normalized - s.responseTime)
--- a/balance/peerload.go
+++ b/balance/peerload.go
@@ -60,7 +60,7 @@
 // estimate is the oldest one. So the baseline follows the mean of the reports of all backends.
 func (b *Balancer) peerLoad(s *backend, serviceTime float64) float64 {
 	baseline := b.baseline(s)
-	return baseline + (s.lastPeerLoad-baseline)*b.freshness(s, baseline, serviceTime)
+	return b.probes.share() * (baseline + (s.lastPeerLoad-baseline)*b.freshness(s, baseline, serviceTime))
 }
 
 // baseline returns the usual peer load at a backend, which holds without a recent report.
--- a/balance/slowdown.go
+++ b/balance/slowdown.go
@@ -33,3 +33,7 @@
 		r.factor = max(1, serviceTime/b.meanServiceTime)
 	}
 }
+
+// slowdownFactor returns how much longer service times are now than usual. While replies to probes are late it counts less: where even a
+// probe waits, the wait is not that of the requests' queues, and rejecting requests makes it no shorter.
+func (b *Balancer) slowdownFactor() float64 { return 1 + (b.recent.factor-1)*b.probes.share() }
