engine, balance: a process that was held up does not blame its backends

What callers saw: after a node had not run for a moment, its backends counted as failed and its requests were rejected. Cause: timers fire before the answers are read that came meanwhile, so attempts count as timed out and their backends as silent; and every measured time contains the node's own delay. An instance must not blame a backend for its own lateness.

Package lag (pure) calls a process short of processor time for a second after something ran 50 ms late: a timer, a posted function, or a client's request in the kernel's queue. Meanwhile a time-out counts as cancelled, a dial that times out as unused (a refused one still counts), no response times are learned, and no probes are sent. The log has a line when that begins and when it ends.

TestTimeoutOfHeldUpProcessIsNotTheBackends: status Expired before for a hold-up of 400 ms, Cancelled now, and still Expired for 0 and 20 ms.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -131,6 +131,8 @@
 	coldLoad       peerLoadMean // peer load over cold backends
 	retryBudget    float64      // attempts that may be repeated
 	probesSent     float64      // probes sent
+	probesLeftOut  int          // probes not sent for want of processor time
+	isShort        bool         // the process of this node is short of processor time
 	reportInterval float64      // seconds between two different load reports of a backend
 }
 
@@ -308,6 +310,8 @@
 		b.onPeerMessage(&ev)
 	case SettingsChanged:
 		b.applySettings(ev.Settings)
+	case ShortageChanged:
+		b.onShortage(ev.IsShort)
 	case InstancesChanged: // the warm-up budget and the shares of tenants are divided by the new count
 		b.warmRate *= float64(b.cfg.Instances) / float64(max(ev.Instances, 1))
 		b.cfg.Instances = max(ev.Instances, 1)
@@ -521,16 +525,18 @@
 		a.backend.unconfirmed++
 	}
 	// A time-out at a silent backend is a fault of that backend, not a sign of overload.
-	if ev.Status != Expired || a.backend.silentSince > a.sentAt {
+	if !b.isShort && (ev.Status != Expired || a.backend.silentSince > a.sentAt) {
 		b.adjustAdmission(ev.Status, b.now-r.arrivedAt-r.class.Aim, a.queueTime)
 	}
 	b.updateFailureRate(a.backend, ev.Status, a.sentAt)
 	b.compareFailureRate(a.backend)
 	b.applyReport(a.backend, ev.Load)
 	if ev.Status == Delivered {
-		b.learnBaseTime(r, a, ev.Elapsed.Seconds())
+		if !b.isShort {
+			b.learnBaseTime(r, a, ev.Elapsed.Seconds())
+			b.learnServiceTime(a.backend, r, a, ev.Elapsed)
+		}
 		a.backend.servedWork += b.work(r) / max(b.meanBaseTime(), 1e-6)
-		b.learnServiceTime(a.backend, r, a, ev.Elapsed)
 	}
 	r.ended = r.ended || ev.RequestEnded
 	switch {
@@ -864,7 +870,7 @@
 		}
 		s.servedWork = 0
 		s.failureRate -= failureRateDecay * s.failureRate
-		if !b.cfg.Limits.Probing {
+		if !b.cfg.Limits.Probing || b.isShort {
 			s.unconfirmed -= failureRateDecay * s.unconfirmed // without probes no report clears it
 		}
 		if s.lastResponseAt < b.windowStartedAt && s.responseTime > 0 {
--- a/balance/probes.go
+++ b/balance/probes.go
@@ -65,6 +65,9 @@
 		return
 	}
 	b.probedAt = b.now
+	if b.leaveOutProbes() {
+		return
+	}
 	count := min(int(b.probeCredit), maxProbesPerTick, len(b.ready))
 	b.probeCredit -= float64(count)
 	for _, i := range b.rng.Perm(len(b.ready))[:count] {
--- a/balance/types.go
+++ b/balance/types.go
@@ -247,6 +247,7 @@
 	SettingsChanged                   // Settings: the new Config; its Index, Instances and Zone are ignored
 	StreamAnswered                    // Request, Attempt, Backend: the response has started, and may last
 	BudgetChanged                     // Request, Budget: the remaining time from now on
+	ShortageChanged                   // IsShort: the process of this node is short of processor time, or no longer
 )
 
 // Event is one event at a node. The Balancer does not keep its slices.
@@ -272,6 +273,8 @@
 	Payload      []byte
 	Members      []Member
 
+	IsShort bool
+
 	Instances int // current number of instances, with this one
 
 	Settings *Config // the Balancer keeps it
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"glencart/balance"
+	"glencart/lag"
 )
 
 // Config configures an Engine. Balancer and Transport are required. The other fields have defaults.
@@ -71,6 +72,10 @@
 	isHandling    bool
 	actions       []balance.Action
 
+	lag      lag.Estimator
+	isShort  bool          // as the Balancer has it
+	postedAt time.Duration // when the oldest function in queue was posted; guarded by mu
+
 	ready atomic.Bool // at least one backend accepts requests
 	stats Stats
 }
@@ -118,6 +123,9 @@
 	}
 	e.queue = append(e.queue, f)
 	first := len(e.queue) == 1
+	if first {
+		e.postedAt = e.Clock()
+	}
 	e.mu.Unlock()
 	if first {
 		e.wakeLoop()
@@ -182,9 +190,12 @@
 func (e *Engine) runPosted() bool {
 	ran := e.runUrgent()
 	e.mu.Lock()
-	batch := e.queue
+	batch, postedAt := e.queue, e.postedAt
 	e.queue = e.spareQueue[:0]
 	e.mu.Unlock()
+	if len(batch) > 0 {
+		e.ObserveDelay(e.Clock() - postedAt)
+	}
 	next := 0
 	defer func() {
 		if next < len(batch) { // a function panicked: the others are still to run
@@ -273,6 +284,31 @@
 	}
 }
 
+// ObserveDelay records that something that was due now ran late because this process did not run. On the loop.
+func (e *Engine) ObserveDelay(delay time.Duration) {
+	now := e.Clock()
+	e.lag.Observe(now, delay)
+	e.stats.lag.Store(int64(e.lag.Longest(now)))
+	e.updateShortage(now)
+}
+
+// updateShortage tells the Balancer when a shortage of processor time begins and ends. On the loop.
+func (e *Engine) updateShortage(now time.Duration) {
+	isShort := e.lag.IsShort(now)
+	if isShort == e.isShort {
+		return
+	}
+	e.isShort = isShort
+	e.stats.probesLeftOut.Store(int64(e.Balancer.ProbesLeftOut()))
+	if isShort {
+		e.stats.shortages.Add(1)
+		e.Log.Warn("short of processor time: probes are left out, times are not learned", "delay", e.lag.Longest(now))
+	} else {
+		e.Log.Info("no longer short of processor time", "probes_left_out", e.Balancer.ProbesLeftOut())
+	}
+	e.Handle(balance.Event{Kind: balance.ShortageChanged, IsShort: isShort})
+}
+
 // runDue runs posted functions and due timers until there are none. The timers come between two batches of functions, because they have
 // the deadlines of requests, and functions may be posted faster than they run.
 func (e *Engine) runDue() {
@@ -301,6 +337,7 @@
 	fired := false
 	for now := e.Clock(); len(e.timers) > 0 && e.timers[0].at <= now; fired = true {
 		t := e.timers.pop()
+		e.ObserveDelay(now - t.at)
 		e.Handle(balance.Event{Kind: balance.Timer, TimerID: t.mark})
 	}
 	return fired
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -21,6 +21,7 @@
 	}
 	e.arrived++
 	r.seq = e.arrived
+	e.updateShortage(e.Clock())
 	if !e.answerBy.IsZero() && r.Deadline.After(e.answerBy) {
 		r.Deadline = e.answerBy
 	}
@@ -169,9 +170,7 @@
 
 func (e *Engine) reportOutcome(a *Attempt, res Result) {
 	r := a.Request
-	if r.HasShortDeadline && res.Status == balance.Expired {
-		res.Status = balance.Cancelled
-	}
+	res.Status = e.ownStatus(r, res)
 	a.hasEnded = true
 	r.lastStatus = res.Status
 	r.mayHaveRun = r.mayHaveRun || !res.Status.NeverRan()
@@ -189,6 +188,19 @@
 	e.release(a.backend)
 }
 
+// ownStatus returns the status of an outcome without what is no fault of the backend: time-outs while this process did not run, and
+// deadlines that no backend meets.
+func (e *Engine) ownStatus(r *Request, res Result) balance.Status {
+	e.updateShortage(e.Clock())
+	switch {
+	case res.Status == balance.Expired && (r.HasShortDeadline || e.isShort):
+		return balance.Cancelled
+	case res.Status == balance.DialFailed && e.isShort && !res.Refused:
+		return balance.Unused
+	}
+	return res.Status
+}
+
 // handleStreamStarted records that the client receives the stream of an attempt.
 func (e *Engine) handleStreamStarted(a *Attempt) {
 	r := a.Request
--- a/internal/engine/stats.go
+++ b/internal/engine/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"glencart/balance"
 )
@@ -50,8 +51,19 @@
 type Stats struct {
 	retries  [numberOfRetryCause]atomic.Int64
 	refusals [numberOfRefusalReason]atomic.Int64
+
+	lag, shortages, probesLeftOut atomic.Int64
 }
 
+// Lag returns the longest recent delay of timers and messages of this process.
+func (s *Stats) Lag() time.Duration { return time.Duration(s.lag.Load()) }
+
+// Shortages returns how often this process was short of processor time.
+func (s *Stats) Shortages() int64 { return s.shortages.Load() }
+
+// ProbesLeftOut returns the number of probes that were not sent because this process was short of processor time.
+func (s *Stats) ProbesLeftOut() int64 { return s.probesLeftOut.Load() }
+
 // EachRetry calls f with the number of further attempts for each reason.
 func (s *Stats) EachRetry(f func(reason RetryReason, count int64)) {
 	for i := range s.retries {
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -81,6 +81,7 @@
 	counters *classCounters  // nil if the message isn't counted
 
 	timeLeft      time.Duration // time budget of the request from its last byte on
+	queueTime     time.Duration // how long the request waited in the kernel before it was read
 	reservedBytes int64         // bytes reserved in budget
 	budget        *budget
 
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -266,6 +266,7 @@
 		if m.clientHasGone.Load() {
 			return // the client left while this was queued for the loop
 		}
+		f.loop.ObserveDelay(m.queueTime)
 		if !m.settings.accepts(f.settings.Load(), r.Class) {
 			// Nothing has run. When the client sends it again, the request gets the class that the name has
 			// now.
@@ -460,7 +461,8 @@
 		received = time.Now()
 	}
 	if m.client != nil && m.upload == nil {
-		received = received.Add(-m.client.QueueTime(received))
+		m.queueTime = m.client.QueueTime(received)
+		received = received.Add(-m.queueTime)
 	}
 	r.Deadline = received.Add(left - deadlineMargin)
 	// A read deadline that passes while the request is served would look as if the client had left.
