node: requests wait until the agent has confirmed the endpoint list

What the agent has counts as told, whether or not the node has run since. A node that was held up sent by the list that it had before; so did a new process, by its cached one; and a list waited in the loop's queue behind requests.

Now lists run on the loop first, and a request is written only if the agent has confirmed the list within the drain grace less 0.15 s, by the kernel's time of its answer.

A second change stands in this commit and should have had its own: a probe that times out no longer closes its connection at once. It waits 1 s more for the reply, because a new connection costs a backend more than the probe. The report counts as missing.

--- a/internal/members/registry/follow.go
+++ b/internal/members/registry/follow.go
@@ -53,7 +53,8 @@
 // answer is the result of a call.
 type answer struct {
 	call      int
-	arrivedAt time.Time
+	arrivedAt time.Time // when it was read
+	writtenAt time.Time // when its last byte arrived in the kernel
 	list      engine.List
 	textHash  uint64 // hash of the body
 	isKnown   bool   // the body is the current complete list, and list is empty
@@ -152,8 +153,11 @@
 	addr := r.addr
 	r.calls.Go(func() {
 		defer cancel()
+		if r.observer != nil && a.Complete {
+			r.observer.ListCallBegan()
+		}
 		ans := r.call(record.traced(ctx), addr, query, known)
-		ans.call = a.Call
+		ans.call, ans.writtenAt = a.Call, ans.arrivedAt.Add(-record.sinceLastReceive())
 		select {
 		case r.answers <- ans:
 		case <-ctx.Done():
@@ -207,6 +211,9 @@
 	}
 	r.listRevision, r.hasList, r.seenBackend, r.staleUntilCall = a.list.Revision, true, r.seenBackend || len(a.list.Members) > 0, 0
 	r.logRecovery()
+	if r.observer != nil {
+		r.observer.Confirmed(a.writtenAt)
+	}
 	r.handle(pace.Event{Kind: pace.Answered, Call: a.call, At: a.arrivedAt.Sub(r.beganAt)})
 }
 
--- a/internal/members/registry/observe.go
+++ b/internal/members/registry/observe.go
@@ -6,10 +6,13 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"glencart/internal/sock"
 )
 
 // historyLength is how many of the last calls a log line shows.
@@ -53,6 +56,7 @@
 	connected, written, answered atomic.Int64 // ns after beganAt; 0: not yet
 	endedAt                      time.Time
 	end                          callEnd
+	conn                         atomic.Pointer[net.Conn] // nil: none yet
 }
 
 func newCallRecord(id int, complete bool, wait time.Duration) *callRecord {
@@ -63,12 +67,24 @@
 func (c *callRecord) traced(ctx context.Context) context.Context {
 	note := func(at *atomic.Int64) { at.Store(max(1, int64(time.Since(c.beganAt)))) }
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:              func(httptrace.GotConnInfo) { note(&c.connected) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			c.conn.Store(&info.Conn)
+			note(&c.connected)
+		},
 		WroteRequest:         func(httptrace.WroteRequestInfo) { note(&c.written) },
 		GotFirstResponseByte: func() { note(&c.answered) },
 	})
 }
 
+// sinceLastReceive returns the time since the kernel received the last data of the call, or 0 if it is unknown. The goroutine that reads
+// an answer may run much later than the answer arrives.
+func (c *callRecord) sinceLastReceive() time.Duration {
+	if conn := c.conn.Load(); conn != nil {
+		return sock.SinceLastReceive(*conn)
+	}
+	return 0
+}
+
 // close records how the call ended.
 func (c *callRecord) close(end callEnd) { c.endedAt, c.end = time.Now(), end }
 
--- a/internal/members/registry/registry.go
+++ b/internal/members/registry/registry.go
@@ -27,6 +27,7 @@
 	agentCalls int               // calls that may be open to an agent on this machine; 0: it is none
 	onList     func(engine.List) // receives each list
 	onFailure  func()            // is called when calls fail
+	observer   Observer          // nil: none
 	drainGrace atomic.Int64      // drain grace of the current settings, ns
 	stats      Stats
 
@@ -71,6 +72,23 @@
 // requires, with at most calls open at once. Near has no effect where discovery is asked at the balancer's request.
 func (d *Source) UseAgent(calls int) { d.agentCalls = calls }
 
+// Observer follows the calls to an agent.
+type Observer interface {
+	// ListCallBegan is called when a call for the complete list is about to be sent.
+	ListCallBegan()
+	// Confirmed is called after each accepted answer, and after onList if the answer has a new list. The agent wrote it at writtenAt.
+	Confirmed(writtenAt time.Time)
+}
+
+// Observe sets, before Run, an observer. It reports false if the registry is no agent; then nothing is called.
+func (d *Source) Observe(observer Observer) bool {
+	if d.agentCalls == 0 || d.wanted != nil {
+		return false
+	}
+	d.observer = observer
+	return true
+}
+
 // Stats returns the counters of calls. Any goroutine may call it.
 func (d *Source) Stats() *Stats { return &d.stats }
 
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -40,8 +40,9 @@
 	unknownLengthGrace = 100 * time.Millisecond
 	// maxInformational is how many 1xx answers may precede the final one.
 	maxInformational = 8
-	// probeTimeout is the timeout of a probe. A later answer would describe an outdated state.
-	probeTimeout = 150 * time.Millisecond
+	// probeTimeout is the timeout of a probe. A later answer would describe an outdated state. Its connection waits for the answer for
+	// lateProbeWait more, because the next probe would need a new one, which costs the backend more than a probe does.
+	probeTimeout, lateProbeWait = 150 * time.Millisecond, time.Second
 	// reportHeader carries a load report. neverRanHeader marks a request that the backend did not run.
 	reportHeader, neverRanHeader = "Endpoint-Load-Metrics", "X-Never-Ran"
 )
@@ -59,7 +60,8 @@
 	log        *slog.Logger
 	inline     bool // answers carry load reports in a header
 	limitedLog *lograte.Limited
-	jobs       chan func() // jobs for idle workers; a new goroutine would have to grow its stack again
+	currency   *listCurrency // nil: requests are sent by any list
+	jobs       chan func()   // jobs for idle workers; a new goroutine would have to grow its stack again
 }
 
 func newTransport(p *pool, inline bool, log *slog.Logger) *transport {
@@ -391,7 +393,14 @@
 		if err != nil {
 			return nil, nil, nil, err
 		}
-		text := m.encode(to.Addr, time.Until(deadline))
+		if !m.probe {
+			x.currency.await(ctx)
+		}
+		left := time.Until(deadline)
+		if m.probe {
+			left -= lateProbeWait
+		}
+		text := m.encode(to.Addr, left)
 		cn.SetDeadline(deadline)
 		if c.attempt != nil && !c.attempt.WriteBy.IsZero() && c.attempt.WriteBy.Before(deadline) {
 			cn.SetWriteDeadline(c.attempt.WriteBy) // the request counts as sent with its last byte
@@ -533,15 +542,19 @@
 
 // Probe requests the load report of an endpoint.
 func (x *transport) Probe(to engine.Endpoint, done func(engine.Result)) {
+	var once sync.Once
+	report := func(r engine.Result) { once.Do(func() { done(r) }) }
+	timeout := time.AfterFunc(probeTimeout, func() { report(engine.Result{Status: balance.Expired}) })
 	x.attempt(to, &message{method: http.MethodGet, url: &url.URL{Path: "/stats"}, host: to.Addr, header: http.Header{}, probe: true},
-		time.Now().Add(probeTimeout), func(r engine.Result) {
+		time.Now().Add(probeTimeout+lateProbeWait), func(r engine.Result) {
+			timeout.Stop()
 			if r.Status == balance.Delivered && r.Load.Has == 0 {
 				r.Load = x.parseReport(string(replyOf(r.Body).body))
 			}
 			if r.Status == balance.AppError {
 				r.Status = balance.Shed // the backend rejected the probe
 			}
-			done(r)
+			report(r)
 		})
 }
 
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -23,6 +23,8 @@
 	discovery *registry.Stats // nil if no discovery is used
 	decisions *engine.Stats
 	backends  *upstream.Pool
+	currency  *listCurrency // nil: discovery is no agent
+	overdue   *atomic.Int64 // requests that their handlers answered
 }
 
 // classCounters are the counters of one class.
@@ -110,6 +112,19 @@
 		line("discovery.answers_not_taken", d.Rejected.Load())
 		line("discovery.lists_taken", d.ListsAccepted.Load())
 	}
+	if f.decisions != nil {
+		line("process.lag_ms", f.decisions.Lag().Milliseconds())
+		line("process.shortages", f.decisions.Shortages())
+		line("process.probes_left_out", f.decisions.ProbesLeftOut())
+	}
+	if f.overdue != nil {
+		line("process.overdue_answers", f.overdue.Load())
+	}
+	if l := f.currency; l != nil {
+		line("discovery.confirmation_age_ms", l.age().Milliseconds())
+		line("discovery.requests_waited", l.waits.Load())
+		line("discovery.requests_unconfirmed", l.unconfirmed.Load())
+	}
 	if f.decisions != nil {
 		f.decisions.EachRetry(func(reason engine.RetryReason, n int64) { line("retries."+reason.String(), n) })
 		f.decisions.EachRefusal(func(reason engine.RefusalReason, n int64) { line("refusals."+reason.String(), n) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,9 +43,10 @@
 	handover         *handover.Handover // the folder shared with a predecessor or successor; nil if there is none
 	tracker          members.Tracker    // used only on the loop
 	counters         *counters
-	hadUsableBackend atomic.Bool // a list has named a backend that can receive requests
-	hasList          atomic.Bool // discovery has sent a list
-	isServing        atomic.Bool // clients are accepted
+	hadUsableBackend atomic.Bool   // a list has named a backend that can receive requests
+	hasList          atomic.Bool   // discovery has sent a list
+	isServing        atomic.Bool   // clients are accepted
+	currency         *listCurrency // nil: discovery is no agent
 	lifecycle        *living.Runner
 	loopLag          living.LoopLag
 }
@@ -67,18 +68,18 @@
 	maxClients, backends := n.bounds.clients, n.bounds.backends
 	log.Info("bounds", "most", n.bounds)
 	n.pool = newPool(backends, limits.ConnectTimeout, limits.IdleClose, log)
-	n.loop = engine.New(engine.Config{Balancer: bal, Log: log, Origin: cfg.origin,
-		Transport: newTransport(n.pool, cfg.Settings.Config.Reports == balance.InlineReports, log)})
+	transport := newTransport(n.pool, cfg.Settings.Config.Reports == balance.InlineReports, log)
+	n.loop = engine.New(engine.Config{Balancer: bal, Log: log, Origin: cfg.origin, Transport: transport})
 	n.front = newFront(n.loop, cfg.Settings, maxClients, backends, n.counters, log)
 	n.front.bodyBudget.available.Store(n.bounds.heldBytes)
-	n.latest = n.front.settings.Load()
+	n.latest, n.counters.overdue = n.front.settings.Load(), &n.front.overdue
 	n.discovery = registry.New(cfg.Discovery, cfg.Settings, log,
 		func(list engine.List) {
 			kind := balance.MembersChanged
 			if list.Complete {
 				kind = balance.MembersAll
 			}
-			n.loop.Post(func() {
+			n.loop.PostFirst(func() { // before requests that would be sent by the old list
 				n.takeList(kind, list)
 				n.hasList.Store(true)
 				n.lifecycle.Handle(life.Event{Kind: life.ListReceived})
@@ -86,6 +87,10 @@
 		},
 		func() { n.loop.Post(func() { n.loop.Handle(balance.Event{Kind: balance.DiscoveryFailed}) }) })
 	n.discovery.UseAgent(n.bounds.discoveryCalls)
+	currency := newListCurrency(cfg.Settings.Config.Rules.DrainGrace, n.loop, &lograte.Limited{Log: log})
+	if n.discovery.Observe(currency) {
+		n.currency, transport.currency, n.counters.currency = currency, currency, currency
+	}
 	n.counters.discovery, n.counters.decisions, n.counters.backends = n.discovery.Stats(), n.loop.Stats(), n.pool.Pool
 	n.loop.RequestDiscovery, n.loop.OnResult = n.discovery.Request, n.observeResult
 	if cfg.PeerListen != "" {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -104,6 +104,9 @@
 			n.front.settings.Store(next)
 			n.tracker.WarmWithin = next.Config.Rules.WarmWithin
 			n.discovery.SetDrainGrace(next.Config.Rules.DrainGrace)
+			if n.currency != nil {
+				n.currency.setGrace(next.Config.Rules.DrainGrace)
+			}
 			n.pool.setTimes(next.Config.Limits.ConnectTimeout, next.Config.Limits.IdleClose)
 			n.lifecycle.Handle(life.Event{Kind: life.SettingsChanged, Deadline: longestDeadline(next.Settings)})
 		})
--- a/internal/standin/roles/backends.go
+++ b/internal/standin/roles/backends.go
@@ -13,8 +13,6 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"glencart/internal/sock"
 )
 
 // BackendSetup is the configuration of a process with backends.
@@ -162,7 +160,7 @@
 		if _, err := r.Peek(1); err != nil {
 			return
 		}
-		at := time.Now().Add(-sock.SinceLastReceive(c))
+		at := lastReceived(c)
 		hr, err := http.ReadRequest(r)
 		if err != nil {
 			return
--- a/internal/standin/roles/clients.go
+++ b/internal/standin/roles/clients.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"glencart/internal/sock"
 )
 
 // Class is a class of requests.
@@ -193,7 +191,7 @@
 		q.EndedAt, q.Error = time.Now(), err.Error()
 		return false
 	}
-	q.EndedAt = time.Now().Add(-sock.SinceLastReceive(conn.Conn))
+	q.EndedAt = lastReceived(conn.Conn)
 	q.Status, q.Body = resp.StatusCode, string(body)
 	return !resp.Close
 }
--- a/internal/standin/roles/roles.go
+++ b/internal/standin/roles/roles.go
@@ -11,12 +11,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/exec"
 	"sync"
 	"testing"
 	"time"
 
+	"glencart/internal/sock"
 	"glencart/internal/standin"
 )
 
@@ -173,6 +175,19 @@
 	}
 }
 
+// lastReceived returns when the kernel last received data on a connection. Both of its sources have to be read without a pause of this
+// process between them.
+func lastReceived(c net.Conn) time.Time {
+	const maxPause, tries = 2 * time.Millisecond, 20
+	for try := 1; ; try++ {
+		before := time.Now()
+		since := sock.SinceLastReceive(c)
+		if after := time.Now(); after.Sub(before) < maxPause || try == tries {
+			return after.Add(-since)
+		}
+	}
+}
+
 // recorder collects reports in memory, so that the process writes nothing while it is measured.
 type recorder struct {
 	mu      sync.Mutex
