node: late answers are logged with their stage; late probes give way to requests

A probe that has timed out keeps its connection for its reply only while a quarter of the connections is free. With many backends silent, requests need the room.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -41,7 +41,7 @@
 	// maxInformational is how many 1xx answers may precede the final one.
 	maxInformational = 8
 	// probeTimeout is the timeout of a probe. A later answer would describe an outdated state. Its connection waits for the answer for
-	// lateProbeWait more, because the next probe would need a new one, which costs the backend more than a probe does.
+	// lateProbeWait more, if there is room, because the next probe would need a new one, which costs the backend more than a probe.
 	probeTimeout, lateProbeWait = 150 * time.Millisecond, time.Second
 	// reportHeader carries a load report. neverRanHeader marks a request that the backend did not run.
 	reportHeader, neverRanHeader = "Endpoint-Load-Metrics", "X-Never-Ran"
@@ -83,7 +83,7 @@
 	counters *classCounters  // nil if the message isn't counted
 
 	timeLeft      time.Duration // time budget of the request from its last byte on
-	queueTime     time.Duration // how long the request waited in the kernel before it was read
+	stages        stages
 	reservedBytes int64         // bytes reserved in budget
 	budget        *budget
 
@@ -544,8 +544,14 @@
 func (x *transport) Probe(to engine.Endpoint, done func(engine.Result)) {
 	var once sync.Once
 	report := func(r engine.Result) { once.Do(func() { done(r) }) }
-	timeout := time.AfterFunc(probeTimeout, func() { report(engine.Result{Status: balance.Expired}) })
-	x.attempt(to, &message{method: http.MethodGet, url: &url.URL{Path: "/stats"}, host: to.Addr, header: http.Header{}, probe: true},
+	var running atomic.Pointer[call]
+	timeout := time.AfterFunc(probeTimeout, func() {
+		report(engine.Result{Status: balance.Expired})
+		if c := running.Load(); c != nil && !x.pool.HasSpareRoom() {
+			c.cancel()
+		}
+	})
+	running.Store(x.attempt(to, &message{method: http.MethodGet, url: &url.URL{Path: "/stats"}, host: to.Addr, header: http.Header{}, probe: true},
 		time.Now().Add(probeTimeout+lateProbeWait), func(r engine.Result) {
 			timeout.Stop()
 			if r.Status == balance.Delivered && r.Load.Has == 0 {
@@ -555,7 +561,7 @@
 				r.Status = balance.Shed // the backend rejected the probe
 			}
 			report(r)
-		})
+		}))
 }
 
 // parseReport parses a load report. It logs a malformed one at a bounded rate.
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -48,8 +48,6 @@
 	// clientCheckInterval is the interval at which the node checks whether a waiting client has left. net/http
 	// sees that only while no byte follows the request. Each attempt is checked once more before its write.
 	clientCheckInterval = 100 * time.Millisecond
-	// overdueMargin is how long after its deadline a request is answered by its handler, if the loop has not answered it.
-	overdueMargin = 100 * time.Millisecond
 	// fullRetryAfter is the retry-after of a request that is rejected because the node is full.
 	fullRetryAfter = 250 * time.Millisecond
 )
@@ -69,14 +67,13 @@
 	isTimingWrites    atomic.Bool  // the time for writing answers is measured
 	meanWriteNanos    atomic.Int64 // mean time for encoding and writing an answer, in ns
 	requestCounts     living.RequestCounts
-	overdue           atomic.Int64 // requests answered by answerOverdue
-	overdueLog        lograte.Limited
+	lateAnswers       lateAnswers
 	table             *clients.Table
 }
 
 // newFront returns the client side of a node with these limits on connections of clients and to backends.
 func newFront(l *engine.Engine, names settings.Settings, maxClients, maxBackends int, counts *counters, log *slog.Logger) *front {
-	f := &front{loop: l, log: log, overdueLog: lograte.Limited{Log: log}, table: clients.NewTable(maxClients, clients.PlatformThresholds)}
+	f := &front{loop: l, log: log, lateAnswers: lateAnswers{log: lograte.Limited{Log: log}}, table: clients.NewTable(maxClients, clients.PlatformThresholds)}
 	f.settings.Store(newActiveSettings(names, counts))
 	f.maxBodyBytes.Store(maxUploadBytes)
 	f.setLimits(maxClients, maxBackends)
@@ -262,11 +259,13 @@
 		f.loop.PostFirst(func() { f.loop.ClientGone(r) }) // if the loop has not received the request yet, it never will
 		close(m.clientGoneSignal)
 	})
+	m.stages.postedAt = time.Now()
 	f.loop.Post(func() {
 		if m.clientHasGone.Load() {
 			return // the client left while this was queued for the loop
 		}
-		f.loop.ObserveDelay(m.queueTime)
+		m.stages.reachedLoop()
+		f.loop.ObserveDelay(m.stages.queueTime)
 		if !m.settings.accepts(f.settings.Load(), r.Class) {
 			// Nothing has run. When the client sends it again, the request gets the class that the name has
 			// now.
@@ -280,6 +279,7 @@
 	for {
 		select {
 		case a := <-r.Reply:
+			f.lateAnswers.record(r, deadline, false)
 			setConnectionClose(w, ctx, f.closesConnections.Load())
 			if a.Kind == engine.Failed && replyOf(a.Body).neverRan {
 				a.Kind = engine.Refused // the only attempt broke before its last byte
@@ -294,7 +294,7 @@
 		case <-look.C:
 			m.checkClientGone()
 			if m.upload == nil && time.Since(deadline) > overdueMargin && r.ClaimAnswer() {
-				f.answerOverdue(w, r, time.Since(deadline))
+				f.answerOverdue(w, r, deadline)
 				return
 			}
 		case <-ctx.Done():
@@ -313,16 +313,6 @@
 	}
 }
 
-// answerOverdue answers a request that should have its answer from the loop already. An attempt may have run.
-func (f *front) answerOverdue(w http.ResponseWriter, r *engine.Request, late time.Duration) {
-	m := r.Message.(*message)
-	f.overdueLog.Warn("request answered by its handler: the loop is late", "id", r.ID, "late", late)
-	f.overdue.Add(1)
-	m.counters.answered(engine.Failed)
-	f.loop.PostFirst(func() { f.loop.ClientGone(r) })
-	writeFailed(w, http.StatusGatewayTimeout)
-}
-
 // checkClientGone reports whether the client has left. It is called right before the write of each attempt. The
 // loop and net/http may not have seen it yet. net/http never sees it if a byte came after the request.
 func (m *message) checkClientGone() bool {
@@ -461,8 +451,8 @@
 		received = time.Now()
 	}
 	if m.client != nil && m.upload == nil {
-		m.queueTime = m.client.QueueTime(received)
-		received = received.Add(-m.queueTime)
+		m.stages.queueTime = m.client.QueueTime(received)
+		received = received.Add(-m.stages.queueTime)
 	}
 	r.Deadline = received.Add(left - deadlineMargin)
 	// A read deadline that passes while the request is served would look as if the client had left.
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -24,7 +24,7 @@
 	decisions *engine.Stats
 	backends  *upstream.Pool
 	currency  *listCurrency // nil: discovery is no agent
-	overdue   *atomic.Int64 // requests that their handlers answered
+	late      *lateAnswers
 }
 
 // classCounters are the counters of one class.
@@ -117,8 +117,9 @@
 		line("process.shortages", f.decisions.Shortages())
 		line("process.probes_left_out", f.decisions.ProbesLeftOut())
 	}
-	if f.overdue != nil {
-		line("process.overdue_answers", f.overdue.Load())
+	if l := f.late; l != nil {
+		line("process.late_answers", l.late.Load())
+		line("process.overdue_answers", l.overdue.Load())
 	}
 	if l := f.currency; l != nil {
 		line("discovery.confirmation_age_ms", l.age().Milliseconds())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,7 +72,7 @@
 	n.loop = engine.New(engine.Config{Balancer: bal, Log: log, Origin: cfg.origin, Transport: transport})
 	n.front = newFront(n.loop, cfg.Settings, maxClients, backends, n.counters, log)
 	n.front.bodyBudget.available.Store(n.bounds.heldBytes)
-	n.latest, n.counters.overdue = n.front.settings.Load(), &n.front.overdue
+	n.latest, n.counters.late = n.front.settings.Load(), &n.front.lateAnswers
 	n.discovery = registry.New(cfg.Discovery, cfg.Settings, log,
 		func(list engine.List) {
 			kind := balance.MembersChanged
--- a/internal/node/overdue_test.go
+++ b/internal/node/overdue_test.go
@@ -51,7 +51,7 @@
 	if attempts.Load() != 1 {
 		t.Errorf("%d attempts of two requests, want only that of the second", attempts.Load())
 	}
-	if n.front.overdue.Load() != 1 {
-		t.Errorf("%d overdue requests counted", n.front.overdue.Load())
+	if n.front.lateAnswers.overdue.Load() != 1 {
+		t.Errorf("%d overdue requests counted", n.front.lateAnswers.overdue.Load())
 	}
 }
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -87,7 +87,7 @@
 // is up first, and nil if the other one is to be used.
 func (p *Pool) connectMeanwhile(ctx context.Context, to engine.Endpoint, waiting *Conn, wait time.Duration) (*Conn, error) {
 	dialing := &dial{pool: p}
-	if wait > waitBeforeDial && p.hasSpareRoom() {
+	if wait > waitBeforeDial && p.HasSpareRoom() {
 		dialing = p.startDial(ctx, to)
 	}
 	quiet := time.NewTimer(wait)
@@ -122,8 +122,9 @@
 // part in spareRoomDivisor.
 const spareRoomDivisor = 4
 
-// hasSpareRoom reports whether a request that has a connection may dial another one.
-func (p *Pool) hasSpareRoom() bool {
+// HasSpareRoom reports whether there is room for a connection that is not needed at once: for a request that has another one, or a late
+// probe.
+func (p *Pool) HasSpareRoom() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	limit := p.options.MaxConns
