--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -84,7 +84,7 @@
 
 	timeLeft      time.Duration // time budget of the request from its last byte on
 	stages        stages
-	reservedBytes int64         // bytes reserved in budget
+	reservedBytes int64 // bytes reserved in budget
 	budget        *budget
 
 	client           *clients.Conn // connection of the client; nil if there is none or it can't be checked
