lab: a cold box that falls by work no node can see is told from one sent too much

The lab now also counts falls after too many requests by the mean work of their classes (overcommitted).

--- a/lab/result.go
+++ b/lab/result.go
@@ -34,6 +34,9 @@
 	RefusedRan int64 `json:"refused_ran"`
 	AfterDrain int64 `json:"after_drain"`
 	Fell       int64 `json:"fell"` // cold boxes pushed over
+	// Overcommitted counts those of Fell that were sent too many requests, by the mean work of the classes. The others fell because some
+	// requests took far longer than the mean, which no node can see before.
+	Overcommitted int64 `json:"overcommitted"`
 
 	Worth  float64   `json:"worth"`  // of 1: what was offered
 	Fair   float64   `json:"fair"`   // Jain's index of work done over the boxes' capacity
