Probes: results counted, reduced probing logged

Now the node counts probes by result (in time, late, unanswered) and the share of probes that is sent, and logs when that falls to half and when all are sent again. The case Probed of Handle is a function beside the rest of the probes. No decision changes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -289,19 +289,7 @@
 	case Timer:
 		b.onTimer(ev.TimerID)
 	case Probed:
-		b.probes.observe(b.now, ev.Status, ev.Elapsed)
-		if s := b.backends[ev.Backend]; s != nil {
-			b.applyReport(s, ev.Load)
-			b.forwardReport(s, ev.Load)
-			if b.probePairs < maxProbePairs && s.reportedQueue > 0 {
-				b.probePairs++
-				gap := cmp.Or(b.reportInterval, 2*b.meanServiceTime) / 2
-				b.setTimer(time.Duration(gap*float64(time.Second)), timer{reprobe: s})
-			}
-		}
-		if b.pendingProbes--; b.pendingProbes <= 0 {
-			b.releaseHeld()
-		}
+		b.onProbed(&ev)
 	case Outcome:
 		b.onOutcome(&ev)
 	case StreamAnswered:
--- a/balance/probes.go
+++ b/balance/probes.go
@@ -2,7 +2,10 @@
 
 package balance
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// Each arrival earns as many probes as cost probeCostBudget points of the result. At most
@@ -18,14 +21,41 @@
 	replyWeight, lateSeconds = 1.0 / 8, 2.0
 )
 
-// probeReplies tells how many of the recent probes got a late reply or none. A probe costs a backend work, and one without a reply also
+// probeReplies has the share of the recent probes that got a late reply or none. A probe costs a backend work, and one without a reply also
 // costs a connection, because the next one needs a new one. If backends are so busy that their replies come too late, as many probes as
 // before would keep them so: the replies bring nothing, and requests are rejected to make room for probes.
 type probeReplies struct {
 	late      float64 // share of the recent probes, 0 to 1
 	updatedAt time.Duration
+	isReduced bool // fewer probes are sent, as logged
+}
+
+// The log reports fewer probes from loggedProbeShare on, and the end when all are sent again.
+const loggedProbeShare = 0.5
+
+// onProbed takes in the result of a probe.
+func (b *Balancer) onProbed(ev *Event) {
+	b.probes.observe(b.now, ev.Status, ev.Elapsed)
+	share := b.probes.share()
+	b.logTransition(&b.probes.isReduced, share <= loggedProbeShare, share == 1,
+		"replies to probes are late at most backends: sending fewer probes", "replies to probes are in time again")
+	if s := b.backends[ev.Backend]; s != nil {
+		b.applyReport(s, ev.Load)
+		b.forwardReport(s, ev.Load)
+		if b.probePairs < maxProbePairs && s.reportedQueue > 0 {
+			b.probePairs++
+			gap := cmp.Or(b.reportInterval, 2*b.meanServiceTime) / 2
+			b.setTimer(time.Duration(gap*float64(time.Second)), timer{reprobe: s})
+		}
+	}
+	if b.pendingProbes--; b.pendingProbes <= 0 {
+		b.releaseHeld()
+	}
 }
 
+// ProbeShare returns which part of the probes is sent: 1, or less while replies are late.
+func (b *Balancer) ProbeShare() float64 { return b.probes.share() }
+
 // observe records the result of a probe.
 func (p *probeReplies) observe(now time.Duration, status Status, elapsed time.Duration) {
 	gap := (now - p.updatedAt).Seconds()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -292,7 +292,7 @@
 	e.updateShortage(now)
 }
 
-// updateShortage tells the Balancer when a shortage of processor time begins and ends. On the loop.
+// updateShortage notifies the Balancer when a shortage of processor time begins and ends. On the loop.
 func (e *Engine) updateShortage(now time.Duration) {
 	isShort := e.lag.IsShort(now)
 	if isShort == e.isShort {
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -288,8 +288,10 @@
 	}
 	sent := e.Clock()
 	report := func(res Result) {
-		e.Handle(balance.Event{Kind: balance.Probed, Backend: number, Elapsed: e.Clock() - sent,
-			Status: res.Status, Load: res.Load})
+		elapsed := e.Clock() - sent
+		e.stats.countProbe(res.Status, elapsed)
+		e.Handle(balance.Event{Kind: balance.Probed, Backend: number, Elapsed: elapsed, Status: res.Status, Load: res.Load})
+		e.stats.probeShare.Store(int64(100 * e.Balancer.ProbeShare()))
 		if e.OnResult != nil {
 			e.OnResult(b.id, res)
 		}
--- a/internal/engine/stats.go
+++ b/internal/engine/stats.go
@@ -53,8 +53,52 @@
 	refusals [numberOfRefusalReason]atomic.Int64
 
 	lag, shortages, probesLeftOut atomic.Int64
+	probes                        [numberOfProbeResults]atomic.Int64
+	probeShare                    atomic.Int64 // in percent
 }
 
+// ProbeResult is how a probe ended.
+type ProbeResult int
+
+// Results of probes.
+const (
+	ProbeReplied         ProbeResult = iota
+	ProbeLate                        // after lateProbe
+	ProbeUnanswered                  // not in time, or without a connection
+	numberOfProbeResults = int(ProbeUnanswered) + 1
+)
+
+// lateProbe is how long a reply to a probe may take that does not count as late.
+const lateProbe = 50 * time.Millisecond
+
+// String returns the name of the result in counters.
+func (r ProbeResult) String() string {
+	return [numberOfProbeResults]string{"replied", "late", "unanswered"}[r]
+}
+
+// countProbe counts the result of a probe that was sent.
+func (s *Stats) countProbe(status balance.Status, elapsed time.Duration) {
+	switch {
+	case status == balance.Unused, status == balance.Cancelled:
+	case status == balance.Expired, status == balance.DialFailed, status == balance.Dropped:
+		s.probes[ProbeUnanswered].Add(1)
+	case elapsed > lateProbe:
+		s.probes[ProbeLate].Add(1)
+	default:
+		s.probes[ProbeReplied].Add(1)
+	}
+}
+
+// EachProbe calls f with the number of probes for each result.
+func (s *Stats) EachProbe(f func(result ProbeResult, count int64)) {
+	for i := range s.probes {
+		f(ProbeResult(i), s.probes[i].Load())
+	}
+}
+
+// ProbeSharePercent returns which part of the probes is sent, in percent.
+func (s *Stats) ProbeSharePercent() int64 { return s.probeShare.Load() }
+
 // Lag returns the longest recent delay of timers and messages of this process.
 func (s *Stats) Lag() time.Duration { return time.Duration(s.lag.Load()) }
 
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -116,6 +116,8 @@
 		line("process.lag_ms", f.decisions.Lag().Milliseconds())
 		line("process.shortages", f.decisions.Shortages())
 		line("process.probes_left_out", f.decisions.ProbesLeftOut())
+		f.decisions.EachProbe(func(result engine.ProbeResult, n int64) { line("probes."+result.String(), n) })
+		line("probes.share_percent", f.decisions.ProbeSharePercent())
 	}
 	if l := f.late; l != nil {
 		line("process.late_answers", l.late.Load())
