Reproduce: a fleet rejects requests for seconds after its backends ran again (known red)

TestFleetReturnsAfterBackendsStop stops the process of all 26 backends for 2 s (SIGSTOP) around a list that replaces 16 of them, with 24 nodes and 2,880 requests a second.

The rig's backends also report requests without an id, as a violation.

--- a/cmd/glencart/shortage_check_test.go
+++ b/cmd/glencart/shortage_check_test.go
@@ -60,6 +60,10 @@
 func (s *shortage) check() {
 	arrivals := map[string][]roles.Arrival{}
 	for _, a := range s.backends.Arrivals {
+		if a.Stray != "" {
+			s.addViolation("backend %d got a request without an id: %s", a.Backend, a.Stray)
+			continue
+		}
 		arrivals[a.ID] = append(arrivals[a.ID], a)
 	}
 	var count shares
@@ -104,7 +108,7 @@
 	s.t.Logf("in the shortage: %d sent, %d rejected; timers of the clients late by up to %v, of the backends by %v", inShortage, rejected,
 		latestOf(s.clients...), latestOf(s.backends))
 	s.t.Logf("processor time of the nodes: %v; the host took %v of %v", s.nodeTime, s.stolen, shortageTraffic*time.Duration(runtime.NumCPU()))
-	if rejected*100 > inShortage*maxRejectedPercent {
+	if s.plan.backendStop == 0 && rejected*100 > inShortage*maxRejectedPercent {
 		s.addViolation("%d of %d requests were rejected in the shortage, %d in 100 are allowed", rejected, inShortage, maxRejectedPercent)
 	}
 	s.checkRecovery(&count)
--- a/cmd/glencart/shortage_faults_test.go
+++ b/cmd/glencart/shortage_faults_test.go
@@ -44,6 +44,8 @@
 	hasCrowd    bool
 	addsCold    bool    // the new backends have just started
 	rate        float64 // requests a second to each node
+	// The process of the backends is stopped for this long instead of the busy processes; 0: it is not.
+	backendStop time.Duration
 }
 
 // newShortagePlan draws a plan.
@@ -200,7 +202,13 @@
 			f()
 		})
 	}
-	at(s.plan.busyAt, func() { s.occupy(s.plan.busyFor) })
+	at(s.plan.busyAt, func() {
+		if s.plan.backendStop > 0 {
+			s.stopBackends(s.plan.backendStop)
+		} else {
+			s.occupy(s.plan.busyFor)
+		}
+	})
 	at(s.plan.changeAt, s.changeLists)
 	for i := range s.plan.stops {
 		node, after := s.rng.IntN(len(s.nodes)), s.plan.changeAt-time.Second+time.Duration(s.rng.Int64N(int64(2*time.Second)))
--- a/cmd/glencart/shortage_test.go
+++ b/cmd/glencart/shortage_test.go
@@ -282,6 +282,26 @@
 	s.busyTo = s.busyFrom.Add(d)
 }
 
+// stopBackends stops the process of all backends for a time.
+func (s *shortage) stopBackends(d time.Duration) {
+	s.busyFrom = time.Now()
+	s.backends.Cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	s.backends.Cmd.Process.Signal(syscall.SIGCONT)
+	s.busyTo = time.Now()
+}
+
+// TestFleetReturnsAfterBackendsStop stops all backends at once. The probes that had no reply meanwhile, and their new connections, must
+// not keep the fleet from serving once the backends run again.
+func TestFleetReturnsAfterBackendsStop(t *testing.T) {
+	plan := shortagePlan{seed: 1, nodes: *shortageNodes, rate: *shortageRate, replacement: replaceAtOnce, changeAt: 3 * time.Second,
+		busyAt: 2500 * time.Millisecond, backendStop: 2 * time.Second}
+	s := &shortage{t: t, plan: plan, rng: rand.New(rand.NewPCG(1, 2))}
+	s.run()
+	s.check()
+	s.report()
+}
+
 // TestShortOfProcessorTime runs fleets that are short of processor time while their backends are replaced.
 func TestShortOfProcessorTime(t *testing.T) {
 	for i := range *shortageSeeds {
@@ -291,14 +311,20 @@
 			t.Log(s.plan)
 			s.run()
 			s.check()
-			for i, v := range s.violations {
-				if i < 12 {
-					t.Error(v)
-				}
-			}
-			if len(s.violations) > 12 {
-				t.Errorf("and %d more", len(s.violations)-12)
-			}
+			s.report()
 		})
 	}
 }
+
+// report fails the test for each violation.
+func (s *shortage) report() {
+	const most = 12
+	for i, v := range s.violations {
+		if i < most {
+			s.t.Error(v)
+		}
+	}
+	if len(s.violations) > most {
+		s.t.Errorf("and %d more", len(s.violations)-most)
+	}
+}
--- a/internal/standin/roles/backends.go
+++ b/internal/standin/roles/backends.go
@@ -47,6 +47,7 @@
 	At       time.Time // when the kernel had the request
 	BegunAt  time.Time // zero if it never ran
 	NeverRan bool
+	Stray    string `json:",omitempty"` // a request without an id: its head and where it came from
 }
 
 // backend is one backend.
@@ -184,6 +185,11 @@
 	}
 	a := &Arrival{Backend: b.index, ID: hr.Header.Get("X-Trace-Id"), At: at}
 	defer func() { b.records.add(Report{Arrival: a}) }()
+	if a.ID == "" {
+		a.NeverRan, a.Stray = true, fmt.Sprint(hr.Method, " ", hr.RequestURI, " ", hr.Header, " from ", c.RemoteAddr())
+		_, err := io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
 	defer b.inFlight.Add(-1)
 	if b.inFlight.Add(1) > int64(b.setup.Concurrency+b.setup.MaxQueue) {
 		a.NeverRan = true
--- a/internal/standin/roles/roles.go
+++ b/internal/standin/roles/roles.go
@@ -1,5 +1,5 @@
 // Package roles runs the surroundings of a fleet of nodes, its clients and its backends, in processes of their own, so that a test can
-// tell the delays of its own side from those of the nodes. A test binary starts itself once more for each process: Start passes the role
+// separate the delays of its own side from those of the nodes. A test binary starts itself once more for each process: Start passes the role
 // in the environment, and RunIfAsked, called from TestMain, runs it.
 //
 // Times of arrival are the kernel's (tcpi_last_data_recv of tcp(7)), in steps of a few milliseconds. They hold even if the process that
@@ -181,7 +181,7 @@
 	}
 }
 
-// recorder collects reports in memory, so that the process writes nothing while it is measured.
+// recorder collects reports in memory, so that the process writes nothing during the run.
 type recorder struct {
 	mu      sync.Mutex
 	reports []Report
