balance: base times and usual loads are not learned while replies to probes are late

What callers saw: after all backends had been stopped for 2 s the fleet served everything for 2 s, and then rejected up to 13 in 100 requests for 2 to 4 s, at backends that had nothing to do.

Evidence, one line for each rejection with what the node knew of every backend (scratch copy): the base time was 70 ms instead of 20, the slowdown factor 4 for seconds, the usual load of single backends 2.5 below and 4.5 above the mean. Answers that had waited for the stop counted as answers without a queue, since the node had no reports of one; answer times are compared by the base time, so the factor rose with it. And the few reports were compared with an old mean. Backends that looked idle by that then got the requests of all nodes, which made it worse. Service times were held back already; these two were not.

Now a node learns neither while replies are late, but for a class of which it knows nothing.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -713,6 +713,8 @@
 func (b *Balancer) learnBaseTime(r *request, a *attempt, spent float64) {
 	class, weight, oldBaseTime := r.stats, baseTimeWeight, b.meanBaseTime()
 	switch {
+	case class.samples > 0 && b.probes.areLate():
+		return // the queue that the request has met is not known
 	case a.queueMet > maxEmptyQueue && class.unqueuedSamples > 0:
 		return
 	case a.queueMet > maxEmptyQueue && r.hint > 0:
@@ -741,7 +743,7 @@
 		}
 	}
 	s.lastResponseAt = b.now
-	if b.probes.share() < 1 {
+	if b.probes.areLate() {
 		b.learnSlowdown(normalized, a.queueMet, recentWeight)
 		return // too little is known of the queue that the request has met
 	}
--- a/balance/peerload.go
+++ b/balance/peerload.go
@@ -8,8 +8,10 @@
 // recordPeerLoad records the load that other nodes had at a backend some seconds ago.
 func (b *Balancer) recordPeerLoad(s *backend, load, age float64) {
 	at := b.now - time.Duration(age*float64(time.Second))
-	s.peerLoadOffset += min(maxBaselineWeight, max(0, at-s.peerLoadAt).Seconds()/baselineSeconds) *
-		(load - b.meanPeerLoad(s) - s.peerLoadOffset)
+	if !b.probes.areLate() { // the mean of few reports is an old one
+		s.peerLoadOffset += min(maxBaselineWeight, max(0, at-s.peerLoadAt).Seconds()/baselineSeconds) *
+			(load - b.meanPeerLoad(s) - s.peerLoadOffset)
+	}
 	s.lastPeerLoad, s.peerLoadAt = load, at
 	b.addToMeans(s, load)
 }
--- a/balance/probes.go
+++ b/balance/probes.go
@@ -80,6 +80,9 @@
 	return min(max(1-excess, minProbeShare), 1)
 }
 
+// areLate reports whether so many replies are late that the queues of backends are not known well enough to learn from.
+func (p *probeReplies) areLate() bool { return p.share() < 1 }
+
 // sendProbes probes distinct random backends, once in each tick with arrivals.
 func (b *Balancer) sendProbes() {
 	earned := min(maxProbesPerTick, probeCostBudget/max(b.cfg.Prices.Probe, 1e-9))
--- a/balance/probes_test.go
+++ b/balance/probes_test.go
@@ -219,3 +219,33 @@
 		t.Errorf("served %.3f, %d probes", share, f.probes)
 	}
 }
+
+// Responses that waited at busy or stopped backends lengthened the base time of their class, and few reports beside an old mean moved the
+// usual load of single backends. Both lasted for seconds after the cause, and requests were rejected by them. While replies to probes are
+// late, a node learns neither, unless it knows nothing else.
+func TestNothingLastingIsLearnedWhileRepliesAreLate(t *testing.T) {
+	r := newRig(t, testConfig(), member(1, 0, 0), member(2, 0, 0))
+	r.serve(50, safe, constantTime)
+	class, s := &r.b.classes[safe], r.b.backends[1]
+	r.b.reportInterval = 0.1
+	baseTime, offset := class.baseTime, s.peerLoadOffset
+	trouble := func() {
+		r.serve(20, safe, func(BackendID) time.Duration { return 400 * ms })
+		r.wait(5 * time.Second)
+		r.do(report(1, 30))
+	}
+	r.b.probes = probeReplies{late: 1, updatedAt: r.now}
+	r.serve(1, keyedAll, constantTime)
+	if got := r.b.classes[keyedAll].baseTime; got != 0.02 {
+		t.Errorf("a class without a response has the base time %v after one of 0.02 s", got)
+	}
+	trouble()
+	if class.baseTime != baseTime || s.peerLoadOffset != offset {
+		t.Errorf("replies are late: base time %.3f before and %.3f after, offset %.2f and %.2f", baseTime, class.baseTime, offset, s.peerLoadOffset)
+	}
+	r.b.probes = probeReplies{updatedAt: r.now}
+	trouble()
+	if class.baseTime == baseTime || s.peerLoadOffset == offset {
+		t.Error("replies are in time: nothing is learned")
+	}
+}
