node: an attempt is not sent by a list that is neither confirmed nor called for

What backends could see: a new request after the drain grace, from a node that was held up, or had no descriptors left, while it waited for its list to be confirmed. Cause: after 475 ms the wait ended and the attempt was sent all the same. A node that was stopped in that wait found its time over as soon as it ran again. And a call to the agent that this machine could not send counted as a silent agent, for which requests do not wait.

Now such an attempt counts as unused, so that the decision module picks again, and a call that fails for want of descriptors, ports or memory is taken back. TestUnconfirmedListSendsNothing and TestCallNotSentShowsNoSilence: both sent before.

--- a/internal/members/registry/follow.go
+++ b/internal/members/registry/follow.go
@@ -12,6 +12,7 @@
 	"glencart/internal/engine"
 	"glencart/internal/lograte"
 	"glencart/internal/members/registry/pace"
+	"glencart/internal/sock"
 )
 
 const (
@@ -153,10 +154,14 @@
 	addr := r.addr
 	r.calls.Go(func() {
 		defer cancel()
-		if r.observer != nil && a.Complete {
-			r.observer.ListCallBegan()
+		observesCall, number := r.observer != nil && a.Complete, 0
+		if observesCall {
+			number = r.observer.ListCallBegan()
 		}
 		ans := r.call(record.traced(ctx), addr, query, known)
+		if observesCall && ans.err != nil && record.written.Load() == 0 && sock.IsLocalError(ans.err) {
+			r.observer.ListCallNotSent(number)
+		}
 		ans.call, ans.writtenAt = a.Call, ans.arrivedAt.Add(-record.sinceLastReceive())
 		select {
 		case r.answers <- ans:
--- a/internal/members/registry/pace/currency.go
+++ b/internal/members/registry/pace/currency.go
@@ -16,9 +16,15 @@
 type Currency struct {
 	maxAge, maxWait time.Duration
 	confirmedAt     time.Duration
-	isConfirmed     bool             // ever
-	calls           [4]time.Duration // when the last calls for the complete list began
-	nextCall        int
+	isConfirmed     bool // ever
+	calls           [4]listCall
+	lastCall        int // number of the last call for the complete list
+}
+
+// listCall is a call for the complete list.
+type listCall struct {
+	number  int // 0: there was none
+	beganAt time.Duration
 }
 
 // AnswerPatience is how long an agent that runs takes at most for the answer to a call for the complete list.
@@ -27,9 +33,6 @@
 // NewCurrency returns the Currency of a list that no agent has confirmed yet. grace is the drain grace.
 func NewCurrency(grace time.Duration) *Currency {
 	c := &Currency{}
-	for i := range c.calls {
-		c.calls[i] = -Never
-	}
 	c.SetGrace(grace)
 	return c
 }
@@ -43,10 +46,18 @@
 	c.maxWait = terms.Wait + terms.watchHedgeDelay + AnswerPatience
 }
 
-// ListCallBegan records that a call for the complete list has begun.
-func (c *Currency) ListCallBegan(at time.Duration) {
-	c.calls[c.nextCall] = at
-	c.nextCall = (c.nextCall + 1) % len(c.calls)
+// ListCallBegan records that a call for the complete list has begun, and returns its number.
+func (c *Currency) ListCallBegan(at time.Duration) int {
+	c.lastCall++
+	c.calls[c.lastCall%len(c.calls)] = listCall{c.lastCall, at}
+	return c.lastCall
+}
+
+// ListCallNotSent records that a call was not sent, for a reason of this machine. That it has no answer says nothing of the agent.
+func (c *Currency) ListCallNotSent(number int) {
+	if call := &c.calls[number%len(c.calls)]; call.number == number {
+		*call = listCall{}
+	}
 }
 
 // Confirm records that the agent wrote an answer at a time, and that the list in use is the one of that answer.
@@ -64,16 +75,16 @@
 
 // isSilent reports whether a call has had time for its answer, got none, and is not older than a confirmation may be.
 func (c *Currency) isSilent(now time.Duration) bool {
-	for _, at := range c.calls {
-		isUnanswered := !c.isConfirmed || c.confirmedAt < at
-		if isUnanswered && at >= now-c.maxAge && at <= now-AnswerPatience {
+	for _, call := range c.calls {
+		isUnanswered := call.number > 0 && (!c.isConfirmed || c.confirmedAt < call.beganAt)
+		if isUnanswered && call.beganAt >= now-c.maxAge && call.beganAt <= now-AnswerPatience {
 			return true
 		}
 	}
 	return false
 }
 
-// MaxWait is how long a request waits until it may be sent. If neither an answer nor a call has come by then, the node does not call.
+// MaxWait is how long a request waits until it may be sent. If neither an answer nor a call has come by then, it must not be sent.
 func (c *Currency) MaxWait() time.Duration { return c.maxWait }
 
 // Age returns the time since the last confirmation, or since the zero of the clock if there was none.
--- a/internal/members/registry/pace/currency_test.go
+++ b/internal/members/registry/pace/currency_test.go
@@ -81,6 +81,21 @@
 	}
 }
 
+// A call that could not be sent, for want of descriptors, has no answer either. It must not look like a silent agent.
+func TestCallNotSentShowsNoSilence(t *testing.T) {
+	c := NewCurrency(500 * time.Millisecond)
+	first := c.ListCallBegan(0)
+	c.ListCallNotSent(first)
+	if c.MaySend(200 * time.Millisecond) {
+		t.Error("a request may be sent, although no call was sent")
+	}
+	c.ListCallBegan(100 * time.Millisecond)
+	c.ListCallNotSent(first) // reported once more: nothing of the second call
+	if !c.MaySend(250 * time.Millisecond) {
+		t.Error("no request may be sent, although a call has no answer")
+	}
+}
+
 // An agent that is down has nothing to report. Requests must not wait for it more than once.
 func TestSilentAgentDelaysRequestsOnce(t *testing.T) {
 	const grace = 500 * time.Millisecond
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -47,7 +47,11 @@
 	reportHeader, neverRanHeader = "Endpoint-Load-Metrics", "X-Never-Ran"
 )
 
-var errTooLongAnswer = errors.New("answer too long")
+var (
+	errTooLongAnswer = errors.New("answer too long")
+	// errListNotConfirmed reports that an attempt was not sent, because its backend may have been removed meanwhile.
+	errListNotConfirmed = errors.New("endpoint list not confirmed")
+)
 
 // transport sends attempts and probes to backends. Each runs in its own goroutine on one connection.
 //
@@ -216,7 +220,7 @@
 		m.upload.unclaim(c)
 	}
 	switch {
-	case errors.Is(err, upstream.ErrNoCapacity):
+	case errors.Is(err, upstream.ErrNoCapacity), errors.Is(err, errListNotConfirmed):
 		return ended(balance.Unused) // the cause is not the backend
 	case err != nil:
 		return engine.Result{Status: balance.DialFailed, Refused: errors.Is(err, syscall.ECONNREFUSED)}, false
@@ -393,8 +397,9 @@
 		if err != nil {
 			return nil, nil, nil, err
 		}
-		if !m.probe {
-			x.currency.await(ctx)
+		if !m.probe && !x.currency.await(ctx) {
+			x.pool.Discard(cn, upstream.Unsent)
+			return nil, nil, nil, errListNotConfirmed
 		}
 		left := time.Until(deadline)
 		if m.probe {
--- a/internal/node/listcurrency.go
+++ b/internal/node/listcurrency.go
@@ -21,7 +21,7 @@
 	currency  *pace.Currency
 	confirmed chan struct{} // closed at the next confirmation
 
-	waits, unconfirmed atomic.Int64 // requests that waited, and those of them that were sent without a confirmation
+	waits, unconfirmed atomic.Int64 // attempts that waited, and those of them that were not sent for want of a confirmation
 }
 
 func newListCurrency(grace time.Duration, loop *engine.Engine, log *lograte.Limited) *listCurrency {
@@ -36,10 +36,17 @@
 }
 
 // ListCallBegan implements registry.Observer.
-func (l *listCurrency) ListCallBegan() {
+func (l *listCurrency) ListCallBegan() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.currency.ListCallBegan(time.Since(l.start))
+	return l.currency.ListCallBegan(time.Since(l.start))
+}
+
+// ListCallNotSent implements registry.Observer.
+func (l *listCurrency) ListCallNotSent(number int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.currency.ListCallNotSent(number)
 }
 
 // Confirmed implements registry.Observer. The list of the answer may still be queued for the loop, so the loop confirms it.
@@ -66,14 +73,15 @@
 	return l.currency.MaySend(time.Since(l.start)), l.confirmed, l.currency.MaxWait()
 }
 
-// await returns when a request may be sent, or when ctx ends. A nil listCurrency holds nothing back.
-func (l *listCurrency) await(ctx context.Context) {
+// await waits until a request may be sent. It reports false if it must not be sent by this list, or if ctx has ended. A nil listCurrency
+// holds nothing back.
+func (l *listCurrency) await(ctx context.Context) bool {
 	if l == nil {
-		return
+		return true
 	}
 	ok, confirmed, maxWait := l.check()
 	if ok {
-		return
+		return true
 	}
 	l.waits.Add(1)
 	began := time.Now()
@@ -82,17 +90,17 @@
 	for !ok {
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-confirmed:
 		case <-again.C: // the agent may be silent
-			if time.Since(began) > maxWait {
-				l.unconfirmed.Add(1)
-				l.log.Warn("a request is sent by an endpoint list that is not confirmed", "list_age", l.age())
-				return
-			}
 		}
-		ok, confirmed, _ = l.check()
+		if ok, confirmed, _ = l.check(); !ok && time.Since(began) > maxWait {
+			l.unconfirmed.Add(1)
+			l.log.Warn("attempt not sent: the endpoint list is not confirmed", "list_age", l.age())
+			return false
+		}
 	}
+	return true
 }
 
 // recheckInterval is how often a waiting request looks whether the agent is silent.
--- a/internal/node/listcurrency_test.go
+++ b/internal/node/listcurrency_test.go
@@ -64,3 +64,13 @@
 		t.Errorf("%d waits", l.waits.Load())
 	}
 }
+
+// With descriptors or time run out, the node could not call its agent, and sent by the list that it had. An attempt must not be sent by a list
+// that is neither confirmed nor called for.
+func TestUnconfirmedListSendsNothing(t *testing.T) {
+	l := newListCurrency(500*time.Millisecond, nil, &lograte.Limited{Log: discardLog()})
+	l.ListCallNotSent(l.ListCallBegan())
+	if l.await(t.Context()) || l.unconfirmed.Load() != 1 {
+		t.Errorf("an attempt may be sent; %d were not", l.unconfirmed.Load())
+	}
+}
