balance: a process that starts in a shortage learns its first times

What callers saw: a client or node that was started on a busy machine sent nothing to a backend with a few long streams. Cause: in a shortage of processor time no times are learned, since they contain this process's own delay. A process that has learned nothing yet kept its first estimate, a tenth of the aim, until the shortage ended: far too much for a quick backend, so few queues were short enough.

Now the first 20 responses count in a shortage too if they are shorter than that estimate: a backend needs no longer than its answer took.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -520,7 +520,7 @@
 	b.compareFailureRate(a.backend)
 	b.applyReport(a.backend, ev.Load)
 	if ev.Status == Delivered {
-		if !b.isShort {
+		if b.mayLearnFrom(ev.Elapsed) {
 			b.learnBaseTime(r, a, ev.Elapsed.Seconds())
 			b.learnServiceTime(a.backend, r, a, ev.Elapsed)
 		}
--- a/balance/shortage.go
+++ b/balance/shortage.go
@@ -3,6 +3,8 @@
 
 package balance
 
+import "time"
+
 // onShortage takes in that a shortage of processor time begins or ends.
 func (b *Balancer) onShortage(isShort bool) {
 	b.isShort = isShort
@@ -12,6 +14,12 @@
 	}
 }
 
+// mayLearnFrom reports whether a response time tells something of the backend. In a shortage it may be a delay of this process. A process
+// that has learned next to nothing takes it all the same if it is shorter than its first estimate: the backend needs no longer than that.
+func (b *Balancer) mayLearnFrom(elapsed time.Duration) bool {
+	return !b.isShort || b.responses*sampleWeight < 1 && elapsed.Seconds() < initialServiceAims*b.meanAim
+}
+
 // leaveOutProbes reports whether the probes of a tick are left out.
 func (b *Balancer) leaveOutProbes() bool {
 	if !b.isShort {
