check: a check that timed out while this process was held up counts for nothing

What callers could see: all backends of a pool out, or up to half of it, after the process was stopped or its machine was short of processor time. When the process runs again the time of its checks is over, whatever the backends did, and the late time-out counted as a failure of the backend.

An answer and a refused connection always count. TestTimeoutOfHeldUpProcessIsNotTheBackends: with every failure counted, as before, a backend was down after a hold-up at each time-out, and after late timers; it stays up now, and a silent or refusing one still goes down.

--- a/check/check.go
+++ b/check/check.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"time"
 
+	"glencart/lag"
 	"glencart/wheel"
 )
 
@@ -17,6 +18,9 @@
 	Rise   int           // consecutive successes after which a backend that is down is up; 0: DefaultRise
 	Fall   int           // consecutive failures after which a backend that is up is down; 0: DefaultFall
 	AtOnce int           // maximum number of concurrent checks; 0: DefaultAtOnce
+	// Timeout is how long a check may take. A check that had no answer by then counts for nothing if this process was held up meanwhile.
+	// 0: every failure counts.
+	Timeout time.Duration
 }
 
 // Defaults of Config, and limits.
@@ -50,6 +54,7 @@
 	waiting   []*backend          // due, and waiting because AtOnce checks are in flight
 	inFlight  map[uint64]*backend // checks in flight, by token
 	lastToken uint64
+	heldUpAt  time.Duration // when this process last ran late; -1: never
 }
 
 type backend struct {
@@ -57,8 +62,9 @@
 	up, hasAnswered bool // hasAnswered: at least one check has succeeded
 	streak          int  // consecutive results that contradict up
 	timer           wheel.ID
-	token           uint64 // of the check in flight; 0: none
-	isWaiting       bool   // in Checks.waiting
+	token           uint64        // of the check in flight; 0: none
+	checkedAt       time.Duration // when that check began
+	isWaiting       bool          // in Checks.waiting
 	isRemoved       bool
 }
 
@@ -67,7 +73,7 @@
 	cfg.Every = max(cmp.Or(cfg.Every, DefaultEvery), MinEvery)
 	cfg.Rise, cfg.Fall, cfg.AtOnce = cmp.Or(cfg.Rise, DefaultRise), cmp.Or(cfg.Fall, DefaultFall), cmp.Or(cfg.AtOnce, DefaultAtOnce)
 	return &Checks{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)), backends: map[string]*backend{}, inFlight: map[uint64]*backend{},
-		timers: wheel.New[*backend](0, now)}
+		timers: wheel.New[*backend](0, now), heldUpAt: -1}
 }
 
 // Set adds a backend to the checks. The first check comes at a random time within one interval. A backend with a new address counts
@@ -106,7 +112,8 @@
 
 // Due appends the checks to make now to checks.
 func (c *Checks) Due(now time.Duration, checks []Check) []Check {
-	c.timers.Advance(now, func(_ time.Duration, b *backend) {
+	c.timers.Advance(now, func(at time.Duration, b *backend) {
+		c.observeDelay(now, now-at)
 		if !b.isWaiting {
 			b.isWaiting = true
 			c.waiting = append(c.waiting, b)
@@ -120,7 +127,7 @@
 			continue
 		}
 		c.lastToken++
-		b.token = c.lastToken
+		b.token, b.checkedAt = c.lastToken, now
 		c.inFlight[b.token] = b
 		checks = append(checks, Check{Backend: b.id, Addr: b.addr, Token: b.token})
 	}
@@ -135,7 +142,14 @@
 		return nil
 	}
 	b.token = 0
+	isTimeout := !ok && c.cfg.Timeout > 0 && now-b.checkedAt >= c.cfg.Timeout
+	if isTimeout {
+		c.observeDelay(now, now-b.checkedAt-c.cfg.Timeout)
+	}
 	c.schedule(b, now+time.Duration(float64(c.cfg.Every)*(1-jitter+2*jitter*c.rng.Float64())))
+	if isTimeout && c.heldUpAt >= b.checkedAt {
+		return nil // this process was late, and the backend may not have been
+	}
 	if ok == b.up {
 		b.streak, b.hasAnswered = 0, b.hasAnswered || ok
 		return nil
@@ -155,6 +169,13 @@
 	return &Verdict{Backend: b.id, Addr: b.addr, Up: ok, Cause: why}
 }
 
+// observeDelay records that something that was due ran after a delay.
+func (c *Checks) observeDelay(now, delay time.Duration) {
+	if delay >= lag.MinHoldUp {
+		c.heldUpAt = now
+	}
+}
+
 // Up reports whether a backend counts as up, and whether it is checked at all.
 func (c *Checks) Up(id string) (up, known bool) {
 	b := c.backends[id]
--- a/check/check_test.go
+++ b/check/check_test.go
@@ -175,3 +175,44 @@
 		}
 	}
 }
+
+// A process that was stopped, or whose machine was busy, found the time of its checks over when it ran again, and took healthy backends
+// out. A check without an answer in time counts only if this process ran on time, and an answer or a refusal always.
+func TestTimeoutOfHeldUpProcessIsNotTheBackends(t *testing.T) {
+	const timeout = time.Second
+	for _, c := range []struct {
+		name              string
+		lateStart, heldUp time.Duration // delays of this process: at the start of each check, and at its time-out
+		took              time.Duration // of a check whose end was not delayed
+		ok, wantDown      bool
+	}{
+		{"silent", 0, 0, timeout, false, true},
+		{"silent, small delays", 20 * time.Millisecond, 20 * time.Millisecond, timeout, false, true},
+		{"held up until after the time-out", 0, 400 * time.Millisecond, timeout, false, false},
+		{"late timers just before", 100 * time.Millisecond, 0, timeout, false, false},
+		{"refused, late timers", 100 * time.Millisecond, 0, 10 * time.Millisecond, false, true},
+		{"healthy, late timers", 100 * time.Millisecond, 0, 10 * time.Millisecond, true, false},
+	} {
+		checks := New(Config{Every: 500 * time.Millisecond, Rise: 1, Fall: 3, Timeout: timeout}, 1, 0)
+		checks.Set(0, "a", "addr")
+		now, isDown := time.Duration(0), false
+		for i := range 12 {
+			var due []Check
+			for len(due) == 0 { // Next may be earlier than the check
+				next, _ := checks.Next()
+				now = max(now, next) + c.lateStart
+				due = checks.Due(now, nil)
+			}
+			isFirst := i == 0 // it shows that the backend is well
+			if !isFirst {
+				now += c.took + c.heldUp
+			}
+			if v := checks.Result(now, due[0].Token, isFirst || c.ok, "no answer"); v != nil && !isFirst {
+				isDown = !v.Up
+			}
+		}
+		if isDown != c.wantDown {
+			t.Errorf("%s: down %t after 11 checks", c.name, isDown)
+		}
+	}
+}
--- a/internal/members/checks/checks.go
+++ b/internal/members/checks/checks.go
@@ -67,6 +67,7 @@
 	if cfg.Timeout <= 0 {
 		cfg.Timeout = defaultTimeout
 	}
+	cfg.Config.Timeout = cfg.Timeout
 	c := &Checker{cfg: cfg, origin: time.Now(), wake: make(chan struct{}, 1), checks: check.New(cfg.Config, rand.Uint64(), 0)}
 	c.client = &http.Transport{DisableKeepAlives: true, TLSClientConfig: cfg.TLS, MaxResponseHeaderBytes: maxHeaderBytes, DialContext: dial}
 	return c
