engine, upstream: the time that a process waits by its own decision is not the backend's

Cause, by a trace of each rejection, of each request's way, and of each connection taken (scratch copy): the backends answered in 20.4 ms and began at once, but requests took 12 to 20 ms on the average to reach them. 13 to 17 in 100 waited some 90 ms for a connection to be quiet: for 2 s new backends get a new connection for each request, then the kept ones must be quiet for 150 ms until 32 answers have named their requests, while the limit of connections and probes leave few. That wait counted as time of the backend, so the slowdown factor rose to 3 to 5 and requests were rejected, which makes no connection quiet.

Now an exchange records how long it waited for a quiet connection, for the confirmation of the endpoint list, or with an answer held back, and the decision module gets the time without it. The node and serve do the same. Dials still count: a backend that accepts late is slow.

TestOwnDelayCountsWaitAndHold and TestOwnDelayIsNotTheBackends check the parts.

--- a/cmd/glencart/shortage_test.go
+++ b/cmd/glencart/shortage_test.go
@@ -296,7 +296,20 @@
 func TestFleetReturnsAfterBackendsStop(t *testing.T) {
 	plan := shortagePlan{seed: 1, nodes: *shortageNodes, rate: *shortageRate, replacement: replaceAtOnce, changeAt: 3 * time.Second,
 		busyAt: 2500 * time.Millisecond, backendStop: 2 * time.Second}
-	s := &shortage{t: t, plan: plan, rng: rand.New(rand.NewPCG(1, 2))}
+	runShortage(t, plan)
+}
+
+// TestOwnWaitsLookLikeNoSlowBackends runs a fleet that waits for quiet connections: some backends of a new list fail while the machine is
+// busy, and those that remain have few connections. These waits counted as answer times, and requests were rejected after the shortage.
+func TestOwnWaitsLookLikeNoSlowBackends(t *testing.T) {
+	const seed = 13
+	runShortage(t, newShortagePlan(seed))
+}
+
+// runShortage runs a plan and checks it.
+func runShortage(t *testing.T, plan shortagePlan) {
+	t.Log(plan)
+	s := &shortage{t: t, plan: plan, rng: rand.New(rand.NewPCG(plan.seed, 2))}
 	s.run()
 	s.check()
 	s.report()
@@ -307,11 +320,7 @@
 	for i := range *shortageSeeds {
 		seed := *shortageFirst + uint64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			s := &shortage{t: t, plan: newShortagePlan(seed), rng: rand.New(rand.NewPCG(seed, 2))}
-			t.Log(s.plan)
-			s.run()
-			s.check()
-			s.report()
+			runShortage(t, newShortagePlan(seed))
 		})
 	}
 }
--- a/internal/engine/requests.go
+++ b/internal/engine/requests.go
@@ -179,8 +179,8 @@
 	}
 	e.forget(r)
 	e.Handle(balance.Event{
-		Kind: balance.Outcome, Request: r.ID, Attempt: a.number, Backend: a.backend.number, Elapsed: e.Clock() - a.sentAt,
-		Status: res.Status, RequestEnded: r.answered, Load: res.Load,
+		Kind: balance.Outcome, Request: r.ID, Attempt: a.number, Backend: a.backend.number,
+		Elapsed: max(0, e.Clock()-a.sentAt-res.OwnDelay), Status: res.Status, RequestEnded: r.answered, Load: res.Load,
 	})
 	if e.OnResult != nil {
 		e.OnResult(a.To.ID, res)
--- a/internal/engine/shortage_test.go
+++ b/internal/engine/shortage_test.go
@@ -54,6 +54,27 @@
 	}
 }
 
+// The time that this process waited by its own decision made backends look slow. The module must get the time without it.
+func TestOwnDelayIsNotTheBackends(t *testing.T) {
+	var sent *Attempt
+	s := newSteppedEngine(t, &keepingTransport{sent: &sent})
+	s.Arrive(&Request{ID: "r", Deadline: s.now.Add(time.Second), Reply: make(chan Answer, 1)})
+	s.now = s.now.Add(150 * time.Millisecond)
+	sent.Done(Result{Status: balance.Delivered, OwnDelay: 130 * time.Millisecond})
+	s.Step()
+	if len(s.outcomes) != 1 || s.outcomes[0].Elapsed != 20*time.Millisecond {
+		t.Errorf("outcomes %+v, want one after 20 ms", s.outcomes)
+	}
+}
+
+// keepingTransport keeps the last attempt.
+type keepingTransport struct {
+	silentTransport
+	sent **Attempt
+}
+
+func (x *keepingTransport) Send(a *Attempt) { *x.sent = a }
+
 // A shortage must be counted, and end by itself soon after its cause.
 func TestShortageEndsByItself(t *testing.T) {
 	s := newSteppedEngine(t, &silentTransport{})
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -41,8 +41,10 @@
 	Status balance.Status
 	// Refused is set with DialFailed if the connection was refused: the machine is up, but no process listens.
 	Refused bool
-	Load    balance.Load
-	Body    any // the answer in the form of the protocol, for the front end
+	// OwnDelay is the part of the attempt's time that this process waited by its own decision. It shows nothing of the backend.
+	OwnDelay time.Duration
+	Load     balance.Load
+	Body     any // the answer in the form of the protocol, for the front end
 }
 
 // Request is a client's request. The front end sets the exported fields. The others are state of the loop.
--- a/internal/front/http/attempt.go
+++ b/internal/front/http/attempt.go
@@ -92,7 +92,7 @@
 		}
 		res := engine.Result{Status: st}
 		if re != nil {
-			res.Body, res.Load = re, re.load
+			res.Body, res.Load, res.OwnDelay = re, re.load, re.ownDelay
 		}
 		a.Done(res)
 	}
@@ -162,7 +162,7 @@
 		end(balance.Cancelled, nil)
 		return
 	}
-	re.to = a.To
+	re.to, re.ownDelay = a.To, cn.OwnDelay
 	if st != balance.Delivered {
 		re.release(true)
 		end(st, re)
@@ -172,7 +172,7 @@
 	if re.body == nil && re.tunnel == nil {
 		re.release(true) // it is held whole: the next request need not wait for the client
 	}
-	if a.Deliver(engine.Result{Status: st, Load: re.load}) {
+	if a.Deliver(engine.Result{Status: st, OwnDelay: re.ownDelay, Load: re.load}) {
 		m.hand(re)
 	} else {
 		re.drop()
@@ -233,6 +233,8 @@
 	release func(clean bool) // gives the connection back, once
 	to      engine.Endpoint
 	load    balance.Load
+
+	ownDelay time.Duration // part of its time that this process waited by its own decision
 }
 
 // drop ends an answer that nobody gets.
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -305,6 +305,7 @@
 	if !x.isOwnAnswer(m, ex, resp, body) {
 		return engine.Result{Status: balance.Dropped}, false
 	}
+	r.OwnDelay = ex.conn.OwnDelay
 	if text := resp.Header.Get(reportHeader); text != "" && x.inline {
 		r.Load = x.parseReport(text)
 	}
@@ -392,15 +393,19 @@
 func (x *transport) readyConn(
 	ctx context.Context, c *call, to engine.Endpoint, m *message, deadline time.Time,
 ) (*upstream.Conn, []byte, func() bool, error) {
+	var ownDelay time.Duration // of this attempt, on all connections
 	for {
 		cn, err := x.pool.Get(ctx, to, upstream.Request{IsProbe: m.probe})
 		if err != nil {
 			return nil, nil, nil, err
 		}
+		awaitBegan := time.Now()
 		if !m.probe && !x.currency.await(ctx) {
 			x.pool.Discard(cn, upstream.Unsent)
 			return nil, nil, nil, errListNotConfirmed
 		}
+		ownDelay += cn.OwnDelay + time.Since(awaitBegan)
+		cn.OwnDelay = ownDelay
 		left := time.Until(deadline)
 		if m.probe {
 			left -= lateProbeWait
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -26,6 +26,9 @@
 	IdleAt  time.Time     // when it was last put into the pool
 	IdleAge time.Duration // idle time when it was last taken
 	State   reuse.Conn
+	// OwnDelay is how long the current exchange has waited by a decision of this process, and not for its backend: for the connection to
+	// be quiet, or with an answer held back.
+	OwnDelay time.Duration
 
 	watch *watch // while it is idle
 }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -106,6 +106,40 @@
 	}
 }
 
+// The wait for a quiet connection and the hold of an early answer are decisions of this process. They counted as time of the backend, so
+// that all backends looked slow and requests were rejected. A connection that was quiet already has no such delay.
+func TestOwnDelayCountsWaitAndHold(t *testing.T) {
+	f := newFixture(t, 1)
+	for range 16 { // until the answer time of the backend is known
+		f.Put(f.get(t), reuse.Answer{Elapsed: 100 * time.Millisecond})
+		f.Drop(f.to)
+	}
+	c := f.get(t)
+	f.Put(c, reuse.Answer{Elapsed: 100 * time.Millisecond})
+	began := time.Now()
+	if f.get(t) != c {
+		t.Fatal("the connection was not reused")
+	}
+	waited := time.Since(began)
+	if c.OwnDelay <= 0 || c.OwnDelay > waited {
+		t.Errorf("own delay %v after a wait of %v", c.OwnDelay, waited)
+	}
+	time.Sleep(reuse.QuietTime) // an answer in this time would not be accepted
+	began = time.Now()
+	before := c.OwnDelay
+	if !f.AcceptsAnswer(c, reuse.Answer{Elapsed: time.Millisecond}, began.Add(time.Minute)) {
+		t.Fatal("the answer was not accepted")
+	}
+	if held := c.OwnDelay - before; held <= 0 || held > time.Since(began) {
+		t.Errorf("own delay of %v for an answer held back for %v", held, time.Since(began))
+	}
+	f.Put(c, reuse.Answer{Elapsed: 100 * time.Millisecond})
+	time.Sleep(reuse.QuietTime)
+	if f.get(t) != c || c.OwnDelay != 0 {
+		t.Errorf("own delay %v on a quiet connection", c.OwnDelay)
+	}
+}
+
 // A connection that comes up sooner than another one is quiet must carry the request, and the other one stays in the pool.
 func TestNewConnectionIsUsedIfItIsUpFirst(t *testing.T) {
 	f := newFixture(t, 0)
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -33,10 +33,12 @@
 		}
 		if wait > 0 {
 			p.stats.waits.Add(1)
+			began := time.Now()
 			other, err := p.connectMeanwhile(ctx, to, c, wait)
 			if other != nil || err != nil {
 				return other, err
 			}
+			c.OwnDelay = time.Since(began)
 		}
 		if p.stopWatch(c) {
 			return c, nil
@@ -60,6 +62,7 @@
 			return nil, 0 // the other quiet ones are older
 		}
 		p.removeIdle(to, choice.Index)
+		c.OwnDelay = 0
 		if c.IdleAge = age; age < p.options.IdleTimeout {
 			return c, choice.Wait
 		}
--- a/internal/upstream/surplus.go
+++ b/internal/upstream/surplus.go
@@ -95,11 +95,13 @@
 	}
 	p.stats.held.Add(1)
 	c.Limit.N = watchedBytes
-	c.SetReadDeadline(time.Now().Add(hold))
+	began := time.Now()
+	c.SetReadDeadline(began.Add(hold))
 	if _, err := c.Reader.Peek(1); err == nil {
 		p.DiscardSurplus(c, reuse.SecondAnswer)
 		return false
 	}
 	c.SetReadDeadline(deadline)
+	c.OwnDelay += time.Since(began)
 	return true
 }
