node: an answer that waits to be read is no silence of the agent

What backends could see: a new request after the drain grace from a node that ran seldom. Cause, by reading: a call for the complete list without an answer for 100 ms lets requests go, since the agent is silent. A node that is short of processor time has such a call after any 100 ms in which it did not come to read, although the answer, with the new list, lay in its socket.

Now bytes of an answer that wait in the socket, or whose reading began less than 100 ms ago, are no silence. An agent that sends its answer in pieces counts as silent as before. TestUnreadAnswerShowsNoSilence: a request could be sent 100 ms after the call before. Not seen on real processes.

--- a/internal/members/registry/follow.go
+++ b/internal/members/registry/follow.go
@@ -156,13 +156,14 @@
 		defer cancel()
 		observesCall, number := r.observer != nil && a.Complete, 0
 		if observesCall {
-			number = r.observer.ListCallBegan()
+			number = r.observer.ListCallBegan(record.hasUnreadAnswer)
 		}
 		ans := r.call(record.traced(ctx), addr, query, known)
 		if observesCall && ans.err != nil && record.written.Load() == 0 && sock.IsLocalError(ans.err) {
 			r.observer.ListCallNotSent(number)
 		}
 		ans.call, ans.writtenAt = a.Call, ans.arrivedAt.Add(-record.sinceLastReceive())
+		record.conn.Store(nil) // another call may use it now
 		select {
 		case r.answers <- ans:
 		case <-ctx.Done():
--- a/internal/members/registry/observe.go
+++ b/internal/members/registry/observe.go
@@ -56,7 +56,7 @@
 	connected, written, answered atomic.Int64 // ns after beganAt; 0: not yet
 	endedAt                      time.Time
 	end                          callEnd
-	conn                         atomic.Pointer[net.Conn] // nil: none yet
+	conn                         atomic.Pointer[net.Conn] // nil: none yet, or no longer
 }
 
 func newCallRecord(id int, complete bool, wait time.Duration) *callRecord {
@@ -85,6 +85,23 @@
 	return 0
 }
 
+// processingTime is how long this process may take from the first byte of an answer that it reads until the answer is in effect. An answer
+// that comes in pieces may take longer; then the agent is slow.
+const processingTime = 100 * time.Millisecond
+
+// hasUnreadAnswer reports whether an answer has arrived that this process has not read, or has just begun to read.
+func (c *callRecord) hasUnreadAnswer() bool {
+	if at := time.Duration(c.answered.Load()); at > 0 && time.Since(c.beganAt)-at < processingTime {
+		return true
+	}
+	conn := c.conn.Load()
+	if conn == nil {
+		return false
+	}
+	n, err := sock.Peek(*conn)
+	return err == nil && n > 0
+}
+
 // close records how the call ended.
 func (c *callRecord) close(end callEnd) { c.endedAt, c.end = time.Now(), end }
 
--- a/internal/members/registry/pace/currency.go
+++ b/internal/members/registry/pace/currency.go
@@ -12,7 +12,7 @@
 // The list is current if the agent confirmed it recently enough. Watches are answered at intervals, so while node and agent run the last
 // confirmation is never old. If it is, either the node was held up, and a confirmation follows soon after it runs again, or the
 // agent is silent. Then nothing more is known, as long as calls go on: a call for the complete list that has had time for its answer and
-// got none shows that the agent had nothing to report when the call began.
+// got none shows that the agent had nothing to report when the call began. An answer that this process has not read yet is none of that.
 type Currency struct {
 	maxAge, maxWait time.Duration
 	confirmedAt     time.Duration
@@ -23,8 +23,9 @@
 
 // listCall is a call for the complete list.
 type listCall struct {
-	number  int // 0: there was none
-	beganAt time.Duration
+	number    int // 0: there was none
+	beganAt   time.Duration
+	hasUnread func() bool
 }
 
 // AnswerPatience is how long an agent that runs takes at most for the answer to a call for the complete list.
@@ -46,10 +47,11 @@
 	c.maxWait = terms.Wait + terms.watchHedgeDelay + AnswerPatience
 }
 
-// ListCallBegan records that a call for the complete list has begun, and returns its number.
-func (c *Currency) ListCallBegan(at time.Duration) int {
+// ListCallBegan records that a call for the complete list has begun, and returns its number. hasUnread reports whether an answer to it
+// waits to be read.
+func (c *Currency) ListCallBegan(at time.Duration, hasUnread func() bool) int {
 	c.lastCall++
-	c.calls[c.lastCall%len(c.calls)] = listCall{c.lastCall, at}
+	c.calls[c.lastCall%len(c.calls)] = listCall{c.lastCall, at, hasUnread}
 	return c.lastCall
 }
 
@@ -77,7 +79,7 @@
 func (c *Currency) isSilent(now time.Duration) bool {
 	for _, call := range c.calls {
 		isUnanswered := call.number > 0 && (!c.isConfirmed || c.confirmedAt < call.beganAt)
-		if isUnanswered && call.beganAt >= now-c.maxAge && call.beganAt <= now-AnswerPatience {
+		if isUnanswered && call.beganAt >= now-c.maxAge && call.beganAt <= now-AnswerPatience && !call.hasUnread() {
 			return true
 		}
 	}
--- a/internal/members/registry/pace/currency_test.go
+++ b/internal/members/registry/pace/currency_test.go
@@ -17,6 +17,8 @@
 	sendsAfterRemoval int
 }
 
+func neverUnread() bool { return false }
+
 func (r *currencyRun) play(until time.Duration) {
 	const step = time.Millisecond
 	c := NewCurrency(r.grace)
@@ -24,7 +26,7 @@
 	hasNew := false
 	callAt := time.Duration(0)
 	nextHedgeAt := time.Duration(0)
-	c.ListCallBegan(0)
+	c.ListCallBegan(0, neverUnread)
 	c.Confirm(0) // the first call reads the complete list
 	for now := time.Duration(0); now < until; now += step {
 		if now >= r.heldUp[0] && now < r.heldUp[1] {
@@ -54,7 +56,7 @@
 			callAt, nextHedgeAt = now, now+terms.Wait+terms.watchHedgeDelay
 		case isLost && now >= nextHedgeAt:
 			callAt, nextHedgeAt = now-terms.Wait, now+terms.listHedgeDelay // a whole list, without a wait
-			c.ListCallBegan(now)
+			c.ListCallBegan(now, neverUnread)
 		}
 	}
 }
@@ -84,18 +86,34 @@
 // A call that could not be sent, for want of descriptors, has no answer either. It must not look like a silent agent.
 func TestCallNotSentShowsNoSilence(t *testing.T) {
 	c := NewCurrency(500 * time.Millisecond)
-	first := c.ListCallBegan(0)
+	first := c.ListCallBegan(0, neverUnread)
 	c.ListCallNotSent(first)
 	if c.MaySend(200 * time.Millisecond) {
 		t.Error("a request may be sent, although no call was sent")
 	}
-	c.ListCallBegan(100 * time.Millisecond)
+	c.ListCallBegan(100*time.Millisecond, neverUnread)
 	c.ListCallNotSent(first) // reported once more: nothing of the second call
 	if !c.MaySend(250 * time.Millisecond) {
 		t.Error("no request may be sent, although a call has no answer")
 	}
 }
 
+// A node that runs seldom, but never stops for long, took the answers that it had not read for silence of its agent. What waits to be read
+// is no silence, however old its call is.
+func TestUnreadAnswerShowsNoSilence(t *testing.T) {
+	c, isUnread := NewCurrency(500*time.Millisecond), true
+	c.ListCallBegan(0, func() bool { return isUnread })
+	for now := time.Duration(0); now < 300*time.Millisecond; now += 10 * time.Millisecond {
+		if c.MaySend(now) {
+			t.Fatalf("a request may be sent at %v, although an answer waits to be read", now)
+		}
+	}
+	isUnread = false
+	if !c.MaySend(300 * time.Millisecond) {
+		t.Error("no request may be sent, although the agent is silent")
+	}
+}
+
 // An agent that is down has nothing to report. Requests must not wait for it more than once.
 func TestSilentAgentDelaysRequestsOnce(t *testing.T) {
 	const grace = 500 * time.Millisecond
--- a/internal/members/registry/registry.go
+++ b/internal/members/registry/registry.go
@@ -74,8 +74,10 @@
 
 // Observer follows the calls to an agent.
 type Observer interface {
-	// ListCallBegan is called when a call for the complete list is about to be sent. It returns a number for the call.
-	ListCallBegan() int
+	// ListCallBegan is called when a call for the complete list is about to be sent. It returns a number for the call. hasUnread reports
+	// whether an answer to it has arrived that this process has not read, or has just begun to read, as after a hold-up. Any goroutine
+	// may call it.
+	ListCallBegan(hasUnread func() bool) int
 	// ListCallNotSent is called if the call was not sent, because this machine lacks a resource.
 	ListCallNotSent(number int)
 	// Confirmed is called after each accepted answer, and after onList if the answer has a new list. The agent wrote it at writtenAt.
--- a/internal/node/listcurrency.go
+++ b/internal/node/listcurrency.go
@@ -36,10 +36,10 @@
 }
 
 // ListCallBegan implements registry.Observer.
-func (l *listCurrency) ListCallBegan() int {
+func (l *listCurrency) ListCallBegan(hasUnread func() bool) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.currency.ListCallBegan(time.Since(l.start))
+	return l.currency.ListCallBegan(time.Since(l.start), hasUnread)
 }
 
 // ListCallNotSent implements registry.Observer.
--- a/internal/node/listcurrency_test.go
+++ b/internal/node/listcurrency_test.go
@@ -53,7 +53,7 @@
 // A silent agent has nothing to report. Requests are sent as long as calls to it go on.
 func TestSilentAgentHoldsNoRequests(t *testing.T) {
 	l := newListCurrency(500*time.Millisecond, nil, &lograte.Limited{Log: discardLog()})
-	l.ListCallBegan()
+	l.ListCallBegan(func() bool { return false })
 	began := time.Now()
 	l.await(t.Context())
 	if waited := time.Since(began); waited < pace.AnswerPatience-time.Millisecond || l.unconfirmed.Load() != 0 {
@@ -69,7 +69,7 @@
 // that is neither confirmed nor called for.
 func TestUnconfirmedListSendsNothing(t *testing.T) {
 	l := newListCurrency(500*time.Millisecond, nil, &lograte.Limited{Log: discardLog()})
-	l.ListCallNotSent(l.ListCallBegan())
+	l.ListCallNotSent(l.ListCallBegan(func() bool { return false }))
 	if l.await(t.Context()) || l.unconfirmed.Load() != 1 {
 		t.Errorf("an attempt may be sent; %d were not", l.unconfirmed.Load())
 	}
