--- a/balance/shortage.go
+++ b/balance/shortage.go
@@ -14,8 +14,8 @@
 	}
 }
 
-// mayLearnFrom reports whether a response time tells something of the backend. In a shortage it may be a delay of this process. A process
-// that has learned next to nothing takes it all the same if it is shorter than its first estimate: the backend needs no longer than that.
+// mayLearnFrom reports whether a response time is a measure of the backend. In a shortage it may include a delay of this process. During
+// the first responses after a start it is nevertheless used if it is below the initial estimate, because it is an upper bound.
 func (b *Balancer) mayLearnFrom(elapsed time.Duration) bool {
 	return !b.isShort || b.responses*sampleWeight < 1 && elapsed.Seconds() < initialServiceAims*b.meanAim
 }
