registry: an answer that waits for the loop is no silence of the agent either

Found on a second reading: between the read of an answer and its acceptance on the loop, the socket is empty, so after 100 ms the call looked unanswered and requests could go by the old list. A node short of processor time may take that long. An answer now counts as unread until it is accepted or rejected. TestUnreadAnswerIsSeen plays it; not seen on real processes.

--- a/internal/members/registry/follow.go
+++ b/internal/members/registry/follow.go
@@ -131,6 +131,7 @@
 		end = callAddrChanged
 	}
 	r.open[call].cancel()
+	r.open[call].record.isUnhandled.Store(false)
 	r.open[call].record.close(end)
 	r.stats.GivenUp.Add(1)
 	delete(r.open, call)
@@ -163,6 +164,7 @@
 			r.observer.ListCallNotSent(number)
 		}
 		ans.call, ans.writtenAt = a.Call, ans.arrivedAt.Add(-record.sinceLastReceive())
+		record.isUnhandled.Store(ans.err == nil)
 		record.conn.Store(nil) // another call may use it now
 		select {
 		case r.answers <- ans:
@@ -187,6 +189,7 @@
 	}
 	r.recordEnd(record, answered, a.err)
 	if a.err != nil {
+		record.isUnhandled.Store(false)
 		r.lastErr = fmt.Errorf("http://%s: %w", r.addr, a.err)
 		r.logFailure()
 		// The connection is not used again: the rest of the answer may still be on its way.
--- a/internal/members/registry/observe.go
+++ b/internal/members/registry/observe.go
@@ -57,6 +57,7 @@
 	endedAt                      time.Time
 	end                          callEnd
 	conn                         atomic.Pointer[net.Conn] // nil: none yet, or no longer
+	isUnhandled                  atomic.Bool              // the whole answer is read, and neither accepted nor rejected yet
 }
 
 func newCallRecord(id int, complete bool, wait time.Duration) *callRecord {
@@ -89,9 +90,9 @@
 // that comes in pieces may take longer; then the agent is slow.
 const processingTime = 100 * time.Millisecond
 
-// hasUnreadAnswer reports whether an answer has arrived that this process has not read, or has just begun to read.
+// hasUnreadAnswer reports whether an answer has arrived that this process has not read, has just begun to read, or has not handled.
 func (c *callRecord) hasUnreadAnswer() bool {
-	if at := time.Duration(c.answered.Load()); at > 0 && time.Since(c.beganAt)-at < processingTime {
+	if at := time.Duration(c.answered.Load()); c.isUnhandled.Load() || at > 0 && time.Since(c.beganAt)-at < processingTime {
 		return true
 	}
 	conn := c.conn.Load()
--- a/internal/members/registry/observe_test.go
+++ b/internal/members/registry/observe_test.go
@@ -50,4 +50,8 @@
 	if record.hasUnreadAnswer() {
 		t.Error("an answer long after its first byte was read")
 	}
+	record.isUnhandled.Store(true) // the loop has not come to it, however long that takes
+	if !record.hasUnreadAnswer() {
+		t.Error("no answer, although one waits to be handled")
+	}
 }
