registry: an answer whose arrival is unknown no longer confirms the list as of now

What backends saw: new requests up to 0.66 s after their removal, from nodes that had been stopped around the change and then could open no descriptor.

Cause: the list counts as confirmed from when the kernel had received the answer, read from the connection after the answer. A call that failed for want of descriptors had meanwhile closed the idle connections, and the time since the last receipt of a closed connection is 0, so an answer from before the stop confirmed the list as of now, for another 0.35 s. A connection that another call had taken would have given that call's time. It is the unsafe way where something runs out.

Now the time is read at the first byte, while the connection belongs to the call; if it is unknown, the beginning of the call counts. TestUnknownArrivalIsNotNow checks the part.

--- a/cmd/glencart/shortage_faults_test.go
+++ b/cmd/glencart/shortage_faults_test.go
@@ -46,6 +46,8 @@
 	rate        float64 // requests a second to each node
 	// The process of the backends is stopped for this long instead of the busy processes; 0: it is not.
 	backendStop time.Duration
+	// All nodes are stopped around the change and can open no descriptor for this long; 0: they can.
+	descriptorsFor time.Duration
 }
 
 // newShortagePlan draws a plan.
@@ -202,13 +204,17 @@
 			f()
 		})
 	}
-	at(s.plan.busyAt, func() {
-		if s.plan.backendStop > 0 {
-			s.stopBackends(s.plan.backendStop)
-		} else {
-			s.occupy(s.plan.busyFor)
+	switch {
+	case s.plan.backendStop > 0:
+		at(s.plan.busyAt, func() { s.stopBackends(s.plan.backendStop) })
+	case s.plan.busyFor > 0:
+		at(s.plan.busyAt, func() { s.occupy(s.plan.busyFor) })
+	}
+	if s.plan.descriptorsFor > 0 {
+		for i := range s.nodes {
+			at(s.plan.changeAt-descriptorsLead, func() { s.stopWithoutDescriptors(i, s.plan.descriptorsFor) })
 		}
-	})
+	}
 	at(s.plan.changeAt, s.changeLists)
 	for i := range s.plan.stops {
 		node, after := s.rng.IntN(len(s.nodes)), s.plan.changeAt-time.Second+time.Duration(s.rng.Int64N(int64(2*time.Second)))
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -189,7 +189,8 @@
 	if longest < minQueueTime {
 		return 0
 	}
-	return min(longest, sock.SinceLastReceive(c.Conn))
+	since, _ := sock.SinceLastReceive(c.Conn)
+	return min(longest, since)
 }
 
 // hasUnread reports whether the connection has hasUnread bytes.
--- a/internal/members/registry/follow.go
+++ b/internal/members/registry/follow.go
@@ -55,7 +55,7 @@
 type answer struct {
 	call      int
 	arrivedAt time.Time // when it was read
-	writtenAt time.Time // when its last byte arrived in the kernel
+	writtenAt time.Time // the latest time for which it is known to be current
 	list      engine.List
 	textHash  uint64 // hash of the body
 	isKnown   bool   // the body is the current complete list, and list is empty
@@ -163,7 +163,7 @@
 		if observesCall && ans.err != nil && record.written.Load() == 0 && sock.IsLocalError(ans.err) {
 			r.observer.ListCallNotSent(number)
 		}
-		ans.call, ans.writtenAt = a.Call, ans.arrivedAt.Add(-record.sinceLastReceive())
+		ans.call, ans.writtenAt = a.Call, record.writtenAt()
 		record.isUnhandled.Store(ans.err == nil)
 		record.conn.Store(nil) // another call may use it now
 		select {
--- a/internal/members/registry/observe.go
+++ b/internal/members/registry/observe.go
@@ -54,6 +54,7 @@
 	wait                         time.Duration // requested by a watch
 	beganAt                      time.Time
 	connected, written, answered atomic.Int64 // ns after beganAt; 0: not yet
+	arrived                      atomic.Int64 // ns after beganAt: when the kernel had received the answer; 0: unknown
 	endedAt                      time.Time
 	end                          callEnd
 	conn                         atomic.Pointer[net.Conn] // nil: none yet, or no longer
@@ -72,18 +73,30 @@
 			c.conn.Store(&info.Conn)
 			note(&c.connected)
 		},
-		WroteRequest:         func(httptrace.WroteRequestInfo) { note(&c.written) },
-		GotFirstResponseByte: func() { note(&c.answered) },
+		WroteRequest: func(httptrace.WroteRequestInfo) { note(&c.written) },
+		GotFirstResponseByte: func() {
+			c.noteArrival()
+			note(&c.answered)
+		},
 	})
 }
 
-// sinceLastReceive returns the time since the kernel received the last data of the call, or 0 if it is unknown. The goroutine that reads
-// an answer may run much later than the answer arrives.
-func (c *callRecord) sinceLastReceive() time.Duration {
-	if conn := c.conn.Load(); conn != nil {
-		return sock.SinceLastReceive(*conn)
+// noteArrival records when the kernel received the answer. The goroutine that reads it may run much later. It is called while the
+// connection belongs to the call: afterwards it may be closed or receive another answer.
+func (c *callRecord) noteArrival() {
+	conn := c.conn.Load()
+	if conn == nil {
+		return
 	}
-	return 0
+	if since, ok := sock.SinceLastReceive(*conn); ok {
+		c.arrived.Store(max(1, int64(time.Since(c.beganAt)-since)))
+	}
+}
+
+// writtenAt returns the latest time for which the answer is known to be current: when the kernel had received it, or the
+// beginning of the call if that is unknown.
+func (c *callRecord) writtenAt() time.Time {
+	return c.beganAt.Add(time.Duration(c.arrived.Load()))
 }
 
 // processingTime is how long this process may take from the first byte of an answer that it reads until the answer is in effect. An answer
--- a/internal/members/registry/observe_test.go
+++ b/internal/members/registry/observe_test.go
@@ -9,6 +9,31 @@
 	"glencart/internal/standin"
 )
 
+// The arrival of an answer must never count later than it was: a list that was replaced since would count as confirmed. If it is unknown,
+// the beginning of the call counts.
+func TestUnknownArrivalIsNotNow(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	record := newCallRecord(1, true, 0)
+	record.beganAt = time.Now().Add(-time.Second)
+	if !record.writtenAt().Equal(record.beganAt) {
+		t.Error("without a connection: not the beginning of the call")
+	}
+	record.conn.Store(&conn)
+	conn.Close()
+	record.noteArrival()
+	if !record.writtenAt().Equal(record.beganAt) {
+		t.Errorf("closed connection: %v after the beginning of the call", record.writtenAt().Sub(record.beganAt))
+	}
+}
+
 // A node that had not run did not see the answers that its sockets held, and took its agent for silent.
 func TestUnreadAnswerIsSeen(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -68,16 +68,17 @@
 	return waiting, err == nil
 }
 
-// SinceLastReceive returns the time since a connection last received data (tcpi_last_data_recv of tcp(7)), or 0 if it is unknown.
-func SinceLastReceive(c net.Conn) (d time.Duration) {
-	control(c, func(fd int) error {
+// SinceLastReceive returns the time since a connection last received data (tcpi_last_data_recv of tcp(7)). It reports false if the time is
+// unknown, as for a closed connection.
+func SinceLastReceive(c net.Conn) (d time.Duration, ok bool) {
+	err := control(c, func(fd int) error {
 		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		if err == nil {
 			d = time.Duration(info.Last_data_recv) * time.Millisecond
 		}
 		return err
 	})
-	return d
+	return d, err == nil
 }
 
 // Abort closes a connection and discards unsent bytes (SO_LINGER 0 of socket(7)). After a plain Close the system still sends them,
--- a/internal/standin/roles/roles.go
+++ b/internal/standin/roles/roles.go
@@ -174,7 +174,7 @@
 	const maxPause, tries = 2 * time.Millisecond, 20
 	for try := 1; ; try++ {
 		before := time.Now()
-		since := sock.SinceLastReceive(c)
+		since, _ := sock.SinceLastReceive(c)
 		if after := time.Now(); after.Sub(before) < maxPause || try == tries {
 			return after.Add(-since)
 		}
