cmd/glencart: nodes of a killed test end soon after it

A test process that was killed left 24 nodes behind, which called their old discovery ports for 50 minutes. Two tests of a later run, whose backends had been given such ports, were red by requests of theirs.

--- a/cmd/glencart/main_test.go
+++ b/cmd/glencart/main_test.go
@@ -20,6 +20,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv("GLENCART_TEST_RUN") != "" {
+		go endWithParent(os.Getppid())
 		main()
 		os.Exit(0)
 	}
@@ -31,6 +32,14 @@
 	os.Exit(m.Run())
 }
 
+// endWithParent ends this process soon after its parent. A node that outlives a killed test calls ports that other tests have by then.
+func endWithParent(parent int) {
+	for os.Getppid() == parent {
+		time.Sleep(time.Second)
+	}
+	os.Exit(1)
+}
+
 // A node that can't read its configuration prints one line and exits with code 1.
 func TestStartFailurePrintsOneLine(t *testing.T) {
 	bad := t.TempDir() + "/config.json"
