--- a/review/2/main.go
+++ b/review/2/main.go
@@ -39,7 +39,7 @@
 
   [[server.location]]
   path = "/kitchen/"
-  allow = ["10.0.0.0/8"]
+  allow = ["127.0.0.2/32"]
   deny = ["all"]
 
     [[server.location.route]]
