serve: a decoded path stays within the header field it is expanded in

Cause: $uri is the path after route.Normalize, which decodes it. expand put it as it was into header fields, the Host, texts and redirects. All keys that take variables share the fault; set, add, text and Location were tried. Every other variable is a part of a head that net/http has read and refused if it had control bytes, so $uri is the only one that can end a line. A redirect whose text had a CR or LF lost its Location.

Evidence: the bytes that a recording backend got. A path with %01 to %1F or %7F stood decoded in the field, and %0A and %0D ended the line.

Change: the place of a variable names the encoding of the path. EscapeInField percent-encodes what a field can't carry, '%' so that decoding yields the path, and a space at the end, which recipients trim. A Location gets the encoding of a request line. The target that goes to the backend stays as it came. Plain paths, also with spaces or letters beyond ASCII, stand in fields as before.

--- a/internal/front/http/handle.go
+++ b/internal/front/http/handle.go
@@ -18,6 +18,7 @@
 	"glencart/internal/clients"
 	"glencart/internal/cluster"
 	"glencart/internal/engine"
+	"glencart/internal/site"
 	"glencart/route"
 )
 
@@ -103,7 +104,7 @@
 	gen  *generation
 	tg   *target
 	log  entry
-	ask  asked
+	vars variables
 	idle time.Duration
 
 	shed   shedding
@@ -124,11 +125,11 @@
 	defer g.leave()
 	c := &visit{Server: v, w: w, hr: hr, rc: http.NewResponseController(w), gen: g, idle: g.site.Limits.BodyIdle.Or(time.Minute)}
 	remote, _ := netip.ParseAddrPort(hr.RemoteAddr)
-	c.ask = asked{hr: hr, remote: remote.Addr().Unmap(), scheme: "http", port: l.port}
+	c.vars = variables{hr: hr, remote: remote.Addr().Unmap(), scheme: "http", port: l.port}
 	if hr.TLS != nil {
-		c.ask.scheme = "https"
+		c.vars.scheme = "https"
 	}
-	c.log = entry{remote: c.ask.remote.String(), method: hr.Method, uri: hr.RequestURI, proto: hr.Proto, referer: hr.Referer(), agent: hr.UserAgent(),
+	c.log = entry{remote: c.vars.remote.String(), method: hr.Method, uri: hr.RequestURI, proto: hr.Proto, referer: hr.Referer(), agent: hr.UserAgent(),
 		began: time.Now()}
 	defer func() { v.access.write(&c.log) }()
 	v.book.Accepted.Add(1)
@@ -177,7 +178,7 @@
 		w.Header().Set("Allow", strings.Join(allow, ", "))
 		c.here(http.StatusMethodNotAllowed, "")
 	default:
-		if c.ask.uri == "" {
+		if c.vars.uri == "" {
 			c.here(http.StatusBadRequest, "the path can't be read\n")
 			return
 		}
@@ -191,11 +192,11 @@
 	if err != nil {
 		return route.Match{Outcome: route.NoLocation}
 	}
-	c.ask.uri = uri
+	c.vars.uri = uri
 	m := c.gen.table.Lookup(listener, c.hr.Host, uri, c.hr.Method)
 	if m.Outcome != route.NoServer && c.gen.site.Servers[m.Server].Slashes == "keep" {
 		if uri, err = route.Normalize(raw, false); err == nil {
-			c.ask.uri = uri
+			c.vars.uri = uri
 			m = c.gen.table.Lookup(listener, c.hr.Host, uri, c.hr.Method)
 		}
 	}
@@ -233,7 +234,7 @@
 
 // route deals with a request whose route is known.
 func (c *visit) route(path string) {
-	if !allowed(c.tg.access, c.ask.remote) {
+	if !allowed(c.tg.access, c.vars.remote) {
 		c.here(http.StatusForbidden, "")
 		c.log.end = "denied"
 		return
@@ -374,22 +375,18 @@
 // fixed answers as the route says.
 func (c *visit) fixed() {
 	for _, h := range c.tg.Add {
-		c.w.Header().Set(h.Name, c.ask.expand(h.Value))
+		c.w.Header().Set(h.Name, c.vars.expand(h.Value, inField))
 	}
-	text := c.ask.expand(c.tg.Text)
-	switch c.tg.Status {
-	case 301, 302, 303, 307, 308:
-		if strings.ContainsAny(text, "\r\n") {
-			text = ""
-		}
-		c.w.Header().Set("Location", text)
-		text = ""
-	case 204, 304:
+	switch {
+	case site.IsRedirect(c.tg.Status):
+		c.w.Header().Set("Location", c.vars.expand(c.tg.Text, inReference))
+		c.here(c.tg.Status, "")
+	case c.tg.Status == http.StatusNoContent, c.tg.Status == http.StatusNotModified:
 		c.log.end, c.log.status = "here", c.tg.Status
 		c.head(c.tg.Status)
-		return
+	default:
+		c.here(c.tg.Status, c.vars.expand(c.tg.Text, inField))
 	}
-	c.here(c.tg.Status, text)
 }
 
 // read makes a message of a client's request: headers, and the body or the first part of it. An error comes with the
@@ -421,12 +418,12 @@
 	}
 	h := hr.Header
 	strip(h)
-	c.ask.forward(h, c.gen.trusted)
+	c.vars.forward(h, c.gen.trusted)
 	id := c.start + strconv.FormatUint(c.number.Add(1), 36)
 	if h.Get("X-Request-Id") == "" {
 		h["X-Request-Id"] = []string{id}
 	}
-	c.ask.apply(h, c.tg.Set)
+	c.vars.apply(h, c.tg.Set)
 	if protocol != "" {
 		m.upgrade = true
 		h["Upgrade"] = []string{protocol}
@@ -434,11 +431,11 @@
 	}
 	m.header = h
 	if c.tg.Host != "" {
-		m.host = c.ask.expand(c.tg.Host)
+		m.host = c.vars.expand(c.tg.Host, inField)
 	}
 	m.target = path
 	if c.tg.Rewrite != nil {
-		m.target = route.Escape(route.Rewrite(c.ask.uri, c.tg.Location.Path, *c.tg.Rewrite))
+		m.target = route.Escape(route.Rewrite(c.vars.uri, c.tg.Location.Path, *c.tg.Rewrite))
 	}
 	if q := hr.URL.RawQuery; q != "" || hr.URL.ForceQuery {
 		m.target += "?" + q
@@ -577,7 +574,7 @@
 		h["Date"] = nil
 	}
 	for _, x := range c.tg.Add {
-		h.Set(x.Name, c.ask.expand(x.Value))
+		h.Set(x.Name, c.vars.expand(x.Value, inField))
 	}
 	if re.length >= 0 && re.status != http.StatusNoContent && re.status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.FormatInt(re.length, 10))
--- a/internal/front/http/headers.go
+++ b/internal/front/http/headers.go
@@ -1,12 +1,9 @@
 package httpfront
 
 import (
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
-
-	"glencart/internal/site"
 )
 
 // hopByHop are the headers that belong to one connection (RFC 9110, 7.6.1), beside those that Connection names, and what
@@ -38,18 +35,9 @@
 	return ""
 }
 
-// asked is what a request's variables stand for.
-type asked struct {
-	hr     *http.Request
-	remote netip.Addr
-	scheme string
-	port   string
-	uri    string // normalised path
-}
-
 // forward sets the headers that tell a box of the client. What came with the request is believed, and added to, only from
 // trusted networks; else a client could name any address as its own.
-func (a *asked) forward(h http.Header, trusted []netip.Prefix) {
+func (a *variables) forward(h http.Header, trusted []netip.Prefix) {
 	believed := false
 	for _, n := range trusted {
 		believed = believed || !n.IsValid() || n.Contains(a.remote)
@@ -87,82 +75,3 @@
 	}
 	return host
 }
-
-// apply sets and takes out headers as a route says.
-func (a *asked) apply(h http.Header, list []site.Header) {
-	for _, x := range list {
-		if v := a.expand(x.Value); v == "" {
-			h.Del(x.Name)
-		} else {
-			h[http.CanonicalHeaderKey(x.Name)] = []string{v}
-		}
-	}
-}
-
-// expand puts what a request has in the place of variables.
-func (a *asked) expand(text string) string {
-	if !strings.Contains(text, "$") {
-		return text
-	}
-	var b strings.Builder
-	for text != "" {
-		i := strings.IndexByte(text, '$')
-		if i < 0 {
-			break
-		}
-		b.WriteString(text[:i])
-		text = text[i+1:]
-		braced := strings.HasPrefix(text, "{")
-		text = strings.TrimPrefix(text, "{")
-		n := 0
-		for n < len(text) && (text[n] == '_' || 'a' <= text[n] && text[n] <= 'z' || 'A' <= text[n] && text[n] <= 'Z' || '0' <= text[n] && text[n] <= '9') {
-			n++
-		}
-		b.WriteString(a.variable(text[:n]))
-		if text = text[n:]; braced {
-			text = strings.TrimPrefix(text, "}")
-		}
-	}
-	return b.String() + text
-}
-
-func (a *asked) variable(name string) string {
-	switch name {
-	case "host":
-		host := strings.ToLower(a.hr.Host)
-		if h, _, err := net.SplitHostPort(host); err == nil {
-			host = h
-		}
-		return host
-	case "http_host":
-		return a.hr.Host
-	case "remote_addr":
-		return a.remote.String()
-	case "scheme":
-		return a.scheme
-	case "request_uri":
-		return a.hr.RequestURI
-	case "uri":
-		return a.uri
-	case "server_port":
-		return a.port
-	case "request_method":
-		return a.hr.Method
-	case "args", "query_string":
-		return a.hr.URL.RawQuery
-	case "is_args":
-		if a.hr.URL.RawQuery != "" {
-			return "?"
-		}
-		return ""
-	case "proxy_add_x_forwarded_for":
-		if was := strings.Join(a.hr.Header["X-Forwarded-For"], ", "); was != "" {
-			return was + ", " + a.remote.String()
-		}
-		return a.remote.String()
-	}
-	if rest, ok := strings.CutPrefix(name, "http_"); ok {
-		return a.hr.Header.Get(strings.ReplaceAll(rest, "_", "-"))
-	}
-	return ""
-}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -279,3 +280,12 @@
 	}
 	return strings.HasPrefix(name, "http_") && len(name) > 5
 }
+
+// IsRedirect reports whether the text of a route that answers with a status is the Location of a redirect.
+func IsRedirect(status int) bool {
+	switch status {
+	case http.StatusMovedPermanently, http.StatusFound, http.StatusSeeOther, http.StatusTemporaryRedirect, http.StatusPermanentRedirect:
+		return true
+	}
+	return false
+}
--- a/route/path.go
+++ b/route/path.go
@@ -112,12 +112,24 @@
 // with prefix.
 func Rewrite(path, prefix, uri string) string { return uri + strings.TrimPrefix(path, prefix) }
 
-// Escape percent-encodes a normalized path for a request line: bytes that RFC 3986 doesn't allow in a path, and '%', '?' and
-// '#', which have a meaning of their own there.
-func Escape(path string) string {
+// Escape percent-encodes a normalized path for a request line or another URI reference: bytes that RFC 3986 doesn't allow in a
+// path, and '%', '?' and '#', which have a meaning of their own there.
+func Escape(path string) string { return escapeAllBut(&allowedInPath, path) }
+
+// EscapeInField percent-encodes a normalized path for a header field (RFC 9110, section 5.5): control bytes, and '%', so that decoding
+// yields the path. A space at the end is encoded too, because recipients trim it.
+func EscapeInField(path string) string {
+	if before, ok := strings.CutSuffix(path, " "); ok {
+		return escapeAllBut(&allowedInField, before) + "%20"
+	}
+	return escapeAllBut(&allowedInField, path)
+}
+
+// escapeAllBut percent-encodes the bytes of a path that are not in a set.
+func escapeAllBut(allowed *[256]bool, path string) string {
 	n := 0
 	for i := range len(path) {
-		if !allowedInPath[path[i]] {
+		if !allowed[path[i]] {
 			n++
 		}
 	}
@@ -127,7 +139,7 @@
 	const hex = "0123456789ABCDEF"
 	out := make([]byte, 0, len(path)+2*n)
 	for i := range len(path) {
-		if b := path[i]; allowedInPath[b] {
+		if b := path[i]; allowed[b] {
 			out = append(out, b)
 		} else {
 			out = append(out, '%', hex[b>>4], hex[b&15])
@@ -136,6 +148,14 @@
 	return string(out)
 }
 
+// allowedInField is the set of bytes that need no encoding in a header field: all but control bytes and '%'.
+var allowedInField = func() (set [256]bool) {
+	for b := range set {
+		set[b] = b >= ' ' && b != 0x7f && b != '%'
+	}
+	return set
+}()
+
 // allowedInPath is the set of bytes that need no encoding in a path (RFC 3986, section 3.3): unreserved, sub-delims, ':', '@', '/'.
 var allowedInPath = func() (set [256]bool) {
 	for _, b := range []byte("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~!$&'()*+,;=:@/") {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/url"
 	"path"
 	"regexp"
 	"slices"
 	"strings"
 	"testing"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // oracle finds the server and location by a full search, as nginx's documentation describes it. It shares no code with Table.
@@ -331,3 +334,18 @@
 		}
 	}
 }
+
+// Guards against a path that can't be decoded from a field, or that ends it: every byte, alone, doubled and at the end.
+func TestEscapeInFieldDecodesToThePath(t *testing.T) {
+	for b := range 256 {
+		for _, path := range []string{"/" + string([]byte{byte(b)}) + "x", "/x" + string([]byte{byte(b), byte(b)})} {
+			escaped := EscapeInField(path)
+			if decoded, err := url.PathUnescape(escaped); err != nil || decoded != path {
+				t.Errorf("%q: %q decodes to %q (%v)", path, escaped, decoded, err)
+			}
+			if !httpguts.ValidHeaderFieldValue(escaped) || strings.Trim(escaped, " ") != escaped || strings.Contains(escaped, "\t") {
+				t.Errorf("%q: %q can't stand in a field as it is", path, escaped)
+			}
+		}
+	}
+}
