serve: probes of backends at Unix sockets have a valid Host

What was seen: a backend at unix:/path with net/http's server never answers a probe, so its pool decides without load reports.

Cause: a probe's Host was the address, and a path is no host (RFC 9110, section 7.2): such a server answers 400. Active checks send localhost there; probes now do too.

--- a/internal/front/http/attempt.go
+++ b/internal/front/http/attempt.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -373,7 +374,7 @@
 		}
 		ex := &exchange{conn: cn, writtenAt: time.Now(), deadline: time.Now().Add(probeWithin), isProbe: true}
 		cn.SetDeadline(ex.deadline)
-		m := &message{method: http.MethodGet, target: x.probe, host: to.Addr, header: http.Header{}}
+		m := &message{method: http.MethodGet, target: x.probe, host: probeHost(to.Addr), header: http.Header{}}
 		_, err = cn.Write(m.wire())
 		var re *reply
 		var st balance.Status
@@ -399,6 +400,14 @@
 	}()
 }
 
+// probeHost returns the Host of a probe. The path of a Unix socket is no host.
+func probeHost(addr string) string {
+	if strings.HasPrefix(addr, "unix:") {
+		return "localhost"
+	}
+	return addr
+}
+
 // pump sends what is left of a client's body, as it comes. A client that sends nothing for idle has given up.
 func (m *message) pump(cn *upstream.Conn, idle time.Duration) error {
 	defer close(m.pumped)
