HTTP/1.1 heads are encoded in one place, which refuses what would end a line

What callers saw: a value that ends its line makes a second request of one, at whatever key or front it gets in. route.host = "$uri" sent a path as Host, a target in absolute form sent hosts with spaces, quotes or bytes beyond ASCII to backends, of serve and of the node.

Cause: message.wire and the node's encode wrote what they were given, on the assumption, told in their comments, that everything had been checked before. net/http checks the Host field, and not the host of an absolute target; nothing checked a Host made of variables.

Change: package http1 encodes request line, Host and fields with the checks of x/net/http/httpguts, and refuses framing fields, which belong to the connection's owner. serve encodes a head once, before anything is decided: what is invalid is answered 400, counted, logged and in the access log as invalid; attempts write the bytes. The node checks the host first; its encoder refuses the rest, the attempt ends as unused, so its client is told that it never ran (attempts_not_encoded). The answer to an upgrade, announced trailers, probes and kept answers go through the same package. No connection is taken or written for an invalid request.

Failed before: TestInvalidHostsReachNoBackend and TestInvalidHostsOfAbsoluteTargetsReachNoBackend (200, and the host at the backend, for every invalid one), TestInvalidRequestsAreCounted and the key host of TestDecodedPathStaysInItsField (200 and "Host: /host/..."). TestRequestThatCanNotBeEncodedIsAnsweredOnce: one answer, refused.

--- a/internal/front/http/attempt.go
+++ b/internal/front/http/attempt.go
@@ -1,13 +1,14 @@
 package httpfront
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -16,6 +17,8 @@
 
 	"glencart/balance"
 	"glencart/internal/engine"
+	"glencart/internal/http1"
+	"glencart/internal/lograte"
 	"glencart/internal/sock"
 	"glencart/internal/upstream"
 	"glencart/reserve"
@@ -30,6 +33,10 @@
 	informMost = 8
 	// answerSoon is how long an answer may take of a box that took only a part of a body.
 	answerSoon = time.Second
+	// usualHeadBytes is the room for the head of a request at first.
+	usualHeadBytes = 1 << 10
+	// maxFramingBytes is the room for the framing field, the empty line and the size of a chunk.
+	maxFramingBytes = 64
 	// probeWithin is how long a probe may take.
 	probeWithin = 150 * time.Millisecond
 	// reportHeader carries a load report, neverRanHeader tells that a request never ran: from a box, and to a client
@@ -46,6 +53,7 @@
 	idle    time.Duration                             // between two writes of a body
 	ended   func(to engine.Endpoint, end reserve.End) // told before the engine is
 	report  func(string) (balance.Load, error)
+	log     *lograte.Limited
 }
 
 // call is an exchange under way.
@@ -126,7 +134,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { sock.Abort(cn.Conn) })
 	cn.SetDeadline(a.Deadline)
-	text := m.wire()
+	text := m.encode()
 	ex := &exchange{conn: cn, writtenAt: time.Now(), deadline: a.Deadline}
 	if n, err := cn.Write(text); err != nil {
 		stop()
@@ -367,6 +375,12 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeWithin)
 		defer cancel()
+		m := &message{method: http.MethodGet, target: x.probe, host: probeHost(to.Addr)}
+		if err := m.encodeHead(nil); err != nil {
+			x.log.Warn("probe can't be encoded", "backend", to.ID, "error", err)
+			told(engine.Result{Status: balance.Unused})
+			return
+		}
 		cn, err := x.conns.ready(ctx, to, upstream.Request{IsProbe: true})
 		if err != nil {
 			told(engine.Result{Status: balance.DialFailed})
@@ -374,8 +388,7 @@
 		}
 		ex := &exchange{conn: cn, writtenAt: time.Now(), deadline: time.Now().Add(probeWithin), isProbe: true}
 		cn.SetDeadline(ex.deadline)
-		m := &message{method: http.MethodGet, target: x.probe, host: probeHost(to.Addr), header: http.Header{}}
-		_, err = cn.Write(m.wire())
+		_, err = cn.Write(m.encode())
 		var re *reply
 		var st balance.Status
 		if err == nil {
@@ -432,7 +445,12 @@
 			m.extend(0) // a deadline that passes later would look as if the client had gone
 			if m.length < 0 {
 				cn.SetWriteDeadline(time.Now().Add(idle))
-				_, err = cn.Write(m.closing())
+				closing, err := m.encodeClosing()
+				if err != nil {
+					m.cut.Store(true)
+					return err
+				}
+				_, err = cn.Write(closing)
 				return err
 			}
 			return nil
@@ -444,34 +462,34 @@
 	}
 }
 
-// closing is the end of a chunked body, with the trailers that came.
-func (m *message) closing() []byte {
-	var b bytes.Buffer
-	b.WriteString("0\r\n")
-	for name := range m.trailer {
-		for _, v := range m.trailer[name] {
-			b.WriteString(name + ": " + v + "\r\n")
-		}
-	}
-	b.WriteString("\r\n")
-	return b.Bytes()
+// encodeHead encodes the head of a request, but for the fields that frame its body. Attempts write it as it is.
+func (m *message) encodeHead(header http.Header) (err error) {
+	m.head, err = http1.AppendRequest(make([]byte, 0, usualHeadBytes), m.method, m.target, m.host, header)
+	return err
 }
 
-// wire words the head of a request and the part of its body that is held, in one piece. Names and values have been read
-// and checked by net/http or by package site: no line of theirs can end another.
-func (m *message) wire() []byte {
-	b := make([]byte, 0, len(m.held)+1<<10)
-	b = append(b, m.method+" "+m.target+" HTTP/1.1\r\nHost: "+m.host+"\r\n"...)
-	for name, values := range m.header {
-		for _, v := range values {
-			b = append(b, name+": "+v+"\r\n"...)
-		}
-	}
+// announceTrailers encodes the Trailer field, which names the trailers that will follow a body in chunks.
+func (m *message) announceTrailers() (err error) {
+	names := slices.Sorted(maps.Keys(m.trailer))
+	m.announced, err = http1.AppendFields(nil, http.Header{"Trailer": {strings.Join(names, ", ")}})
+	return err
+}
+
+// encodeClosing returns the end of a chunked body, with the trailers that came.
+func (m *message) encodeClosing() ([]byte, error) {
+	b, err := http1.AppendFields([]byte("0\r\n"), m.trailer)
+	return append(b, "\r\n"...), err
+}
+
+// encode returns the head of a request and the part of its body that is held, in one piece.
+func (m *message) encode() []byte {
+	b := make([]byte, 0, len(m.head)+len(m.held)+len(m.announced)+len(m.closing)+maxFramingBytes)
+	b = append(b, m.head...)
 	switch {
 	case m.upgrade:
 		b = append(b, "Connection: Upgrade\r\n"...)
 	case m.length < 0:
-		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+		b = append(append(b, m.announced...), "Transfer-Encoding: chunked\r\n"...)
 	case m.length > 0 || m.method != http.MethodGet && m.method != http.MethodHead:
 		b = append(strconv.AppendInt(append(b, "Content-Length: "...), m.length, 10), "\r\n"...)
 	}
@@ -482,8 +500,5 @@
 	} else {
 		b = append(b, m.held...)
 	}
-	if m.length < 0 && m.rest == nil {
-		b = append(b, m.closing()...)
-	}
-	return b
+	return append(b, m.closing...)
 }
--- a/internal/front/http/encoding_test.go
+++ b/internal/front/http/encoding_test.go
@@ -9,8 +9,40 @@
 	"testing"
 
 	"glencart/internal/standin"
+	"glencart/internal/standin/strict"
 )
 
+// Guards against a host that goes to backends unchecked: net/http checks the Host field, and not the host of an absolute target. The
+// next request on the same pool is served, so the refused one has spoilt no connection.
+func TestInvalidHostsReachNoBackend(t *testing.T) {
+	backend := newRecorder(t)
+	n := serve(t, variableSite, map[string]string{"menu": backend.addr})
+	for _, host := range []string{"[fe80::1%25a%20b]", `a"b`, "a<b", "%FF.mn", "%D1%85%D0%BE%D0%BE%D0%BB.mn"} {
+		status, _, body := n.ask("GET http://" + host + "/set/x HTTP/1.1\r\nHost: shop.mn\r\nConnection: close\r\n\r\n")
+		if received := backend.take(t); status != http.StatusBadRequest || len(received) != 0 {
+			t.Errorf("%s: answered %d %q, backend received %+v", host, status, body, received)
+		}
+		status, _, body = n.ask("GET http://shop.mn/set/x HTTP/1.1\r\nHost: other.mn\r\nConnection: close\r\n\r\n")
+		if received := backend.take(t); status != http.StatusOK || len(received) != 1 || received[0].Fields.Values("Host")[0] != "shop.mn" {
+			t.Errorf("after %s: answered %d %q, backend received %+v", host, status, body, received)
+		}
+	}
+}
+
+// Guards against a request that fails unseen: one that can't be encoded is counted, and stands in the access log as invalid.
+func TestInvalidRequestsAreCounted(t *testing.T) {
+	backend := newRecorder(t)
+	n := serve(t, variableSite, map[string]string{"menu": backend.addr})
+	for range 3 {
+		if status, _, body := n.ask("POST /host/x HTTP/1.1\r\nHost: shop.mn\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody"); status != http.StatusBadRequest {
+			t.Errorf("answered %d %q", status, body)
+		}
+	}
+	if count, received := n.invalidCount.Load(), backend.take(t); count != 3 || len(received) != 0 {
+		t.Errorf("%d counted, 3 expected; backend received %+v", count, received)
+	}
+}
+
 // Guards against probes that a backend at a Unix socket refuses: its path is no valid Host.
 func TestProbeOfUnixSocketHasValidHost(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s")
@@ -46,3 +78,23 @@
 		t.Errorf("Host of the probe: %q", host)
 	}
 }
+
+// Guards against fields of a backend that end their line in the answer to an upgrade, or in an answer that is kept for repeats: the
+// former is refused, the latter is not kept.
+func TestAnswersWithInvalidFieldsAreNotEncoded(t *testing.T) {
+	for _, header := range []http.Header{{"Upgrade": {"echo\r\nEvil: x"}}, {"Upgrade": {"echo"}, "X": {"1\rEvil: x"}}, {"Upgrade": {"echo"}, "X: y\nZ": {"1"}}} {
+		if head, err := (&reply{header: header.Clone()}).encodeUpgraded(); err == nil {
+			t.Errorf("%v: encoded as %q", header, head)
+		}
+	}
+	if kept := (&reply{header: http.Header{"X": {"1\r\nEvil: x"}}}).keep(); kept != tooLong {
+		t.Errorf("kept as %q", kept)
+	}
+	head, err := (&reply{header: http.Header{"Upgrade": {"echo"}, "Connection": {"upgrade"}, "X": {"1"}}}).encodeUpgraded()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if status, fields, rest, err := strict.ParseAnswerHead(head); err != nil || status != 101 || len(rest) != 0 || len(fields) != 3 {
+		t.Errorf("%q: %d %v %q %v", head, status, fields, rest, err)
+	}
+}
--- a/internal/front/http/handle.go
+++ b/internal/front/http/handle.go
@@ -8,16 +8,18 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"glencart/internal/clients"
 	"glencart/internal/cluster"
 	"glencart/internal/engine"
+	"glencart/internal/http1"
 	"glencart/internal/site"
 	"glencart/route"
 )
@@ -40,10 +42,12 @@
 // message is a request on its way to boxes.
 type message struct {
 	method, target, host string
-	header               http.Header
+	head                 []byte // encoded, without the fields that frame the body
 	held                 []byte // the body, or the part of it that is held
 	length               int64  // of the body; -1: in chunks
 	trailer              http.Header
+	announced            []byte // the encoded Trailer field; nil: there are no trailers
+	closing              []byte // the encoded end of a held body in chunks
 	upgrade              bool
 	unsafe               bool
 	within               time.Duration // until the answer's head, from the last byte of a body that streams
@@ -165,6 +169,10 @@
 	if hr.Method == http.MethodOptions && hr.RequestURI == "*" {
 		path = "/"
 	}
+	if !httpguts.ValidHostHeader(hr.Host) { // net/http checks the field, and not the host of an absolute target
+		c.here(http.StatusBadRequest, "Host: not the name of a host\n")
+		return
+	}
 	m := c.find(l.site.Name, path)
 	switch m.Outcome {
 	case route.Found:
@@ -252,6 +260,10 @@
 	if err != nil {
 		c.w.Header().Set("Connection", "close")
 		c.here(status, err.Error()+"\n")
+		var invalid *http1.InvalidError
+		if errors.As(err, &invalid) {
+			c.noteInvalid(invalid)
+		}
 		if c.hr.Header.Get("Expect") == "" {
 			c.drain()
 		}
@@ -271,6 +283,13 @@
 	c.await(t, r, m, overdue)
 }
 
+// noteInvalid logs and counts a request that can't be encoded for a backend.
+func (c *visit) noteInvalid(err *http1.InvalidError) {
+	c.log.end = "invalid"
+	c.invalidLog.Warn("request can't be encoded for a backend: answered 400", "route", c.tg.Place, "pool", c.tg.Pool, "part", err.Part,
+		"field", err.Field, "total", c.invalidCount.Add(1))
+}
+
 // overdueMargin is how long after its deadline a request is answered by its handler, if the loop has not answered it.
 const overdueMargin = 100 * time.Millisecond
 
@@ -429,7 +448,6 @@
 		h["Upgrade"] = []string{protocol}
 		m.length = 0
 	}
-	m.header = h
 	if c.tg.Host != "" {
 		m.host = c.vars.expand(c.tg.Host, inField)
 	}
@@ -440,6 +458,9 @@
 	if q := hr.URL.RawQuery; q != "" || hr.URL.ForceQuery {
 		m.target += "?" + q
 	}
+	if err := m.encodeHead(h); err != nil {
+		return nil, nil, http.StatusBadRequest, err
+	}
 	r := &engine.Request{ID: id, Class: class, Tenant: -1, Message: m, Reply: make(chan engine.Answer, 1)}
 	if name := s.Node.Tenant; name != "" {
 		if i, ok := c.gen.tenants[hr.Header.Get(name)]; ok {
@@ -504,29 +525,23 @@
 	case n < hold: // chunks that ended
 		if len(hr.Trailer) == 0 {
 			m.length = n
-		} else {
-			m.announce(hr.Trailer)
+			return 0, nil
 		}
-		return 0, nil
+		if err = m.announceTrailers(); err == nil {
+			m.closing, err = m.encodeClosing()
+		}
+		return http.StatusBadRequest, err
 	}
 	if len(hr.Trailer) > 0 {
-		m.announce(hr.Trailer)
+		if err := m.announceTrailers(); err != nil {
+			return http.StatusBadRequest, err
+		}
 	}
 	c.rc.EnableFullDuplex() // a box may answer before the body is over
 	m.rest, m.extend = from, extend
 	return 0, nil
 }
 
-// announce names the trailers that will follow a body in chunks.
-func (m *message) announce(t http.Header) {
-	var names []string
-	for name := range t {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	m.header["Trailer"] = []string{strings.Join(names, ", ")}
-}
-
 // answer words what the engine has decided where no box's answer is to be passed on as it is.
 func (c *visit) answer(m *message, a engine.Answer) {
 	switch a.Kind {
@@ -642,6 +657,12 @@
 // tunnel carries bytes both ways after a change of protocol, until either side ends.
 func (c *visit) tunnel(re *reply) {
 	box := re.tunnel
+	head, err := re.encodeUpgraded()
+	if err != nil {
+		re.drop()
+		c.here(http.StatusBadGateway, "")
+		return
+	}
 	client, rw, err := c.rc.Hijack()
 	if err != nil {
 		re.drop()
@@ -661,13 +682,7 @@
 		c.mu.Unlock()
 	}()
 	client.SetDeadline(time.Time{})
-	protocol := re.header.Get("Upgrade")
-	strip(re.header)
-	var head bytes.Buffer
-	head.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + protocol + "\r\n")
-	re.header.Write(&head)
-	head.WriteString("\r\n")
-	if _, err := client.Write(head.Bytes()); err != nil {
+	if _, err := client.Write(head); err != nil {
 		return
 	}
 	ended := make(chan int64, 2)
@@ -688,6 +703,15 @@
 	c.log.bytes += <-ended
 }
 
+// encodeUpgraded returns the head of an answer that changes the protocol.
+func (r *reply) encodeUpgraded() ([]byte, error) {
+	protocol := r.header.Get("Upgrade")
+	strip(r.header)
+	r.header["Upgrade"] = []string{protocol}
+	head, err := http1.AppendFields([]byte("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n"), r.header)
+	return append(head, "\r\n"...), err
+}
+
 func closeWrite(c net.Conn) {
 	if w, ok := c.(interface{ CloseWrite() error }); ok {
 		w.CloseWrite()
--- a/internal/front/http/pool.go
+++ b/internal/front/http/pool.go
@@ -105,7 +105,7 @@
 	q := &pool{site: *p, sum: sumOf(s, p), conns: cs, log: log,
 		spare: reserve.New(reserve.Config{MaxFails: p.MaxFails, FailWithin: time.Duration(p.FailWithin)})}
 	complain := &lograte.Limited{Log: log}
-	x := &transport{conns: cs, probe: p.Probe, reports: p.Reports, idle: s.Limits.BodyIdle.Or(time.Minute), ended: q.ended,
+	x := &transport{log: &lograte.Limited{Log: log}, conns: cs, probe: p.Probe, reports: p.Reports, idle: s.Limits.BodyIdle.Or(time.Minute), ended: q.ended,
 		report: func(text string) (balance.Load, error) {
 			l, err := settings.ParseReport(text)
 			if err != nil {
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -45,6 +45,9 @@
 	others    *others     // the processes beside this one; nil: none are known
 	pressure  *cluster.Pressure
 
+	invalidCount atomic.Int64 // requests that couldn't be encoded for a backend
+	invalidLog   lograte.Limited
+
 	mu      sync.Mutex
 	tunnels map[net.Conn]bool
 	alive   map[*generation]bool // those whose pools may have something open
@@ -84,6 +87,7 @@
 // New opens the listeners of a site and starts its pools.
 func New(s *site.Site, log *slog.Logger) (*Server, error) {
 	v := &Server{log: log, tunnels: map[net.Conn]bool{}, alive: map[*generation]bool{}, start: fmt.Sprintf("%x-", time.Now().UnixNano())}
+	v.invalidLog.Log = log
 	g, err := v.build(s, nil)
 	if err != nil {
 		return nil, err
@@ -404,6 +408,6 @@
 	v.retired.Wait()
 	v.access.close()
 	v.log.Info("left", "taken", v.book.Accepted.Load(), "answered", v.book.Answered.Load(), "client_left", v.book.ClientLeft.Load(),
-		"open", v.book.Open())
+		"open", v.book.Open(), "invalid", v.invalidCount.Load())
 	return err
 }
--- a/internal/front/http/session.go
+++ b/internal/front/http/session.go
@@ -5,7 +5,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -16,6 +15,7 @@
 
 	"glencart/internal/cluster"
 	"glencart/internal/engine"
+	"glencart/internal/http1"
 	"glencart/internal/site"
 	"glencart/share"
 )
@@ -135,12 +135,11 @@
 		return tooLong
 	}
 	strip(r.header)
-	var b bytes.Buffer
-	b.WriteString(strconv.Itoa(r.status) + "\r\n")
-	r.header.Write(&b)
-	b.WriteString("\r\n")
-	b.Write(r.held)
-	return b.String()
+	b, err := http1.AppendFields([]byte(strconv.Itoa(r.status)+"\r\n"), r.header)
+	if err != nil {
+		return tooLong
+	}
+	return string(append(append(b, "\r\n"...), r.held...))
 }
 
 // known gives a client the answer that it, or somebody with its key, got before; false: it can't be read.
--- a/internal/front/http/variables_test.go
+++ b/internal/front/http/variables_test.go
@@ -150,7 +150,7 @@
 		decoded = append(decoded, b)
 	}
 	for _, b := range append(decoded, 0x7f, '%', '?', ' ') {
-		for _, key := range []string{"set", "upgrade", "rewrite", "add", "text", "redirect"} {
+		for _, key := range []string{"set", "upgrade", "host", "rewrite", "add", "text", "redirect"} {
 			target := fmt.Sprintf("/%s/a%%%02XEvil:%%20x%%%02X", key, b, b)
 			path := fmt.Sprintf("/%s/a%cEvil: x%c", key, b, b)
 			head := "GET " + target + " HTTP/1.1\r\nHost: shop.mn\r\nConnection: close"
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -22,6 +22,7 @@
 	"glencart/balance"
 	"glencart/internal/clients"
 	"glencart/internal/engine"
+	"glencart/internal/http1"
 	"glencart/internal/lograte"
 	"glencart/internal/settings"
 	"glencart/internal/sock"
@@ -66,10 +67,14 @@
 	limitedLog *lograte.Limited
 	currency   *listCurrency // nil: requests are sent by any list
 	jobs       chan func()   // jobs for idle workers; a new goroutine would have to grow its stack again
+
+	notEncoded    atomic.Int64 // attempts and probes that couldn't be encoded
+	notEncodedLog *lograte.Limited
 }
 
 func newTransport(p *pool, inline bool, log *slog.Logger) *transport {
-	return &transport{pool: p, log: log, inline: inline, limitedLog: &lograte.Limited{Log: log}, jobs: make(chan func())}
+	return &transport{pool: p, log: log, inline: inline, limitedLog: &lograte.Limited{Log: log},
+		notEncodedLog: &lograte.Limited{Log: log}, jobs: make(chan func())}
 }
 
 // message is a client's request in the form in which it goes to backends.
@@ -220,7 +225,7 @@
 		m.upload.unclaim(c)
 	}
 	switch {
-	case errors.Is(err, upstream.ErrNoCapacity), errors.Is(err, errListNotConfirmed):
+	case errors.Is(err, upstream.ErrNoCapacity), errors.Is(err, errListNotConfirmed), errors.As(err, new(*http1.InvalidError)):
 		return ended(balance.Unused) // the cause is not the backend
 	case err != nil:
 		return engine.Result{Status: balance.DialFailed, Refused: errors.Is(err, syscall.ECONNREFUSED)}, false
@@ -410,7 +415,13 @@
 		if m.probe {
 			left -= lateProbeWait
 		}
-		text := m.encode(to.Addr, left)
+		text, err := m.encode(to.Addr, left)
+		if err != nil {
+			x.pool.Discard(cn, upstream.Unsent)
+			x.notEncodedLog.Warn("attempt can't be encoded: not sent", "id", m.header.Get("X-Trace-Id"), "probe", m.probe,
+				"backend", to.ID, "error", err, "total", x.notEncoded.Add(1))
+			return nil, nil, nil, err
+		}
 		cn.SetDeadline(deadline)
 		if c.attempt != nil && !c.attempt.WriteBy.IsZero() && c.attempt.WriteBy.Before(deadline) {
 			cn.SetWriteDeadline(c.attempt.WriteBy) // the request counts as sent with its last byte
@@ -462,15 +473,11 @@
 }
 
 // encode encodes the message for a backend in one piece. http.Request.Write does the same but takes a tenth of
-// the node's CPU. net/http has parsed and checked names and values, so none of them can end a line.
-func (m *message) encode(addr string, left time.Duration) []byte {
-	host := cmp.Or(m.host, addr)
-	b := make([]byte, 0, len(m.body)+1<<10)
-	b = append(b, m.method+" "+m.target()+" HTTP/1.1\r\nHost: "+host+"\r\n"...)
-	for name, values := range m.header {
-		for _, value := range values {
-			b = append(b, name+": "+value+"\r\n"...)
-		}
+// the node's CPU.
+func (m *message) encode(addr string, left time.Duration) ([]byte, error) {
+	b, err := http1.AppendRequest(make([]byte, 0, len(m.body)+1<<10), m.method, m.target(), cmp.Or(m.host, addr), m.header)
+	if err != nil {
+		return nil, err
 	}
 	b = append(b, "X-Expires-In: "...)
 	b = strconv.AppendFloat(b, max(left, 0).Seconds(), 'f', 3, 64)
@@ -482,14 +489,14 @@
 		for _, piece := range m.more {
 			b = append(b, piece...)
 		}
-		return append(b, "\r\n"...)
+		return append(b, "\r\n"...), nil
 	case m.upload != nil:
 		b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), m.upload.length, 10)
 	case len(m.body) > 0 || m.method != http.MethodGet:
 		b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), m.size(), 10)
 	}
 	b = append(b, "\r\n\r\n"...)
-	return append(b, m.body...)
+	return append(b, m.body...), nil
 }
 
 // readAnswer reads one answer. It returns the whole answer and sets Body to http.NoBody. If long is set, it
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -318,3 +318,56 @@
 		}
 	}
 }
+
+// Guards against an attempt that ends its own head: one that can't be encoded is not written, ends as unused so that its client gets one
+// answer, and is counted. The next one is served.
+func TestAttemptThatCanNotBeEncodedIsNotSent(t *testing.T) {
+	seen := make(chan string, 8)
+	b := newRawBackend(t, "127.0.0.1:0", serveAnswers(func(r *http.Request) string {
+		seen <- r.Header.Get("X-Trace-Id")
+		return ok200("")
+	}))
+	x, to := newTestTransport(t), engine.Endpoint{ID: "b", Addr: b.Addr().String()}
+	for i, spoil := range []func(m *message){
+		func(m *message) { m.method = "GET /api/y HTTP/1.1\r\n" },
+		func(m *message) { m.uri = "/api/x HTTP/1.1\r\nEvil: x" },
+		func(m *message) { m.host = "api.internal\nEvil: x" },
+		func(m *message) { m.header["X: y\r\nZ"] = []string{"1"} },
+		func(m *message) { m.header["X"] = []string{"1\rEvil: x"} },
+		func(m *message) { m.header["Content-Length"] = []string{"5"} },
+	} {
+		m := getMessage("invalid")
+		spoil(m)
+		if r := attemptOnce(t, x, to, m); r.Status != balance.Unused || x.notEncoded.Load() != int64(i+1) {
+			t.Errorf("case %d: status %v, %d counted", i, r.Status, x.notEncoded.Load())
+		}
+	}
+	if r := attemptOnce(t, x, to, getMessage("valid")); r.Status != balance.Delivered {
+		t.Errorf("valid message: status %v", r.Status)
+	}
+	if id := receive(t, "a request", seen); id != "valid" || len(seen) != 0 {
+		t.Errorf("backend received %q first, and %d more", id, len(seen))
+	}
+}
+
+// Guards against a request that is lost, or sent round for ever, because it can't be encoded: it gets one answer, that it didn't run.
+func TestRequestThatCanNotBeEncodedIsAnsweredOnce(t *testing.T) {
+	b := newRawBackend(t, "127.0.0.1:0", serveAnswers(func(*http.Request) string { return ok200("") }))
+	n := startNodeWithBackends(t, b.Addr().String())
+	m := getMessage("invalid")
+	m.header["X"] = []string{"1\r\nEvil: x"}
+	m.settings = n.front.settings.Load()
+	m.counters = m.settings.counters[0]
+	m.streams, m.clientGoneSignal, m.markClientGone = make(chan *stream, 1), make(chan struct{}), func() {}
+	r := &engine.Request{ID: "invalid", Message: m, Deadline: time.Now().Add(time.Second), Reply: make(chan engine.Answer, 2)}
+	n.loop.Post(func() { n.loop.Arrive(r) })
+	if a := receive(t, "an answer", r.Reply); a.Kind != engine.Refused || a.MayHaveRun {
+		t.Errorf("answered %+v", a)
+	}
+	if len(r.Reply) != 0 {
+		t.Errorf("answered again: %+v", <-r.Reply)
+	}
+	if count := n.counters.attempts.notEncoded.Load(); count < 1 || count > 10 {
+		t.Errorf("%d attempts", count)
+	}
+}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -19,6 +19,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"glencart/balance"
 	"glencart/internal/clients"
 	"glencart/internal/engine"
@@ -385,6 +387,9 @@
 	bad := func(format string, args ...any) (*engine.Request, int, error) {
 		return nil, http.StatusBadRequest, fmt.Errorf(format, args...)
 	}
+	if !httpguts.ValidHostHeader(hr.Host) { // net/http checks the field, and not the host of an absolute target
+		return bad("Host: not the name of a host")
+	}
 	h, t := hr.Header, f.settings.Load()
 	for _, name := range []string{"X-Trace-Id", "X-Qos", "X-Customer", "X-Expires-In", "Idempotency-Key"} {
 		if len(h[name]) > 1 {
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -25,6 +25,7 @@
 	backends  *upstream.Pool
 	currency  *listCurrency // nil: discovery is no agent
 	late      *lateAnswers
+	attempts  *transport
 }
 
 // classCounters are the counters of one class.
@@ -132,6 +133,9 @@
 		f.decisions.EachRetry(func(reason engine.RetryReason, n int64) { line("retries."+reason.String(), n) })
 		f.decisions.EachRefusal(func(reason engine.RefusalReason, n int64) { line("refusals."+reason.String(), n) })
 	}
+	if f.attempts != nil {
+		line("attempts_not_encoded", f.attempts.notEncoded.Load())
+	}
 	if f.backends != nil {
 		for _, counter := range f.backends.Counters() {
 			line("backend_connections."+counter.Name, counter.Value)
--- a/internal/node/invalid_clients_test.go
+++ b/internal/node/invalid_clients_test.go
@@ -177,3 +177,25 @@
 	}
 	n.front.inFlight.Add(1 - n.front.maxInFlight.Load())
 }
+
+// Guards against a host that goes to backends unchecked: net/http checks the Host field, and not the host of an absolute target.
+func TestInvalidHostsOfAbsoluteTargetsReachNoBackend(t *testing.T) {
+	hosts := make(chan string, 8)
+	b := newRawBackend(t, "127.0.0.1:0", serveAnswers(func(r *http.Request) string {
+		hosts <- r.Host
+		return ok200("")
+	}))
+	n := startNodeWithBackends(t, b.Addr().String())
+	for host, want := range map[string]int{"[fe80::1%25a%20b]": 400, `a"b`: 400, "a<b": 400, "%FF.mn": 400, "shop.mn": 200} {
+		c := n.dial(t)
+		head := strings.Replace(orderHead, "/api/x", "http://"+host+"/api/x", 1)
+		io.WriteString(c, head+"X-Trace-Id: "+host+"\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != want {
+			t.Errorf("%s: %+v, %v: expected %d", host, resp, err, want)
+		}
+	}
+	if host := receive(t, "a request", hosts); host != "shop.mn" || len(hosts) != 0 {
+		t.Errorf("backend received Host %q first, and %d more", host, len(hosts))
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,6 +92,7 @@
 		n.currency, transport.currency, n.counters.currency = currency, currency, currency
 	}
 	n.counters.discovery, n.counters.decisions, n.counters.backends = n.discovery.Stats(), n.loop.Stats(), n.pool.Pool
+	n.counters.attempts = transport
 	n.loop.RequestDiscovery, n.loop.OnResult = n.discovery.Request, n.observeResult
 	if cfg.PeerListen != "" {
 		if n.peers, err = listenPeers(ctx, &cfg, n.bounds.maxQueuedDatagrams, log); err != nil {
