serve: trailers that frame a message are left out

What callers saw: an order in chunks whose trailers name Content-Length, Host or Connection went to the backend with them (RFC 9110, section 6.5.1 allows none of these there); net/http as the recording backend broke off, and a held order was answered 502.

Cause: the fields of one connection were taken out of the head, and not out of the trailers.

Change: strip is applied to trailers too, before they are announced and when they are sent. Control bytes in trailers are refused by net/textproto, which the test plays for CR, NUL and 0x7F: 408, and nothing at the backend.

--- a/internal/front/http/attempt.go
+++ b/internal/front/http/attempt.go
@@ -470,13 +470,18 @@
 
 // announceTrailers encodes the Trailer field, which names the trailers that will follow a body in chunks.
 func (m *message) announceTrailers() (err error) {
+	strip(m.trailer)
 	names := slices.Sorted(maps.Keys(m.trailer))
+	if len(names) == 0 {
+		return nil
+	}
 	m.announced, err = http1.AppendFields(nil, http.Header{"Trailer": {strings.Join(names, ", ")}})
 	return err
 }
 
 // encodeClosing returns the end of a chunked body, with the trailers that came.
 func (m *message) encodeClosing() ([]byte, error) {
+	strip(m.trailer) // no trailer may frame a message (RFC 9110, section 6.5.1), announced or not
 	b, err := http1.AppendFields([]byte("0\r\n"), m.trailer)
 	return append(b, "\r\n"...), err
 }
--- a/internal/front/http/encoding_test.go
+++ b/internal/front/http/encoding_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"testing"
 
 	"glencart/internal/standin"
@@ -43,6 +45,29 @@
 	}
 }
 
+// Guards against trailers that frame the message a second time, or that hold line ends: the former are left out, the latter end the
+// request at the client.
+func TestTrailersFrameNothing(t *testing.T) {
+	backend := newRecorder(t)
+	n := serve(t, variableSite, map[string]string{"menu": backend.addr})
+	head := "POST /set/x HTTP/1.1\r\nHost: shop.mn\r\nConnection: close\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n"
+	for _, size := range []int{10, 100_000} { // held, and streamed
+		chunk := strings.Repeat("b", size)
+		text := head + hex(size) + "\r\n" + chunk + "\r\n0\r\n"
+		status, _, _ := n.ask(text + "X-Sum: 1\r\nContent-Length: 5\r\nHost: evil.mn\r\nConnection: x\r\n\r\n")
+		received := backend.take(t)
+		if status != http.StatusOK || len(received) != 1 || len(received[0].Body) != size || len(received[0].Trailers) != 1 || received[0].Trailers[0].Name != "X-Sum" {
+			t.Errorf("%d bytes: answered %d, backend received %d requests, trailers %+v", size, status, len(received), trailers(received))
+		}
+	}
+	for _, value := range []string{"1\rEvil: x", "1\x00", "1\x7f"} {
+		status, _, _ := n.ask(head + "1\r\nb\r\n0\r\nX-Sum: " + value + "\r\n\r\n")
+		if received := backend.take(t); status != http.StatusRequestTimeout || len(received) != 0 {
+			t.Errorf("%q: answered %d, backend received %+v", value, status, received)
+		}
+	}
+}
+
 // Guards against probes that a backend at a Unix socket refuses: its path is no valid Host.
 func TestProbeOfUnixSocketHasValidHost(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s")
@@ -79,6 +104,16 @@
 	}
 }
 
+func hex(n int) string { return strconv.FormatInt(int64(n), 16) }
+
+// trailers returns the trailers of some requests.
+func trailers(requests []strict.Request) (all strict.Fields) {
+	for _, r := range requests {
+		all = append(all, r.Trailers...)
+	}
+	return all
+}
+
 // Guards against fields of a backend that end their line in the answer to an upgrade, or in an answer that is kept for repeats: the
 // former is refused, the latter is not kept.
 func TestAnswersWithInvalidFieldsAreNotEncoded(t *testing.T) {
