site: texts of the file that can't stand in an HTTP/1.1 head are errors with their place

What operators saw: a file whose pool.probe, check.http, check.host, a box's address, route.host or the text of a redirect held a line end or another control byte was accepted. Probes wrote it, checks counted every backend as down, a redirect lost its Location.

Cause: only the values of set and add were looked at, and there only for CR, LF and NUL.

Change: targets by http1.IsValidTarget, hosts (a variable stands for a letter), names and values by x/net/http/httpguts in place of an expression of our own. route.host = "$uri" still loads: what it makes is refused request by request.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -49,7 +49,7 @@
 	switch {
 	case !httpguts.ValidHeaderFieldName(method): // a method is a token too
 		return nil, &InvalidError{Part: Method}
-	case !isValidTarget(target):
+	case !IsValidTarget(target):
 		return nil, &InvalidError{Part: Target}
 	case !httpguts.ValidHostHeader(host):
 		return nil, &InvalidError{Part: Host}
@@ -80,9 +80,9 @@
 	return b, nil
 }
 
-// isValidTarget reports whether a target can stand in a request line. Bytes beyond ASCII are allowed, because clients send them and
+// IsValidTarget reports whether a target can stand in a request line. Bytes beyond ASCII are allowed, because clients send them and
 // they go to backends as received.
-func isValidTarget(target string) bool {
+func IsValidTarget(target string) bool {
 	for i := range len(target) {
 		if target[i] <= ' ' || target[i] == 0x7f {
 			return false
--- a/internal/site/fleet.go
+++ b/internal/site/fleet.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"glencart/share"
 )
 
@@ -130,7 +132,7 @@
 
 func (c *checker) fleetSessions(f *Fleet) {
 	for _, x := range []struct{ key, name string }{{"session_header", f.SessionHeader}, {"session_cookie", f.SessionCookie}, {"repeat_header", f.RepeatHeader}} {
-		if x.name != "" && !token.MatchString(x.name) {
+		if x.name != "" && !httpguts.ValidHeaderFieldName(x.name) {
 			c.fault("fleet."+x.key, "%q can't be the name of a header or cookie: correct it", x.name)
 		}
 	}
--- a/internal/site/load.go
+++ b/internal/site/load.go
@@ -17,8 +17,10 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+	"golang.org/x/net/http/httpguts"
 
 	"glencart/check"
+	"glencart/internal/http1"
 	"glencart/internal/tomlat"
 	"glencart/route"
 )
@@ -184,7 +186,7 @@
 func hostPort(a string) bool {
 	_, port, err := net.SplitHostPort(a)
 	n, perr := strconv.Atoi(port)
-	return err == nil && perr == nil && n >= 0 && n < 1<<16
+	return err == nil && perr == nil && n >= 0 && n < 1<<16 && httpguts.ValidHostHeader(a)
 }
 
 func (s *Site) check() error {
@@ -264,8 +266,8 @@
 	if p.Registry != "" && !hostPort(p.Registry) {
 		c.fault(path+".registry", "%q is not an address with a port", p.Registry)
 	}
-	if p.Probe != "" && p.Probe[0] != '/' {
-		c.fault(path+".probe", "%q is not a path: begin it with a slash", p.Probe)
+	if p.Probe != "" {
+		c.target(path+".probe", p.Probe)
 	}
 	if p.Attempts < 0 || p.Keep < 0 || p.MaxFails < 0 {
 		c.fault(path, "attempts, keep and max_fails: a negative count")
@@ -347,6 +349,16 @@
 	}
 }
 
+// target checks the target of a request that is sent on the file's behalf.
+func (c *checker) target(path, target string) {
+	switch {
+	case target[0] != '/':
+		c.fault(path, "%q is not a path: begin it with a slash", target)
+	case !http1.IsValidTarget(target):
+		c.fault(path, "%q has a space or a control byte: percent-encode it", target)
+	}
+}
+
 // pings checks how boxes are asked whether they are well.
 func (c *checker) pings(path string, p *Pool) {
 	k, given := p.Check, 0
@@ -360,12 +372,16 @@
 		c.fault(path, "http, grpc or tcp: give exactly one of them")
 	case p.Registry != "":
 		c.fault(path, "a pool with registry takes the registry's word: write it as one of sources, { registry = %q }", p.Registry)
-	case k.HTTP != "" && k.HTTP[0] != '/':
-		c.fault(path+".http", "%q is not a path: begin it with a slash", k.HTTP)
+	case k.HTTP != "":
+		c.target(path+".http", k.HTTP)
+	}
+	switch {
 	case len(k.Status) > 0 && k.HTTP == "":
 		c.fault(path+".status", "is for http: take it out")
 	case k.Host != "" && k.TCP:
 		c.fault(path+".host", "is for http and grpc: take it out")
+	case !httpguts.ValidHostHeader(k.Host):
+		c.fault(path+".host", "%q is not a host: write it as shop.mn or shop.mn:8080", k.Host)
 	}
 	for j, status := range k.Status {
 		if status < 200 || status > 599 {
@@ -434,6 +450,12 @@
 		if r.Rewrite != nil && (*r.Rewrite == "" || (*r.Rewrite)[0] != '/') {
 			c.fault(at+".rewrite", "%q is not a path: begin it with a slash", *r.Rewrite)
 		}
+		if !httpguts.ValidHostHeader(variable.ReplaceAllLiteralString(r.Host, "x")) {
+			c.fault(at+".host", "%q is not a host: write it as shop.mn, shop.mn:8080 or $http_host", r.Host)
+		}
+		if IsRedirect(r.Status) && !httpguts.ValidHeaderFieldValue(r.Text) {
+			c.fault(at+".text", "%q has a control byte, and a Location can't: percent-encode it", r.Text)
+		}
 		for _, hs := range []struct {
 			key  string
 			list []Header
@@ -450,14 +472,15 @@
 	}
 }
 
-var token = regexp.MustCompile("^[!#$%&'*+.^_`|~0-9A-Za-z-]+$")
+// variable matches a variable in a text.
+var variable = regexp.MustCompile(`\$(\{[A-Za-z0-9_]*\}|[A-Za-z0-9_]*)`)
 
 // framing are headers that are worded for each connection: set by a file, they would stand twice.
 var framing = []string{"connection", "content-length", "host", "transfer-encoding", "trailer", "te", "upgrade", "keep-alive"}
 
 // ValidHeader tells whether a header can be set: it is well formed, and says nothing of how a message is framed.
 func ValidHeader(h Header) bool {
-	return !slices.Contains(framing, strings.ToLower(h.Name)) && token.MatchString(h.Name) && !strings.ContainsAny(h.Value, "\r\n\x00")
+	return !slices.Contains(framing, strings.ToLower(h.Name)) && httpguts.ValidHeaderFieldName(h.Name) && httpguts.ValidHeaderFieldValue(h.Value)
 }
 
 // Network reads "all", a network or one address.
