importer: reports where a decoded path goes into headers and redirects

Need: nginx expands $uri decoded, so a configuration that puts it into a header or a redirect lets a client end the field.

Change: proxy_set_header, add_header and return with $uri are reported as a difference with what is written in its place; rewrites are not, since nginx encodes there. A redirect with a control byte in its text closes the route (501), a Host that is none is not carried, and a proxy_pass to one is an error at its line, where the written file would now be refused. The Location of /a to /a/ is encoded.

TestDecodedPathIsReported failed before (no line reported); a case of the corpus plays the rest.

--- a/internal/importer/nginx/corpus_test.go
+++ b/internal/importer/nginx/corpus_test.go
@@ -190,3 +190,39 @@
 		}
 	})
 }
+
+// Guards against a silent difference: nginx writes a decoded path into headers and redirects, and here it is encoded. Directives with
+// the path as it came, and rewrites, which nginx encodes, are no difference.
+func TestDecodedPathIsReported(t *testing.T) {
+	res, err := Import(Memory{"nginx.conf": `
+upstream menu { server 10.0.0.1:8080; }
+server {
+    listen 80;
+    location /notes/ {
+        proxy_pass http://menu;
+        proxy_set_header X-Original-Path $uri;
+        proxy_set_header X-Target $request_uri;
+        add_header X-Path ${uri} always;
+    }
+    location /old/ { return 301 https://khuree.mn$uri; }
+    location /text { return 200 "not here: $uri"; }
+    location /moved/ { return 301 https://khuree.mn$request_uri; }
+    location /away/ { rewrite ^(.*)$ https://khuree.mn$1 permanent; }
+}
+`}, "nginx.conf", Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lines []int
+	for _, f := range res.Report.Findings {
+		if strings.Contains(f.Note, "$uri") {
+			lines = append(lines, f.Line)
+			if f.Verdict != Difference {
+				t.Errorf("line %d: %v", f.Line, f.Verdict)
+			}
+		}
+	}
+	if want := []int{7, 9, 11, 12}; !slices.Equal(lines, want) {
+		t.Errorf("reported at lines %v, expected %v", lines, want)
+	}
+}
--- a/internal/importer/nginx/location.go
+++ b/internal/importer/nginx/location.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"glencart/internal/site"
+	"glencart/route"
 )
 
 // locations reads the locations of a level. around is the location that they stand in, nil at a server.
@@ -78,7 +79,7 @@
 			continue
 		}
 		out = append(out, site.Location{Match: "exact", Path: bare,
-			Routes: []site.Route{{Status: 301, Text: "$scheme://$http_host" + l.Path + "$is_args$args"}}})
+			Routes: []site.Route{{Status: 301, Text: "$scheme://$http_host" + route.Escape(l.Path) + "$is_args$args"}}})
 	}
 	return out, nil
 }
@@ -309,6 +310,9 @@
 		}
 		p.host = rest
 	}
+	if !site.ValidHost(p.host) {
+		return nil, bad(d, "%q is not a host", p.host)
+	}
 	if rest == "" {
 		return nil, bad(d, "%q names no box", text)
 	}
--- a/internal/importer/nginx/scope.go
+++ b/internal/importer/nginx/scope.go
@@ -345,8 +345,12 @@
 					m.say(d, NotCarried, "$%s stands for nothing here: the box gets Host: %s", unknown, proxied)
 					continue
 				}
+				if !site.ValidHost(value) {
+					m.say(d, NotCarried, "%q is not a host: the box gets Host: %s", value, proxied)
+					continue
+				}
 				r.Host = value
-				m.say(d, Carried, "")
+				m.carried(d, value)
 			}
 		case lower == "upgrade":
 			r.Upgrade = value != ""
@@ -363,7 +367,7 @@
 			m.say(d, NotCarried, "%q can't stand in a header", name)
 		default:
 			r.Set = append(r.Set, site.Header{Name: name, Value: value})
-			m.say(d, Carried, "")
+			m.carried(d, value)
 		}
 	}
 	for _, d := range s.add {
@@ -376,16 +380,29 @@
 			continue
 		}
 		r.Add = append(r.Add, site.Header{Name: d.Args[0], Value: d.Args[1]})
-		if len(d.Args) == 3 && d.Args[2] == "always" {
-			m.say(d, Carried, "")
-		} else {
+		if len(d.Args) != 3 || d.Args[2] != "always" {
 			m.say(d, Difference, "it is added to every answer, whatever its status")
 		}
+		m.carried(d, d.Args[1])
 	}
 }
 
+// carried reports a directive whose text is carried over, and the difference where the text contains the decoded path.
+func (m *importer) carried(d *Directive, text string) {
+	if usesVariable(text, "uri") {
+		m.say(d, Difference, "nginx decodes $uri, line ends too, which then end the field; here its control bytes and its %% stand percent-encoded")
+		return
+	}
+	m.say(d, Carried, "")
+}
+
 var variable = regexp.MustCompile(`\$\{?([A-Za-z0-9_]+)`)
 
+// usesVariable reports whether a text contains a variable.
+func usesVariable(text, name string) bool {
+	return slices.ContainsFunc(variable.FindAllStringSubmatch(text, -1), func(v []string) bool { return v[1] == name })
+}
+
 // unknownVariable finds a variable that the front does not know, "" if there is none.
 func unknownVariable(text string) string {
 	for _, v := range variable.FindAllStringSubmatch(text, -1) {
--- a/internal/importer/nginx/server.go
+++ b/internal/importer/nginx/server.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 
+	"golang.org/x/net/http/httpguts"
+
 	"glencart/internal/site"
 )
 
@@ -445,8 +447,18 @@
 		m.say(d, NotCarried, "%d is no status for a final answer: what it bears on answers 501", code)
 		return fmt.Sprintf("%s: return", d.At())
 	}
-	m.say(d, Carried, "")
 	r.Status, r.Text = code, text
+	switch {
+	case !site.IsRedirect(code):
+		m.carried(d, text)
+	case !httpguts.ValidHeaderFieldValue(text):
+		m.say(d, NotCarried, "a Location can't contain a control byte: what it bears on answers 501")
+		return fmt.Sprintf("%s: return", d.At())
+	case usesVariable(text, "uri"):
+		m.say(d, Difference, "nginx decodes $uri, line ends too, which then end the Location; here it is encoded as in a request line. $request_uri has the path as it came")
+	default:
+		m.say(d, Carried, "")
+	}
 	return ""
 }
 
--- a/internal/site/load.go
+++ b/internal/site/load.go
@@ -450,7 +450,7 @@
 		if r.Rewrite != nil && (*r.Rewrite == "" || (*r.Rewrite)[0] != '/') {
 			c.fault(at+".rewrite", "%q is not a path: begin it with a slash", *r.Rewrite)
 		}
-		if !httpguts.ValidHostHeader(variable.ReplaceAllLiteralString(r.Host, "x")) {
+		if !ValidHost(r.Host) {
 			c.fault(at+".host", "%q is not a host: write it as shop.mn, shop.mn:8080 or $http_host", r.Host)
 		}
 		if IsRedirect(r.Status) && !httpguts.ValidHeaderFieldValue(r.Text) {
@@ -483,6 +483,11 @@
 	return !slices.Contains(framing, strings.ToLower(h.Name)) && httpguts.ValidHeaderFieldName(h.Name) && httpguts.ValidHeaderFieldValue(h.Value)
 }
 
+// ValidHost reports whether a text can be the Host that is sent to backends. A variable in it stands for a letter.
+func ValidHost(text string) bool {
+	return httpguts.ValidHostHeader(variable.ReplaceAllLiteralString(text, "x"))
+}
+
 // Network reads "all", a network or one address.
 func Network(text string) (netip.Prefix, error) {
 	if text == "all" {
