--- a/internal/front/http/variables_test.go
+++ b/internal/front/http/variables_test.go
@@ -235,3 +235,65 @@
 		decodes("X-Path of the request", request.Fields.Values("X-Path"))
 	}
 }
+
+// Guards against another variable that carries a byte that ends its field: whatever a client puts into the part of the head that a
+// variable stands for, the backend receives one request, or nothing and the client 400.
+func TestVariablesOfInvalidHeadsReachNoBackend(t *testing.T) {
+	names := []string{"host", "http_host", "remote_addr", "scheme", "request_uri", "uri", "server_port", "proxy_add_x_forwarded_for",
+		"request_method", "args", "is_args", "query_string", "http_x_client"}
+	var headers []string
+	for i, name := range names {
+		headers = append(headers, fmt.Sprintf(`{ name = "X-V%d", value = "a ${%s} b" }`, i, name))
+	}
+	list := strings.Join(headers, ", ")
+	backend := newRecorder(t)
+	text := fmt.Sprintf(`
+[[pool]]
+name = "menu"
+boxes = [ { id = "menu-1", address = "{menu}" } ]
+[[server]]
+  [[server.location]]
+  path = "/"
+    [[server.location.route]]
+    pool = "menu"
+    set = [ %s ]
+    add = [ %s ]
+`, list, list)
+	site := (&node{t: t}).site(text, map[string]string{"menu": backend.addr})
+	site.Node.Trusted = []string{"all"}
+	n := serveSite(t, site)
+	for b := byte(1); b <= 0x7f; b++ {
+		if b == ' ' {
+			b = 0x7f // between them are bytes that may stand in some part
+		}
+		for _, form := range []string{
+			"GET /a%cb HTTP/1.1\r\nHost: shop.mn\r\n",
+			"GET /a?x=%cb HTTP/1.1\r\nHost: shop.mn\r\n",
+			"G%cT /a HTTP/1.1\r\nHost: shop.mn\r\n",
+			"GET /a HTTP/1.1\r\nHost: sh%cop.mn\r\n",
+			"GET http://sh%cop.mn/a HTTP/1.1\r\nHost: shop.mn\r\n",
+			"GET /a HTTP/1.1\r\nHost: shop.mn\r\nX-Client: a%cb\r\n",
+			"GET /a HTTP/1.1\r\nHost: shop.mn\r\nX-Forwarded-For: a%cb\r\n",
+			"GET /a HTTP/1.1\r\nHost: shop.mn\r\nForwarded: a%cb\r\n",
+			"GET /a HTTP/1.1\r\nHost: shop.mn\r\nX-Cl%cient: a\r\n",
+		} {
+			request := fmt.Sprintf(form, b) + "Connection: close\r\n\r\n"
+			status, _, _ := n.ask(request)
+			received := backend.take(t)
+			if status != http.StatusBadRequest && (status != http.StatusOK || len(received) != 1) || status == http.StatusBadRequest && len(received) != 0 {
+				t.Errorf("%q: answered %d, backend received %+v", request, status, received)
+			}
+			if status == http.StatusOK && b != '\t' && b != '\n' {
+				t.Errorf("%q: accepted", request)
+			}
+		}
+	}
+	for _, target := range []string{"/a?x=%0D%0AEvil:%20x", "/a%0D%0AEvil:%20x?y"} {
+		if status, _, _ := n.ask("GET " + target + " HTTP/1.1\r\nHost: shop.mn\r\nX-Client: %0A\r\nConnection: close\r\n\r\n"); status != http.StatusOK {
+			t.Errorf("%s: answered %d", target, status)
+		}
+		if received := backend.take(t); len(received) != 1 || received[0].Target != target {
+			t.Errorf("%s: backend received %+v", target, received)
+		}
+	}
+}
