Tests: fields of backends with bytes that end a line

TestInvalidFieldsOfBackendsReachNoClient: 30 control bytes in a value, a name, a trailer and the Upgrade field of a backend's answer, each at a pool of its own. net/textproto refuses them all; the client gets a well-formed answer without the field, or its connection ends.

--- a/internal/front/http/encoding_test.go
+++ b/internal/front/http/encoding_test.go
@@ -1,6 +1,9 @@
 package httpfront
 
 import (
+	"bufio"
+	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -8,7 +11,9 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"glencart/internal/standin"
 	"glencart/internal/standin/strict"
@@ -133,3 +138,64 @@
 		t.Errorf("%q: %d %v %q %v", head, status, fields, rest, err)
 	}
 }
+
+// invalidAnswers are answers with a byte in a field that can't stand there.
+func invalidAnswers() (answers []string) {
+	forms := []string{
+		"HTTP/1.1 200 OK\r\nX-Field: a%cEvil: x\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-%cField: a\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTrailer: X-Field\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\nX-Field: a%cEvil: x\r\n\r\n",
+		"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: ec%cho\r\n\r\n",
+	}
+	for b := byte(1); b <= 0x7f; b++ {
+		if b >= ' ' && b < 0x7f || b == '\t' || b == '\n' { // a line end is the end of the backend's own field
+			continue
+		}
+		for _, form := range forms {
+			answers = append(answers, fmt.Sprintf(form, b))
+		}
+	}
+	return answers
+}
+
+// Guards against fields of backends that end their line towards clients, in heads, trailers and the answer to an upgrade: the client
+// gets a well-formed answer without them, or its connection ends. Each answer has a pool of its own, since a backend that fails gets
+// less traffic.
+func TestInvalidFieldsOfBackendsReachNoClient(t *testing.T) {
+	answers := invalidAnswers()
+	var asked atomic.Int64
+	backend := standin.NewRaw(t, "127.0.0.1:0", func(c net.Conn, r *bufio.Reader) {
+		if req, err := http.ReadRequest(r); err == nil {
+			asked.Add(1)
+			i, _ := strconv.Atoi(req.URL.Path[1:])
+			io.WriteString(c, answers[i])
+		}
+	}).Listener.Addr().String()
+	pools, locations := "", "[[server]]\n"
+	for i := range answers {
+		pools += fmt.Sprintf("[[pool]]\nname = \"p%d\"\nboxes = [ { address = %q } ]\n", i, backend)
+		locations += fmt.Sprintf("[[server.location]]\nmatch = \"exact\"\npath = \"/%d\"\n[[server.location.route]]\npool = \"p%d\"\nupgrade = true\n", i, i)
+	}
+	n := serve(t, pools+locations, nil)
+	for i, text := range answers {
+		c, err := net.Dial("tcp", n.Addr("web"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(standin.Patience))
+		fmt.Fprintf(c, "POST /%d HTTP/1.1\r\nHost: shop.mn\r\nConnection: close, upgrade\r\nUpgrade: echo\r\n\r\n", i)
+		got, _ := io.ReadAll(c) // a cut answer may end with a reset
+		c.Close()
+		if len(got) == 0 {
+			continue
+		}
+		status, fields, rest, err := strict.ParseAnswerHead(got)
+		isCut := strings.Contains(text, "Trailer") && !bytes.HasSuffix(rest, []byte("0\r\n\r\n"))
+		if err != nil || status < 400 && !isCut || len(fields.Values("X-Field"))+len(fields.Values("Evil")) > 0 || bytes.Contains(rest, []byte("Evil")) {
+			t.Errorf("backend answered %q, client got %q: %v", text, got, err)
+		}
+	}
+	if asked.Load() != int64(len(answers)) {
+		t.Errorf("%d requests reached the backend, %d expected", asked.Load(), len(answers))
+	}
+}
