serve: the reading of a request in short functions

Each has a function of its own now; order and results are as before. One order matters and has a test: the Host is expanded after the header is prepared, so an untrusted client's X-Forwarded-Host chooses no Host (TestHostIsExpandedFromThePreparedHeader). bufferUsual is defaultHeldBytes.

--- a/internal/front/http/request.go
+++ b/internal/front/http/request.go
@@ -13,91 +13,132 @@
 	"glencart/route"
 )
 
-// bufferUsual is how much of a body is held so that it can be sent again.
-const bufferUsual = 64 << 10
+// defaultHeldBytes is how much of a body is held so that it can be sent again, where the file does not say.
+const defaultHeldBytes = 64 << 10
 
-// read makes a message of a client's request: headers, and the body or the first part of it. An error comes with the
-// status to answer.
+// errBodyTooLong reports a body over the limit of its route.
+var errBodyTooLong = errors.New("the body is too long")
+
+// read converts a client's request to a message, with its body or the first part of it. An error comes with the status of the answer;
+// errTurned has been answered.
 func (c *visit) read(path string) (*engine.Request, *message, int, error) {
-	hr, s := c.hr, c.gen.site
-	class := c.tg.other
-	switch hr.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		class = c.tg.safe
-	}
-	k := &s.Classes[class]
-	keys := hr.Header["Idempotency-Key"]
-	if k.Effect == "keyed" && (len(keys) != 1 || keys[0] == "") {
+	class := c.class()
+	k := &c.gen.site.Classes[class]
+	if keys := c.hr.Header["Idempotency-Key"]; k.Effect == "keyed" && (len(keys) != 1 || keys[0] == "") {
 		return nil, nil, http.StatusBadRequest, errors.New("Idempotency-Key: exactly one is needed here")
 	}
-	bodyMost := s.Limits.Body
+	maxBody := c.maxBodyBytes()
+	if maxBody > 0 && c.hr.ContentLength > maxBody {
+		return nil, nil, http.StatusRequestEntityTooLarge, errBodyTooLong
+	}
+	m := &message{client: clients.FromContext(c.hr.Context()), method: c.hr.Method, target: c.target(path), length: c.hr.ContentLength,
+		unsafe: k.Effect == "unsafe", within: time.Duration(k.Deadline), ready: make(chan struct{}), pumped: make(chan struct{})}
+	id := c.start + strconv.FormatUint(c.number.Add(1), 36)
+	header := c.prepareHeader(m, id)
+	m.host = c.host() // its variables have the values of the prepared header
+	if err := m.encodeHead(header); err != nil {
+		return nil, nil, http.StatusBadRequest, err
+	}
+	r := &engine.Request{ID: id, Class: class, Tenant: -1, Message: m, Reply: make(chan engine.Answer, 1)}
+	c.findTenant(r, m)
+	if in, ok := c.letIn(r); !ok {
+		c.turn(in)
+		return nil, nil, 0, errTurned
+	}
+	if c.hr.ContentLength != 0 && !m.upgrade {
+		if status, err := c.body(m, maxBody); err != nil {
+			return nil, nil, status, err
+		}
+	}
+	r.Deadline = c.deadline(m)
+	if m.rest == nil {
+		c.rc.SetReadDeadline(time.Time{}) // one that passes while the request is served would look as if the client had gone
+	}
+	return r, m, 0, nil
+}
+
+// class returns the index of the request's class.
+func (c *visit) class() int {
+	switch c.hr.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return c.tg.safe
+	}
+	return c.tg.other
+}
+
+// maxBodyBytes returns the limit on the body; 0: none.
+func (c *visit) maxBodyBytes() int64 {
 	if c.tg.Body != nil {
-		bodyMost = *c.tg.Body
+		return int64(*c.tg.Body)
+	}
+	return int64(c.gen.site.Limits.Body)
+}
+
+// target returns the request target for backends: as received, unless the route rewrites its path.
+func (c *visit) target(path string) string {
+	if c.tg.Rewrite != nil {
+		path = route.Escape(route.Rewrite(c.vars.uri, c.tg.Location.Path, *c.tg.Rewrite))
 	}
-	if bodyMost > 0 && hr.ContentLength > int64(bodyMost) {
-		return nil, nil, http.StatusRequestEntityTooLarge, errors.New("the body is too long")
+	if query := c.hr.URL.RawQuery; query != "" || c.hr.URL.ForceQuery {
+		return path + "?" + query
 	}
-	m := &message{client: clients.FromContext(hr.Context()), method: hr.Method, host: hr.Host, length: hr.ContentLength, unsafe: k.Effect == "unsafe", within: time.Duration(k.Deadline),
-		ready: make(chan struct{}), pumped: make(chan struct{})}
+	return path
+}
+
+// host returns the Host for backends.
+func (c *visit) host() string {
+	if c.tg.Host == "" {
+		return c.hr.Host
+	}
+	return c.vars.expand(c.tg.Host, inField)
+}
+
+// prepareHeader changes the header of the client's request to the one for backends, and notes whether the message asks for an upgrade.
+func (c *visit) prepareHeader(m *message, id string) http.Header {
+	h := c.hr.Header
 	protocol := ""
 	if c.tg.Upgrade {
-		protocol = upgrades(hr.Header)
+		protocol = upgrades(h)
 	}
-	h := hr.Header
 	strip(h)
 	c.vars.forward(h, c.gen.trusted)
-	id := c.start + strconv.FormatUint(c.number.Add(1), 36)
 	if h.Get("X-Request-Id") == "" {
 		h["X-Request-Id"] = []string{id}
 	}
 	c.vars.apply(h, c.tg.Set)
 	if protocol != "" {
-		m.upgrade = true
+		m.upgrade, m.length = true, 0
 		h["Upgrade"] = []string{protocol}
-		m.length = 0
-	}
-	if c.tg.Host != "" {
-		m.host = c.vars.expand(c.tg.Host, inField)
 	}
-	m.target = path
-	if c.tg.Rewrite != nil {
-		m.target = route.Escape(route.Rewrite(c.vars.uri, c.tg.Location.Path, *c.tg.Rewrite))
-	}
-	if q := hr.URL.RawQuery; q != "" || hr.URL.ForceQuery {
-		m.target += "?" + q
-	}
-	if err := m.encodeHead(h); err != nil {
-		return nil, nil, http.StatusBadRequest, err
-	}
-	r := &engine.Request{ID: id, Class: class, Tenant: -1, Message: m, Reply: make(chan engine.Answer, 1)}
-	if name := s.Node.Tenant; name != "" {
-		if i, ok := c.gen.tenants[hr.Header.Get(name)]; ok {
-			r.Tenant = i
-			if i < len(c.gen.used) {
-				m.tenant = c.gen.used[i]
-			}
-		}
+	return h
+}
+
+// findTenant sets the tenant of a request, if the file has it.
+func (c *visit) findTenant(r *engine.Request, m *message) {
+	name := c.gen.site.Node.Tenant
+	if name == "" {
+		return
 	}
-	if in, ok := c.letIn(r); !ok {
-		c.turn(in)
-		return nil, nil, 0, errTurned
+	i, ok := c.gen.tenants[c.hr.Header.Get(name)]
+	if !ok {
+		return
 	}
-	if hr.ContentLength != 0 && !m.upgrade {
-		if status, err := c.body(m, int64(bodyMost)); err != nil {
-			return nil, nil, status, err
-		}
+	r.Tenant = i
+	if i < len(c.gen.used) {
+		m.tenant = c.gen.used[i]
 	}
+}
+
+// deadline returns when the request has to be answered. The time of one with a body begins with the body's last byte.
+func (c *visit) deadline(m *message) time.Time {
 	if m.rest != nil {
-		r.Deadline = time.Now().Add(streamWithin)
-	} else {
-		// A deadline that passes while the request is served would look as if the client had gone.
-		c.rc.SetReadDeadline(time.Time{})
-		r.Deadline = c.log.began.Add(time.Duration(k.Deadline) - early)
-		if now := time.Now(); hr.ContentLength != 0 { // it may have taken long to come
-			r.Deadline = now.Add(time.Duration(k.Deadline) - early)
-		}
+		return time.Now().Add(streamWithin)
 	}
-	return r, m, 0, nil
+	began := c.log.began
+	if c.hr.ContentLength != 0 {
+		began = time.Now()
+	}
+	return began.Add(m.within - early)
 }
 
 // body reads as much of a body as is held. One that ends within it can be sent again; what is longer streams.
@@ -107,7 +148,7 @@
 	if most > 0 {
 		from = http.MaxBytesReader(c.w, hr.Body, most)
 	}
-	hold := c.gen.site.Limits.Buffer.Or(bufferUsual)
+	hold := c.gen.site.Limits.Buffer.Or(defaultHeldBytes)
 	extend := func(d time.Duration) {
 		if d == 0 {
 			c.rc.SetReadDeadline(time.Time{})
@@ -125,7 +166,7 @@
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
-		return http.StatusRequestEntityTooLarge, errors.New("the body is too long")
+		return http.StatusRequestEntityTooLarge, errBodyTooLong
 	case err != nil:
 		return http.StatusRequestTimeout, errors.New("the body was cut short")
 	case n == hr.ContentLength:
@@ -145,7 +186,7 @@
 			return http.StatusBadRequest, err
 		}
 	}
-	c.rc.EnableFullDuplex() // a box may answer before the body is over
+	c.rc.EnableFullDuplex() // a backend may answer before the body is over
 	m.rest, m.extend = from, extend
 	return 0, nil
 }
--- a/internal/front/http/variables_test.go
+++ b/internal/front/http/variables_test.go
@@ -297,3 +297,33 @@
 		}
 	}
 }
+
+// Guards against a Host that an untrusted client chooses: its X-Forwarded-Host is deleted before the variables of route.host are
+// expanded, and headers that the route sets count.
+func TestHostIsExpandedFromThePreparedHeader(t *testing.T) {
+	backend := newRecorder(t)
+	n := serve(t, `
+[[pool]]
+name = "menu"
+boxes = [ { id = "menu-1", address = "{menu}" } ]
+[[server]]
+  [[server.location]]
+  path = "/forwarded"
+    [[server.location.route]]
+    pool = "menu"
+    host = "$http_x_forwarded_host"
+  [[server.location]]
+  path = "/set"
+    [[server.location.route]]
+    pool = "menu"
+    host = "$http_x_shop:8080"
+    set = [ { name = "X-Shop", value = "menu.mn" } ]
+`, map[string]string{"menu": backend.addr})
+	for target, want := range map[string]string{"/forwarded": "shop.mn", "/set": "menu.mn:8080"} {
+		status, _, _ := n.ask("GET " + target + " HTTP/1.1\r\nHost: shop.mn\r\nX-Forwarded-Host: evil.mn\r\nX-Shop: evil.mn\r\nConnection: close\r\n\r\n")
+		received := backend.take(t)
+		if status != http.StatusOK || len(received) != 1 || received[0].Fields.Values("Host")[0] != want {
+			t.Errorf("%s: answered %d, backend received %+v, expected Host %s", target, status, received, want)
+		}
+	}
+}
