serve: constants have the names that the node uses, nothing else changed

Limits are max..., times are ...Timeout, ...Interval or ...Margin: maxDrainBytes, drainTimeout, streamTimeout, deadlineMargin, fullRetryAfter, maxInformational, maxHeldAnswerBytes, earlyAnswerTimeout, probeTimeout, maxAnswerHeadBytes, maxUnsafeIdleAge, knockInterval, listenTimeout. One comment named a constant that did not exist.

--- a/internal/front/http/attempt.go
+++ b/internal/front/http/attempt.go
@@ -22,15 +22,15 @@
 )
 
 const (
-	// maxAnswerBytes bounds an answer that is held whole before it goes to the client: one that breaks can still be asked
+	// maxHeldAnswerBytes bounds an answer that is held whole before it goes to the client: one that breaks can still be asked
 	// for again. Longer ones, and those that don't tell their length, go on as they come.
-	answerMost = 64 << 10
-	// informMost is how many 1xx answers may come ahead of the one that counts.
-	informMost = 8
-	// answerSoon is how long an answer may take of a box that took only a part of a body.
-	answerSoon = time.Second
-	// probeWithin is how long a probe may take.
-	probeWithin = 150 * time.Millisecond
+	maxHeldAnswerBytes = 64 << 10
+	// maxInformational is how many 1xx answers may come ahead of the one that counts.
+	maxInformational = 8
+	// earlyAnswerTimeout is how long an answer may take of a box that took only a part of a body.
+	earlyAnswerTimeout = time.Second
+	// probeTimeout is how long a probe may take.
+	probeTimeout = 150 * time.Millisecond
 	// reportHeader carries a load report, neverRanHeader tells that a request never ran: from a box, and to a client
 	// with this node's own refusals.
 	reportHeader, neverRanHeader = "Endpoint-Load-Metrics", "X-Never-Ran"
@@ -99,7 +99,7 @@
 	}
 	request := upstream.Request{NeedsNew: m.upgrade} // what follows an upgrade is not counted in answers
 	if m.unsafe {
-		request.MaxIdleAge = freshFor
+		request.MaxIdleAge = maxUnsafeIdleAge
 	}
 	cn, err := x.conns.ready(ctx, a.To, request)
 	if err != nil {
@@ -257,7 +257,7 @@
 				case m.cut.Load():
 					cn.Close()
 				case err != nil: // a box that takes no more may have answered
-					cn.SetReadDeadline(time.Now().Add(answerSoon))
+					cn.SetReadDeadline(time.Now().Add(earlyAnswerTimeout))
 				default:
 					cn.SetReadDeadline(time.Now().Add(m.within))
 				}
@@ -267,8 +267,8 @@
 		}()
 	}
 	req := &http.Request{Method: m.method}
-	for range informMost {
-		cn.Limit.N = headMost
+	for range maxInformational {
+		cn.Limit.N = maxAnswerHeadBytes
 		resp, err := http.ReadResponse(cn.Reader, req)
 		if err != nil {
 			if cn.Limit.N <= 0 {
@@ -340,16 +340,16 @@
 		x.conns.Discard(cn, upstream.OrderLost)
 		return nil, 0, errOrderLost
 	}
-	if st == balance.Delivered && (resp.ContentLength < 0 || resp.ContentLength > answerMost) && m.method != http.MethodHead {
+	if st == balance.Delivered && (resp.ContentLength < 0 || resp.ContentLength > maxHeldAnswerBytes) && m.method != http.MethodHead {
 		re.body = resp.Body
 		cn.SetDeadline(time.Time{})
 		return re, st, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, answerMost+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldAnswerBytes+1))
 	switch {
 	case err != nil:
 		return nil, 0, err
-	case len(body) > answerMost:
+	case len(body) > maxHeldAnswerBytes:
 		return nil, 0, errors.New("an error's body is too long to be held")
 	}
 	if !ex.isProbe && !x.conns.AcceptsAnswer(cn, reuse.Answer{Elapsed: time.Since(ex.writtenAt)}, ex.deadline) {
@@ -365,7 +365,7 @@
 // Probe asks a box for its load report.
 func (x *transport) Probe(to engine.Endpoint, told func(engine.Result)) {
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), probeWithin)
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
 		m := &message{method: http.MethodGet, target: x.probe, host: probeHost(to.Addr)}
 		if err := m.encodeHead(nil); err != nil {
@@ -378,7 +378,7 @@
 			told(engine.Result{Status: balance.DialFailed})
 			return
 		}
-		ex := &exchange{conn: cn, writtenAt: time.Now(), deadline: time.Now().Add(probeWithin), isProbe: true}
+		ex := &exchange{conn: cn, writtenAt: time.Now(), deadline: time.Now().Add(probeTimeout), isProbe: true}
 		cn.SetDeadline(ex.deadline)
 		_, err = cn.Write(m.encode())
 		var re *reply
--- a/internal/front/http/conns.go
+++ b/internal/front/http/conns.go
@@ -17,11 +17,11 @@
 )
 
 const (
-	// headMost bounds the head of a backend's answer, in bytes.
-	headMost = 64 << 10
-	// freshFor is how long a connection may have been idle that carries an unsafe request. A backend closes idle connections
+	// maxAnswerHeadBytes bounds the head of a backend's answer, in bytes.
+	maxAnswerHeadBytes = 64 << 10
+	// maxUnsafeIdleAge is how long a connection may have been idle that carries an unsafe request. A backend closes idle connections
 	// when it likes, and a request that crosses that is one that may have run.
-	freshFor = 500 * time.Millisecond
+	maxUnsafeIdleAge = 500 * time.Millisecond
 	// defaultIdleTimeout is how long a connection may be idle, and defaultMaxIdle is how many may be to one backend, where the
 	// file does not say.
 	defaultIdleTimeout, defaultMaxIdle = 4 * time.Second, 64
--- a/internal/front/http/front_test.go
+++ b/internal/front/http/front_test.go
@@ -179,7 +179,7 @@
 		{"half a head", func(c net.Conn, r *http.Request) { io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-"); c.Close() }, 200, 502, false},
 		{"noise", func(c net.Conn, r *http.Request) { io.WriteString(c, "\x00\x01\x02 what\r\n\r\n"); c.Close() }, 200, 502, false},
 		{"a head without end", func(c net.Conn, r *http.Request) {
-			io.WriteString(c, "HTTP/1.1 200 OK\r\nX: "+strings.Repeat("x", 2*headMost))
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nX: "+strings.Repeat("x", 2*maxAnswerHeadBytes))
 		}, 200, 502, false},
 		{"half of a short body", func(c net.Conn, r *http.Request) {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
@@ -195,7 +195,7 @@
 			io.WriteString(c, "HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
 		}, 200, 200, false},
 		{"1xx without end", func(c net.Conn, r *http.Request) {
-			io.WriteString(c, strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 2*informMost)+fine)
+			io.WriteString(c, strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 2*maxInformational)+fine)
 			c.Close()
 		}, 200, 502, false},
 		{"101 that nobody asked for", func(c net.Conn, r *http.Request) {
--- a/internal/front/http/handle.go
+++ b/internal/front/http/handle.go
@@ -20,16 +20,16 @@
 )
 
 const (
-	// streamWithin bounds a request whose body streams: its idle times are what counts.
-	streamWithin = 24 * time.Hour
-	// early is how much sooner than its class's deadline a request ends, so that the answer is there in time.
-	early = 5 * time.Millisecond
-	// drainMost and drainWithin bound what is read of a body that is turned away.
-	drainMost, drainWithin = 16 << 20, 2 * time.Second
+	// streamTimeout bounds a request whose body streams: its idle times are what counts.
+	streamTimeout = 24 * time.Hour
+	// deadlineMargin is how much sooner than its class's deadline a request ends, so that the answer is there in time.
+	deadlineMargin = 5 * time.Millisecond
+	// maxDrainBytes and drainTimeout bound what is read of a body that is turned away.
+	maxDrainBytes, drainTimeout = 16 << 20, 2 * time.Second
 	// pumpGrace is how long a body may take to end that an answer has overtaken.
 	pumpGrace = 100 * time.Millisecond
-	// fullRetry is when a client may come back that was refused because the node is full.
-	fullRetry = 250 * time.Millisecond
+	// fullRetryAfter is when a client may come back that was refused because the node is full.
+	fullRetryAfter = 250 * time.Millisecond
 )
 
 // visit is one request of a client, from its head to the end of its answer.
@@ -81,20 +81,20 @@
 	}()
 	if !l.table.Begin(hr.Context()) { // it gives way, or the process ends
 		w.Header().Set("Connection", "close")
-		c.refuse(fullRetry, true)
+		c.refuse(fullRetryAfter, true)
 		return
 	}
 	if l.table.IsCrowded() {
 		w.Header().Set("Connection", "close") // after an answer crosses no request, as closing an idle connection may
 	}
-	c.rc.SetWriteDeadline(c.log.began.Add(streamWithin))
+	c.rc.SetWriteDeadline(c.log.began.Add(streamTimeout))
 	most := int64(g.site.Limits.Requests)
 	if most == 0 {
 		most = math.MaxInt64
 	}
 	if v.open.Add(1) > most {
 		v.open.Add(-1)
-		c.refuse(fullRetry, true)
+		c.refuse(fullRetryAfter, true)
 		return
 	}
 	defer v.open.Add(-1)
@@ -320,8 +320,8 @@
 // the answer.
 func (c *visit) drain() {
 	c.rc.Flush()
-	c.rc.SetReadDeadline(time.Now().Add(drainWithin))
-	io.CopyN(io.Discard, c.hr.Body, drainMost)
+	c.rc.SetReadDeadline(time.Now().Add(drainTimeout))
+	io.CopyN(io.Discard, c.hr.Body, maxDrainBytes)
 }
 
 // fixed answers as the route says.
--- a/internal/front/http/pool.go
+++ b/internal/front/http/pool.go
@@ -22,8 +22,8 @@
 	"glencart/reserve"
 )
 
-// knockEvery is how often a box is knocked at that refused a connection.
-const knockEvery = 500 * time.Millisecond
+// knockInterval is how often a box is knocked at that refused a connection.
+const knockInterval = 500 * time.Millisecond
 
 // freeRetries is how many attempts a second may be sent again in a pool with hardly any traffic.
 const freeRetries = 3
@@ -259,7 +259,7 @@
 		select {
 		case <-q.ctx.Done():
 			return
-		case <-time.After(knockEvery):
+		case <-time.After(knockInterval):
 		}
 		c, err := q.conns.dial(q.ctx, to.Addr)
 		if err == nil {
--- a/internal/front/http/request.go
+++ b/internal/front/http/request.go
@@ -132,13 +132,13 @@
 // deadline returns when the request has to be answered. The time of one with a body begins with the body's last byte.
 func (c *visit) deadline(m *message) time.Time {
 	if m.rest != nil {
-		return time.Now().Add(streamWithin)
+		return time.Now().Add(streamTimeout)
 	}
 	began := c.log.began
 	if c.hr.ContentLength != 0 {
 		began = time.Now()
 	}
-	return began.Add(m.within - early)
+	return began.Add(m.within - deadlineMargin)
 }
 
 // body reads as much of a body as is held. One that ends within it can be sent again; what is longer streams.
--- a/internal/front/http/server.go
+++ b/internal/front/http/server.go
@@ -327,12 +327,12 @@
 // headTimeout is how long a client may take to send a head.
 func headWithin(s *site.Site) time.Duration { return s.Limits.HeadWithin.Or(10 * time.Second) }
 
-// listenWithin is how long an address is tried for that can't be had at the start: it may be a process's that is just ending.
-const listenWithin = 3 * time.Second
+// listenTimeout is how long an address is tried for that can't be had at the start: it may be a process's that is just ending.
+const listenTimeout = 3 * time.Second
 
 // listen opens a listener.
 func listen(address string) (l net.Listener, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), listenWithin)
+	ctx, cancel := context.WithTimeout(context.Background(), listenTimeout)
 	defer cancel()
 	err = sock.Retry(ctx, func() (err error) {
 		l, err = net.Listen("tcp", address)
