serve: comments of the request's way in ordinary technical words

handle.go, answer.go, message.go, attempt.go, headers.go: backends in place of boxes, and what is done in place of what is told. One local is renamed, nothing else changed. Tests of the package green.

--- a/internal/front/http/answer.go
+++ b/internal/front/http/answer.go
@@ -13,7 +13,7 @@
 	"glencart/internal/http1"
 )
 
-// answer words what the engine has decided where no box's answer is to be passed on as it is.
+// answer writes the engine's answer to a request that no backend served.
 func (c *visit) answer(m *message, a engine.Answer) {
 	switch a.Kind {
 	case engine.Refused:
@@ -22,9 +22,9 @@
 		c.log.end = "failed"
 		if re, ok := a.Body.(*reply); ok && !a.Late {
 			if a.MayHaveRun {
-				delete(re.header, neverRanHeader) // true of this box, and not of one that was asked before
+				delete(re.header, neverRanHeader) // true of this backend, and not of those before it
 			}
-			c.pass(re) // the box's own words for its failure
+			c.pass(re) // the backend's own error
 			c.log.end = "failed"
 			return
 		}
@@ -41,7 +41,7 @@
 	}
 }
 
-// pass gives a box's answer to the client.
+// pass sends the answer of a backend to the client.
 func (c *visit) pass(re *reply) {
 	c.log.end, c.log.status, c.log.box = "served", re.status, re.to.ID
 	if re.tunnel != nil {
@@ -54,7 +54,7 @@
 		h[name] = values
 	}
 	if re.header["Content-Type"] == nil {
-		h["Content-Type"] = nil // none was given: guess none
+		h["Content-Type"] = nil // otherwise net/http guesses one
 	}
 	if re.header["Date"] == nil {
 		h["Date"] = nil
@@ -72,7 +72,7 @@
 		c.log.bytes = int64(n)
 		return
 	}
-	defer re.drop() // nothing, after a clean end
+	defer re.drop() // no effect after a clean end
 	if t := re.trailer(); len(t) > 0 {
 		names := make([]string, 0, len(t))
 		for name := range t {
@@ -83,7 +83,7 @@
 	c.head(re.status)
 	if err := c.copy(re); err != nil {
 		c.log.end = "cut"
-		panic(http.ErrAbortHandler) // the client can tell that it is not whole
+		panic(http.ErrAbortHandler) // the client sees that the answer is not whole
 	}
 	for name, values := range re.trailer() {
 		for _, v := range values {
@@ -93,9 +93,10 @@
 	re.release(true)
 }
 
+// buffers are used to copy bodies.
 var buffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
 
-// copy passes a body on as it comes, in bounded memory.
+// copy sends a body to the client as it arrives, in bounded memory.
 func (c *visit) copy(re *reply) error {
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
@@ -110,7 +111,7 @@
 			if werr != nil {
 				return werr
 			}
-			if re.length < 0 { // what tells no length may be a stream of events
+			if re.length < 0 { // an answer without a length may be a stream of events
 				if ferr := c.rc.Flush(); ferr != nil {
 					return ferr
 				}
@@ -125,9 +126,9 @@
 	}
 }
 
-// tunnel carries bytes both ways after a change of protocol, until either side ends.
+// tunnel copies bytes both ways after a change of protocol, until one side ends.
 func (c *visit) tunnel(re *reply) {
-	box := re.tunnel
+	backend := re.tunnel
 	head, err := re.encodeUpgraded()
 	if err != nil {
 		re.drop()
@@ -158,18 +159,18 @@
 	}
 	ended := make(chan int64, 2)
 	go func() {
-		n, _ := io.Copy(client, box.Reader)
+		n, _ := io.Copy(client, backend.Reader)
 		closeWrite(client)
 		ended <- n
 	}()
 	go func() {
-		io.Copy(box, rw)
-		closeWrite(box.Conn)
+		io.Copy(backend, rw)
+		closeWrite(backend.Conn)
 		ended <- 0
 	}()
 	c.log.bytes += <-ended
-	// One side has ended: what the other still has to say may take as long as a pause within an answer.
-	t := time.AfterFunc(c.idle, func() { client.Close(); box.Close() })
+	// One side has ended. The other may pause as long as within an answer.
+	t := time.AfterFunc(c.idle, func() { client.Close(); backend.Close() })
 	defer t.Stop()
 	c.log.bytes += <-ended
 }
@@ -183,6 +184,7 @@
 	return append(head, "\r\n"...), err
 }
 
+// closeWrite closes the writing side of a connection, or all of it if it has no sides.
 func closeWrite(c net.Conn) {
 	if w, ok := c.(interface{ CloseWrite() error }); ok {
 		w.CloseWrite()
--- a/internal/front/http/attempt.go
+++ b/internal/front/http/attempt.go
@@ -22,28 +22,28 @@
 )
 
 const (
-	// maxHeldAnswerBytes bounds an answer that is held whole before it goes to the client: one that breaks can still be asked
-	// for again. Longer ones, and those that don't tell their length, go on as they come.
+	// maxHeldAnswerBytes bounds an answer that is held whole before it goes to the client. One that breaks before its end can
+	// be requested again. Longer answers, and those without a length, go to the client as they arrive.
 	maxHeldAnswerBytes = 64 << 10
 	// maxInformational is how many 1xx answers may come ahead of the one that counts.
 	maxInformational = 8
-	// earlyAnswerTimeout is how long an answer may take of a box that took only a part of a body.
+	// earlyAnswerTimeout is how long a backend that has read only a part of a body may take to answer.
 	earlyAnswerTimeout = time.Second
 	// probeTimeout is how long a probe may take.
 	probeTimeout = 150 * time.Millisecond
-	// reportHeader carries a load report, neverRanHeader tells that a request never ran: from a box, and to a client
-	// with this node's own refusals.
+	// reportHeader carries a load report. neverRanHeader marks an answer to a request that never ran, of a backend and of this
+	// process.
 	reportHeader, neverRanHeader = "Endpoint-Load-Metrics", "X-Never-Ran"
 )
 
-// transport sends attempts to the boxes of one pool. Each runs in a goroutine of its own on one connection, goes out as
-// one Write (what streams: its head and the part of its body that is held), and is never sent again from here.
+// transport sends attempts to the backends of one pool. Each runs in a goroutine of its own on one connection and is written with one
+// Write: all of it, or the head and the held part of a body that streams. transport retries nothing.
 type transport struct {
 	conns   *conns
 	probe   string
 	reports bool
 	idle    time.Duration                             // between two writes of a body
-	ended   func(to engine.Endpoint, end reserve.End) // told before the engine is
+	ended   func(to engine.Endpoint, end reserve.End) // called before the engine has the result
 	report  func(string) (balance.Load, error)
 	log     *lograte.Limited
 }
@@ -82,7 +82,7 @@
 // Cancel closes the attempt's connection.
 func (x *transport) Cancel(a *engine.Attempt) { a.State.(*call).cancel() }
 
-// CloseIdle ends the idle connections to a box.
+// CloseIdle closes the idle connections to a backend.
 func (x *transport) CloseIdle(to engine.Endpoint) { x.conns.Drop(to) }
 
 // exchange carries out one attempt on one connection, once.
@@ -104,7 +104,7 @@
 	cn, err := x.conns.ready(ctx, a.To, request)
 	if err != nil {
 		switch {
-		case errors.Is(ctx.Err(), context.Canceled), sock.IsLocalError(err): // says nothing of the box
+		case errors.Is(ctx.Err(), context.Canceled), sock.IsLocalError(err): // not the fault of the backend
 			end(balance.Unused, nil)
 		case errors.Is(err, syscall.ECONNREFUSED):
 			x.ended(a.To, reserve.Refused)
@@ -210,7 +210,7 @@
 	return status
 }
 
-// broken tells how an attempt ended that was written whole and got no whole answer. It may have run.
+// broken returns the status of an attempt that was written whole and got no whole answer. It may have run.
 func broken(ctx context.Context, err error) balance.Status {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -221,12 +221,12 @@
 	return balance.Dropped
 }
 
-// reply is a box's answer.
+// reply is the answer of a backend.
 type reply struct {
 	status  int
 	header  http.Header
 	trailer func() http.Header // after the body
-	length  int64              // -1: not told
+	length  int64              // -1: unknown
 	held    []byte             // the body, if it is held whole
 	body    io.Reader          // or where it comes from
 	tunnel  *upstream.Conn     // or what was upgraded
@@ -256,7 +256,7 @@
 				switch {
 				case m.cut.Load():
 					cn.Close()
-				case err != nil: // a box that takes no more may have answered
+				case err != nil: // a backend that reads no further may have answered
 					cn.SetReadDeadline(time.Now().Add(earlyAnswerTimeout))
 				default:
 					cn.SetReadDeadline(time.Now().Add(m.within))
@@ -362,7 +362,7 @@
 	return re, st, nil
 }
 
-// Probe asks a box for its load report.
+// Probe requests the load report of a backend.
 func (x *transport) Probe(to engine.Endpoint, told func(engine.Result)) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
--- a/internal/front/http/handle.go
+++ b/internal/front/http/handle.go
@@ -20,19 +20,19 @@
 )
 
 const (
-	// streamTimeout bounds a request whose body streams: its idle times are what counts.
+	// streamTimeout bounds a request whose body streams. Its idle times are bounded too.
 	streamTimeout = 24 * time.Hour
-	// deadlineMargin is how much sooner than its class's deadline a request ends, so that the answer is there in time.
+	// deadlineMargin is how much sooner than the deadline of its class a request ends. The way of the answer takes part of the time.
 	deadlineMargin = 5 * time.Millisecond
-	// maxDrainBytes and drainTimeout bound what is read of a body that is turned away.
+	// maxDrainBytes and drainTimeout bound what is read of the body of a rejected request.
 	maxDrainBytes, drainTimeout = 16 << 20, 2 * time.Second
-	// pumpGrace is how long a body may take to end that an answer has overtaken.
+	// pumpGrace is how long a body may take to end after the answer.
 	pumpGrace = 100 * time.Millisecond
-	// fullRetryAfter is when a client may come back that was refused because the node is full.
+	// fullRetryAfter is the retry-after of a request that is rejected because the process is full.
 	fullRetryAfter = 250 * time.Millisecond
 )
 
-// visit is one request of a client, from its head to the end of its answer.
+// visit is the handling of one request of a client, from its head to the end of its answer.
 type visit struct {
 	*Server
 	w    http.ResponseWriter
@@ -45,10 +45,10 @@
 	idle time.Duration
 
 	shed   shedding
-	handed bool // the connection is not HTTP's any more, and the request counts as answered
+	handed bool // the connection is a tunnel, and the request counts as answered
 }
 
-// head writes the head of the answer. Who is answered while the process ends is to ask elsewhere next.
+// head writes the head of the answer. While the process shuts down it closes the connection, so that the client connects elsewhere.
 func (c *visit) head(status int) {
 	if c.closing.Load() {
 		c.w.Header().Set("Connection", "close")
@@ -79,13 +79,13 @@
 			v.book.Answered.Add(1)
 		}
 	}()
-	if !l.table.Begin(hr.Context()) { // it gives way, or the process ends
+	if !l.table.Begin(hr.Context()) { // the connection is being closed to make room, or the process shuts down
 		w.Header().Set("Connection", "close")
 		c.refuse(fullRetryAfter, true)
 		return
 	}
 	if l.table.IsCrowded() {
-		w.Header().Set("Connection", "close") // after an answer crosses no request, as closing an idle connection may
+		w.Header().Set("Connection", "close") // closing an idle connection may cross a request; closing after an answer can't
 	}
 	c.rc.SetWriteDeadline(c.log.began.Add(streamTimeout))
 	most := int64(g.site.Limits.Requests)
@@ -127,7 +127,7 @@
 	}
 }
 
-// find looks a request up. A path that can't be normalised is found nowhere.
+// find returns the route of a request. A path that can't be normalized has none.
 func (c *visit) find(listener, raw string) route.Match {
 	uri, err := route.Normalize(raw, true)
 	if err != nil {
@@ -144,7 +144,7 @@
 	return m
 }
 
-// here answers without any box.
+// here answers without a backend.
 func (c *visit) here(status int, text string) {
 	c.log.end, c.log.status = "here", status
 	if text == "" {
@@ -159,8 +159,8 @@
 	c.log.bytes = int64(n)
 }
 
-// refuse tells the client that trying again is harmless, and when it may do so. That it never ran is told where that is
-// known: what is safe may be refused when it has run.
+// refuse answers that a retry does no harm, and after which time. neverRan adds that no attempt has run, which is not known of every
+// safe request.
 func (c *visit) refuse(in time.Duration, neverRan bool) {
 	if in > 0 {
 		c.w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(in.Seconds()))))
@@ -173,7 +173,7 @@
 	c.log.end = "refused"
 }
 
-// route deals with a request whose route is known.
+// route handles a request whose route is known.
 func (c *visit) route(path string) {
 	if !allowed(c.tg.access, c.vars.remote) {
 		c.here(http.StatusForbidden, "")
@@ -187,7 +187,7 @@
 	s := c.session()
 	r, m, status, err := c.read(path)
 	if err == errTurned {
-		return // it has its answer
+		return // it has been answered
 	}
 	defer c.noted()
 	if err != nil {
@@ -243,7 +243,7 @@
 		case <-m.ready:
 			c.served(r, m)
 			if m.attempts.Load() > 1 {
-				delete(m.reply.header, neverRanHeader) // this box knows nothing of the others
+				delete(m.reply.header, neverRanHeader) // true of this backend, and not of those before it
 			}
 			m.tenant.Ask(true)
 			c.ended(t, m, nil)
@@ -260,8 +260,8 @@
 		case <-c.hr.Context().Done():
 			p.loop.Post(func() { p.loop.ClientGone(r) })
 			c.log.end = "gone"
-			panic(http.ErrAbortHandler) // returning would word an empty 200
-		case <-p.loop.Done(): // the node is ending
+			panic(http.ErrAbortHandler) // net/http would send an empty 200
+		case <-p.loop.Done(): // the pool has ended
 			c.here(http.StatusBadGateway, "")
 			c.log.end = "failed"
 		}
@@ -277,17 +277,17 @@
 	c.answer(m, a)
 }
 
-// close ends what a message holds.
+// close releases what a message holds.
 func (c *visit) close(m *message) {
 	c.log.attempts = m.attempts.Load()
 	late, pumping := m.leave()
 	if late != nil {
-		late.drop() // nothing, where the answer was passed on
+		late.drop() // no effect if the answer was passed on
 	}
 	switch {
 	case m.rest == nil:
 	case !pumping:
-		if c.log.status != 0 { // an answer has been worded
+		if c.log.status != 0 { // an answer has been written
 			c.drain()
 		}
 	default:
@@ -295,13 +295,12 @@
 	}
 }
 
-// stop ends the reading of a body: it belongs to this handler, and nobody may read on after it. A pump that has met the end
-// of the body is waited for, and one that may be about to is given a moment: a read deadline that passes behind the end
-// would end the connection under the client's next request. One that still waits for the client is broken off, and its
-// connection ends in any case, with the rest of the body unread.
+// stop ends the reading of a body, which must not outlive the handler. It waits for a pump that has reached the end of the body, and
+// pumpGrace for one that may be about to, because a read deadline that passes after the end would end the connection under the
+// client's next request. It interrupts a pump that still waits for the client. That connection ends with the rest of the body unread.
 func (c *visit) stop(m *message) {
 	if c.log.status != 0 {
-		c.rc.Flush() // the answer does not wait for this
+		c.rc.Flush() // the answer must not wait for the pump
 	}
 	t := time.NewTimer(pumpGrace)
 	defer t.Stop()
@@ -316,15 +315,15 @@
 	<-m.pumped
 }
 
-// drain reads on for a while where a body is turned away: closing with something unread makes a reset, which can overtake
-// the answer.
+// drain reads a part of the body of a rejected request. Closing a connection with unread bytes sends a reset, which can overtake the
+// answer.
 func (c *visit) drain() {
 	c.rc.Flush()
 	c.rc.SetReadDeadline(time.Now().Add(drainTimeout))
 	io.CopyN(io.Discard, c.hr.Body, maxDrainBytes)
 }
 
-// fixed answers as the route says.
+// fixed answers with the status of the route.
 func (c *visit) fixed() {
 	for _, h := range c.tg.Add {
 		c.w.Header().Set(h.Name, c.vars.expand(h.Value, inField))
--- a/internal/front/http/headers.go
+++ b/internal/front/http/headers.go
@@ -6,8 +6,8 @@
 	"strings"
 )
 
-// hopByHop are the headers that belong to one connection (RFC 9110, 7.6.1), beside those that Connection names, and what
-// this node words itself.
+// hopByHop are the headers that belong to one connection (RFC 9110, section 7.6.1), beside those that Connection names, and those that
+// each message gets anew.
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Host"}
 
@@ -35,12 +35,12 @@
 	return ""
 }
 
-// forward sets the headers that tell a box of the client. What came with the request is believed, and added to, only from
-// trusted networks; else a client could name any address as its own.
-func (a *variables) forward(h http.Header, trusted []netip.Prefix) {
+// forward sets the headers that describe the client to backends. Those that came with the request are kept, and added to, only if the
+// client is in a trusted network. Otherwise a client could claim any address.
+func (v *variables) forward(h http.Header, trusted []netip.Prefix) {
 	believed := false
 	for _, n := range trusted {
-		believed = believed || !n.IsValid() || n.Contains(a.remote)
+		believed = believed || !n.IsValid() || n.Contains(v.remote)
 	}
 	if !believed {
 		for _, name := range []string{"X-Forwarded-For", "X-Forwarded-Proto", "X-Forwarded-Host", "X-Forwarded-Port", "X-Real-Ip", "Forwarded"} {
@@ -53,17 +53,17 @@
 		}
 		h[name] = []string{value}
 	}
-	join("X-Forwarded-For", a.remote.String())
-	node := a.remote.String()
-	if a.remote.Is6() {
+	join("X-Forwarded-For", v.remote.String())
+	node := v.remote.String()
+	if v.remote.Is6() {
 		node = `"[` + node + `]"`
 	}
-	join("Forwarded", "for="+node+";host="+forwardedHost(a.hr.Host)+";proto="+a.scheme) // RFC 7239
+	join("Forwarded", "for="+node+";host="+forwardedHost(v.hr.Host)+";proto="+v.scheme) // RFC 7239
 	if h.Get("X-Forwarded-Proto") == "" {
-		h["X-Forwarded-Proto"] = []string{a.scheme}
+		h["X-Forwarded-Proto"] = []string{v.scheme}
 	}
 	if h.Get("X-Forwarded-Host") == "" {
-		h["X-Forwarded-Host"] = []string{a.hr.Host}
+		h["X-Forwarded-Host"] = []string{v.hr.Host}
 	}
 }
 
--- a/internal/front/http/message.go
+++ b/internal/front/http/message.go
@@ -24,7 +24,7 @@
 	maxFramingBytes = 64
 )
 
-// message is a request on its way to boxes.
+// message is a client's request in the form in which it goes to backends.
 type message struct {
 	method, target, host string
 	head                 []byte // encoded, without the fields that frame the body
@@ -37,26 +37,26 @@
 	unsafe               bool
 	within               time.Duration // until the answer's head, from the last byte of a body that streams
 	attempts             atomic.Int32
-	client               *clients.Conn   // whose it is; nil: it can't be looked at
-	tenant               *cluster.Tenant // whose use is counted over all instances; nil: nobody's
-	full                 atomic.Bool     // a box said that it has no room for it
+	client               *clients.Conn   // connection of the client; nil if it can't be checked
+	tenant               *cluster.Tenant // whose use is counted over all instances; nil if it isn't
+	full                 atomic.Bool     // a backend has rejected it for lack of room
 
-	// What streams: the rest of the body, which one attempt reads from the client.
+	// Of a body that streams: its rest, which one attempt reads from the client.
 	rest   io.Reader
-	extend func(time.Duration) // of the client's time to send more; 0: it has sent all
-	taken  atomic.Bool         // an attempt has it
-	cut    atomic.Bool         // the client broke off
-	whole  atomic.Bool         // it has sent all
-	pumped chan struct{}       // closed when it is not read any more
+	extend func(time.Duration) // extends the time in which the client has to send more; 0: it has sent all
+	taken  atomic.Bool         // an attempt reads it
+	cut    atomic.Bool         // it ended before its last byte, or with invalid trailers
+	whole  atomic.Bool         // the client has sent all
+	pumped chan struct{}       // closed when nobody reads it any more
 
 	mu      sync.Mutex
-	left    bool // the client waits for nothing any more
+	left    bool // the handler of the client has ended
 	pumping bool
 	reply   *reply
-	ready   chan struct{} // closed when reply is there
+	ready   chan struct{} // closed when reply is set
 }
 
-// begin has an attempt read the rest of the body, unless the client's side is over.
+// begin permits an attempt to read the rest of the body, unless the handler has ended.
 func (m *message) begin() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -64,7 +64,7 @@
 	return m.pumping
 }
 
-// hand passes an answer on to the client's side.
+// hand passes an answer to the handler of the client.
 func (m *message) hand(r *reply) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -76,7 +76,7 @@
 	close(m.ready)
 }
 
-// leave ends the client's side, and returns an answer that came too late for it.
+// leave records that the handler ends, and returns an answer that it has not taken.
 func (m *message) leave() (late *reply, pumping bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -84,7 +84,7 @@
 	return m.reply, m.pumping
 }
 
-// encodeHead encodes the head of a request, but for the fields that frame its body. Attempts write it as it is.
+// encodeHead encodes the head without the fields that frame the body. All attempts use it.
 func (m *message) encodeHead(header http.Header) (err error) {
 	m.head, err = http1.AppendRequest(make([]byte, 0, usualHeadBytes), m.method, m.target, m.host, header)
 	return err
@@ -130,7 +130,7 @@
 	return append(b, m.closing...)
 }
 
-// pump sends what is left of a client's body, as it comes. A client that sends nothing for idle has given up.
+// pump sends the rest of a client's body as it arrives. It ends if the client sends nothing for idle.
 func (m *message) pump(cn *upstream.Conn, idle time.Duration) error {
 	defer close(m.pumped)
 	buf := make([]byte, 32<<10)
