access log: the identifier of a backend ends its field no more

What operators would see: a backend whose identifier has a space, as a registry or a file may give it, writes further fields into each line of the access log (box=a end=failed ...).

Cause: pool and box stand without quotes, and only what ends quotes was escaped.

Change: a space in them stands as \x20. TestAccessLogEntryIsOneLine, every byte in every text, failed before for the space alone.

--- a/internal/front/http/access.go
+++ b/internal/front/http/access.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net/netip"
@@ -146,18 +147,14 @@
 }
 
 func (e *entry) text() string {
-	dash := func(s string) string {
-		if s == "" {
-			return "-"
-		}
-		return quoted(s)
-	}
+	dash := func(s string) string { return cmp.Or(quoted(s), "-") }
+	word := func(s string) string { return strings.ReplaceAll(dash(s), " ", `\x20`) } // without quotes a space ends it
 	return fmt.Sprintf("%s - - [%s] \"%s %s %s\" %d %d \"%s\" \"%s\" pool=%s box=%s attempts=%d time=%.4f end=%s\n",
 		e.remote, e.began.Format("02/Jan/2006:15:04:05 -0700"), quoted(e.method), quoted(e.uri), e.proto, e.status, e.bytes,
-		dash(e.referer), dash(e.agent), dash(e.pool), dash(e.box), e.attempts, time.Since(e.began).Seconds(), e.end)
+		dash(e.referer), dash(e.agent), word(e.pool), word(e.box), e.attempts, time.Since(e.began).Seconds(), e.end)
 }
 
-// quoted keeps a client's words from ending the quotes or the line.
+// quoted escapes the bytes of a text that would end its quotes or its line.
 func quoted(s string) string {
 	if strings.IndexFunc(s, func(r rune) bool { return r < ' ' || r == '"' || r == '\\' || r >= 0x7f }) < 0 {
 		return s
