reuse: one rule for choice and check; no sound answer ends for want of a name

Callers got 502 within a millisecond of the backend's head for unsafe requests with long answers, and safe ones were sent again. Where a backend's short answers contain the id of their request, a connection carried the next request at once, on the promise that each answer shows whose it is. The check never looked for a name in an answer that had not ended, and asked for 150 ms since the answer before, for which nobody had waited. A short answer without an id, and one sooner than its backend's usual time, ended the same way.

Choice and check are one rule of package reuse now. An answer that names an earlier request of its connection is skipped and the next one read. Long answers show nothing of the short ones, so the backend keeps its regime. Answers under way after a surplus are held, not ended. Noise behind an answer is no second answer. Each answer that is not taken is counted and logged with id, connection and reason.

--- a/internal/front/http/attempt.go
+++ b/internal/front/http/attempt.go
@@ -97,7 +97,7 @@
 		}
 		a.Done(res)
 	}
-	request := upstream.Request{NeedsNew: m.upgrade} // what follows an upgrade is not counted in answers
+	request := upstream.Request{NeedsNew: m.upgrade, Deadline: a.Deadline} // what follows an upgrade is not counted in answers
 	if m.unsafe {
 		request.MaxIdleAge = maxUnsafeIdleAge
 	}
@@ -300,6 +300,7 @@
 	if text := resp.Header.Get(reportHeader); text != "" && x.reports {
 		re.load, _ = x.report(text)
 	}
+	description := reuse.Answer{Elapsed: elapsed, IsProbe: ex.isProbe}
 	given := false
 	re.release = func(clean bool) {
 		if given {
@@ -320,9 +321,9 @@
 		case !whole || resp.Close:
 			x.conns.Discard(cn, upstream.AfterAnswer)
 		case cn.Reader.Buffered() > 0:
-			x.conns.DiscardSurplus(cn, reuse.BytesBehindAnswer)
+			x.conns.DiscardBehind(cn, description)
 		default:
-			x.conns.Put(cn, reuse.Answer{Elapsed: elapsed, IsProbe: ex.isProbe})
+			x.conns.Put(cn, description)
 		}
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
@@ -343,11 +344,12 @@
 			m.full.Store(true)
 		}
 	}
-	if !x.conns.KeepsOrder(cn, false) {
-		x.conns.Discard(cn, upstream.OrderLost)
-		return nil, 0, errOrderLost
-	}
+	description.IsServed, description.NeverRan = st == balance.Delivered, st == balance.Shed
 	if st == balance.Delivered && (resp.ContentLength < 0 || resp.ContentLength > maxHeldAnswerBytes) && m.method != http.MethodHead {
+		description.IsLong = true
+		if !x.isOwnAnswer(ex, description) {
+			return nil, 0, errOrderLost
+		}
 		re.body = resp.Body
 		cn.SetDeadline(time.Time{})
 		return re, st, nil
@@ -359,7 +361,8 @@
 	case len(body) > maxHeldAnswerBytes:
 		return nil, 0, errors.New("an error's body is too long to be held")
 	}
-	if !ex.isProbe && !x.conns.AcceptsAnswer(cn, reuse.Answer{Elapsed: time.Since(ex.writtenAt)}, ex.deadline) {
+	description.Elapsed = time.Since(ex.writtenAt)
+	if !x.isOwnAnswer(ex, description) {
 		return nil, 0, errOrderLost
 	}
 	re.held = body
@@ -369,6 +372,11 @@
 	return re, st, nil
 }
 
+// isOwnAnswer reports whether an answer is taken for the one to the request of its exchange. If it isn't, the connection is closed.
+func (x *transport) isOwnAnswer(ex *exchange, answer reuse.Answer) bool {
+	return ex.isProbe || x.conns.AcceptsAnswer(ex.conn, answer, ex.deadline)
+}
+
 // Probe requests the load report of a backend.
 func (x *transport) Probe(to engine.Endpoint, told func(engine.Result)) {
 	go func() {
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -9,7 +8,6 @@
 	"net/http"
 	"net/url"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -267,16 +265,15 @@
 	if c.attempt != nil {
 		passOnBy = deadline.Add(-passOnMargin)
 	}
-	resp, body, err := readAnswer(cn, m, passOnBy)
+	ex := &exchange{conn: cn, stop: stop, writtenAt: writtenAt, deadline: deadline, passOnBy: passOnBy}
+	own, err := x.readOwnAnswer(m, ex)
 	if err != nil {
 		x.logEnded(cn, m, 0, err)
 		return ended(x.endBroken(ctx, cn, err))
 	}
-	x.logEnded(cn, m, resp.StatusCode, nil)
+	x.logEnded(cn, m, own.resp.StatusCode, nil)
 	x.pool.breakRates.record(cn.IdleAge, false)
-	answer := reuse.Answer{Elapsed: time.Since(writtenAt), IsProbe: m.probe, IsServed: outcome(resp) == balance.Delivered,
-		IsNamed: resp.Body == http.NoBody && namesRequest(resp, body, m)}
-	return x.handleAnswer(ctx, c, m, &exchange{conn: cn, stop: stop, answer: answer, deadline: deadline}, resp, body)
+	return x.handleAnswer(ctx, c, m, ex, own)
 }
 
 // logWritten logs that a request was written on a connection.
@@ -295,24 +292,23 @@
 	}
 }
 
-// exchange is an attempt or a probe of which the answer, or a part of it, has been read.
+// exchange is an attempt or a probe whose request has been written.
 type exchange struct {
-	conn     *upstream.Conn
-	stop     func() bool // ends the watch for cancellation; false: it was cancelled
-	answer   reuse.Answer
-	deadline time.Time
+	conn      *upstream.Conn
+	stop      func() bool // ends the watch for cancellation; false: it was cancelled
+	writtenAt time.Time
+	deadline  time.Time
+	passOnBy  time.Time // when an answer that has begun is passed on; zero: never before it is whole
 }
 
 // handleAnswer returns the result of an answer and ends the use of its connection, as roundTrip does.
 func (x *transport) handleAnswer(
-	ctx context.Context, c *call, m *message, ex *exchange, resp *http.Response, body []byte,
+	ctx context.Context, c *call, m *message, ex *exchange, own candidate,
 ) (engine.Result, bool) {
+	resp := own.resp
 	r := engine.Result{Status: outcome(resp)}
-	whole := reply{body: body, contentType: resp.Header.Get("Content-Type")}
+	whole := reply{body: own.body, contentType: resp.Header.Get("Content-Type")}
 	isWhole := resp.Body == http.NoBody
-	if !x.isOwnAnswer(m, ex, resp, body) {
-		return engine.Result{Status: balance.Dropped}, false
-	}
 	r.OwnDelay = ex.conn.OwnDelay
 	if text := resp.Header.Get(reportHeader); text != "" && x.inline {
 		r.Load = x.parseReport(text)
@@ -320,15 +316,15 @@
 	switch {
 	case !isWhole && r.Status == balance.Delivered:
 		return x.startStream(ctx, c.attempt, ex.stop, m, &stream{reply: whole, length: resp.ContentLength, rest: resp.Body, cn: ex.conn,
-			isReusable: !resp.Close, pool: x.pool, elapsed: ex.answer.Elapsed}, r.Load)
+			isReusable: !resp.Close, pool: x.pool, answer: own.answer}, r.Load)
 	case !isWhole, resp.Close:
 		x.pool.Discard(ex.conn, upstream.AfterAnswer)
 	case ex.conn.Reader.Buffered() > 0:
-		x.pool.DiscardSurplus(ex.conn, reuse.BytesBehindAnswer)
+		x.pool.DiscardBehind(ex.conn, own.answer)
 	case !ex.stop():
 		x.pool.Discard(ex.conn, upstream.Cancelled)
 	default:
-		x.pool.Put(ex.conn, ex.answer) // the next request sets its own deadline
+		x.pool.Put(ex.conn, own.answer) // the next request sets its own deadline
 	}
 	if r.Status == balance.Delivered {
 		r.Body = &whole
@@ -336,48 +332,11 @@
 	return r, false
 }
 
-// isOwnAnswer reports whether an answer can be the one to the request of its exchange. If it can't, the connection is closed. An answer
-// whose body has not ended is not held back, because a further one would come behind it.
-func (x *transport) isOwnAnswer(m *message, ex *exchange, resp *http.Response, body []byte) bool {
-	switch {
-	case resp.Body != http.NoBody:
-		if !x.pool.KeepsOrder(ex.conn, false) {
-			x.pool.Discard(ex.conn, upstream.OrderLost)
-			return false
-		}
-	case !m.probe:
-		return x.pool.AcceptsAnswer(ex.conn, ex.answer, ex.deadline)
-	case ex.conn.State.IsReused() && resp.StatusCode == http.StatusOK && resp.Header.Get(reportHeader) == "":
-		if _, err := settings.ParseReport(string(body)); err != nil {
-			x.limitedLog.Warn("malformed load report", "id", ex.conn.To.ID, "connection", ex.conn.Number, "error", err)
-			x.pool.ReportUnreadable(ex.conn)
-		}
-	}
-	return true
-}
-
-// minNameLength is the length of the shortest request id that is looked for in answers. Shorter ones may be there by chance.
-const minNameLength = 12
-
-// namesRequest reports whether an answer contains the id of its request. Many services return it for tracing.
-func namesRequest(resp *http.Response, body []byte, m *message) bool {
-	id := m.header.Get("X-Trace-Id")
-	if len(id) < minNameLength {
-		return false
-	}
-	if bytes.Contains(body, []byte(id)) {
-		return true
-	}
-	for _, values := range resp.Header {
-		if slices.ContainsFunc(values, func(value string) bool { return strings.Contains(value, id) }) {
-			return true
-		}
-	}
-	return false
-}
-
 // endBroken closes a connection whose request was written whole and got no whole answer, and returns the status of the attempt.
 func (x *transport) endBroken(ctx context.Context, cn *upstream.Conn, err error) balance.Status {
+	if errors.Is(err, errNotTaken) {
+		return balance.Dropped
+	}
 	status := x.brokenStatus(ctx, err)
 	switch status {
 	case balance.Expired:
@@ -403,7 +362,7 @@
 ) (*upstream.Conn, []byte, func() bool, error) {
 	var ownDelay time.Duration // of this attempt, on all connections
 	for {
-		cn, err := x.pool.Get(ctx, to, upstream.Request{IsProbe: m.probe})
+		cn, err := x.pool.Get(ctx, to, upstream.Request{IsProbe: m.probe, Deadline: m.answerBy(deadline)})
 		if err != nil {
 			return nil, nil, nil, err
 		}
@@ -467,6 +426,14 @@
 	return balance.AppError
 }
 
+// answerBy returns when the message must have its answer, if it is sent with this deadline. Zero means that its time has not begun.
+func (m *message) answerBy(deadline time.Time) time.Time {
+	if m.upload != nil {
+		return time.Time{}
+	}
+	return deadline
+}
+
 // target returns the request target, with path and query as received.
 func (m *message) target() string {
 	if strings.HasPrefix(m.uri, "/") {
--- a/internal/node/bodies.go
+++ b/internal/node/bodies.go
@@ -171,7 +171,7 @@
 	cn         *upstream.Conn
 	isReusable bool // the connection can be reused afterwards
 	pool       *pool
-	elapsed    time.Duration // from the request to the first part of the answer
+	answer     reuse.Answer // as of its first part
 }
 
 // end returns the connection to the pool, or closes it.
@@ -182,9 +182,9 @@
 	case !s.isReusable:
 		s.pool.Discard(s.cn, upstream.AfterAnswer)
 	case s.cn.Reader.Buffered() > 0:
-		s.pool.DiscardSurplus(s.cn, reuse.BytesBehindAnswer)
+		s.pool.DiscardBehind(s.cn, s.answer)
 	default:
-		s.pool.Put(s.cn, reuse.Answer{Elapsed: s.elapsed})
+		s.pool.Put(s.cn, s.answer)
 	}
 }
 
--- a/internal/standin/longanswers/plan.go
+++ b/internal/standin/longanswers/plan.go
@@ -120,6 +120,9 @@
 		p.Status, p.Framing, p.Name, p.Size, p.HeadAfter, p.BodyAfter, p.Parts, p.Pause, p.NoiseBytes)
 }
 
+// BodyTime returns how long after its head the last byte of the answer is written.
+func (p Plan) BodyTime() time.Duration { return p.BodyAfter + time.Duration(p.Parts-1)*p.Pause }
+
 // Body returns the body of the answer to the request with this id.
 func (p Plan) Body(id string) string {
 	name := ""
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 	"crypto/tls"
 	"io"
 	"net"
+	"strings"
 	"time"
 
 	"glencart/internal/engine"
@@ -30,7 +31,8 @@
 	// be quiet, or with an answer held back.
 	OwnDelay time.Duration
 
-	watch *watch // while it is idle
+	watch      *watch // while it is idle
+	hasSurplus bool   // surplus was noticed in the current exchange, so it is closed behind that
 }
 
 // NewConn returns a Conn over a connection that has carried nothing.
@@ -60,6 +62,12 @@
 	return n > 0
 }
 
+// mayBeginAnswer reports whether the unread bytes, of which some have arrived, can be the beginning of an answer.
+func (c *Conn) mayBeginAnswer() bool {
+	unread, _ := c.Reader.Peek(min(c.Reader.Buffered(), len(answerStart)))
+	return strings.HasPrefix(answerStart, string(unread))
+}
+
 // socket returns the connection below TLS.
 func (c *Conn) socket() net.Conn {
 	if t, isTLS := c.Conn.(*tls.Conn); isTLS {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"glencart/internal/engine"
+	"glencart/internal/lograte"
 	"glencart/internal/sock"
 	"glencart/reuse"
 )
@@ -36,6 +37,8 @@
 	start   time.Time // time 0 of policy
 	stats   stats
 
+	notTakenLog lograte.Limited // answers that were not taken for the ones to their requests
+
 	mu         sync.Mutex
 	idle       map[engine.Endpoint][]*Conn // in the order of IdleAt
 	open       int                         // without those in closing
@@ -48,12 +51,21 @@
 
 // NewPool returns an empty pool.
 func NewPool(options Options) *Pool {
-	return &Pool{options: options, start: time.Now(), idle: map[engine.Endpoint][]*Conn{}, policy: reuse.New[string]()}
+	return &Pool{options: options, start: time.Now(), idle: map[engine.Endpoint][]*Conn{}, policy: reuse.New[string](),
+		notTakenLog: lograte.Limited{Log: options.Log}}
 }
 
 // now returns the time on the policy's clock.
 func (p *Pool) now() time.Duration { return time.Since(p.start) }
 
+// policyTime returns a deadline on the policy's clock. The zero time is no deadline.
+func (p *Pool) policyTime(deadline time.Time) time.Duration {
+	if deadline.IsZero() {
+		return reuse.NoDeadline
+	}
+	return deadline.Sub(p.start)
+}
+
 // Open returns the number of connections, idle, in use or being dialed.
 func (p *Pool) Open() int {
 	p.mu.Lock()
--- a/internal/upstream/reuse.go
+++ b/internal/upstream/reuse.go
@@ -16,6 +16,7 @@
 	IsProbe    bool
 	NeedsNew   bool          // on a connection that has carried nothing
 	MaxIdleAge time.Duration // idle time of a connection that may carry it; 0: no limit but that of the pool
+	Deadline   time.Time     // by which it must have its answer; zero: none
 }
 
 // Get returns a connection that may carry a request: a quiet one, or a new one. A probe gets the connection that has been idle
@@ -83,7 +84,7 @@
 	if request.IsProbe {
 		return p.policy.ChooseForProbe(p.now(), backendKey(to), p.states)
 	}
-	return p.policy.ChooseForRequest(p.now(), backendKey(to), p.states)
+	return p.policy.ChooseWithDeadline(p.now(), p.policyTime(request.Deadline), backendKey(to), p.states)
 }
 
 // connectMeanwhile dials while a connection waits until it has been quiet for long enough. It returns the new connection if that
@@ -189,6 +190,10 @@
 	p.mu.Lock()
 	defer p.unlockAndClose()
 	p.policy.Answered(p.now(), backendKey(c.To), &c.State, answer)
+	if c.hasSurplus {
+		p.close(c, Surplus)
+		return
+	}
 	p.addIdle(c)
 }
 
--- a/internal/upstream/stats.go
+++ b/internal/upstream/stats.go
@@ -42,6 +42,7 @@
 	reused, waits atomic.Int64
 	closed        [numberOfReasons]atomic.Int64
 	surplus       [reuse.NumberOfEvidence]atomic.Int64
+	notTaken      [reuse.NumberOfReasons]atomic.Int64 // answers
 }
 
 // LogValue implements slog.LogValuer. It leaves out counters that are 0.
@@ -74,5 +75,10 @@
 	for i := range p.stats.surplus {
 		all = append(all, Counter{fmt.Sprint("surplus.", reuse.Evidence(i)), p.stats.surplus[i].Load()})
 	}
+	for reason := range reuse.Reason(reuse.NumberOfReasons) {
+		if reason != reuse.NoReason {
+			all = append(all, Counter{fmt.Sprint("answers_not_taken.", reason), p.stats.notTaken[reason].Load()})
+		}
+	}
 	return all
 }
--- a/reuse/distrust.go
+++ b/reuse/distrust.go
@@ -14,13 +14,16 @@
 	SecondAnswer                      // bytes arrived while an answer was held back
 	BytesBeforeAnswer                 // bytes stood before the status line of an answer on a reused connection
 	UnreadableReport                  // a probe's answer was not a load report
+	NoiseBehindAnswer                 // bytes stood behind a whole answer that begin no other
+	RepeatedAnswer                    // an answer contained the id of an earlier request and not that of its own
 	// NumberOfEvidence is the number of kinds.
-	NumberOfEvidence = int(UnreadableReport) + 1
+	NumberOfEvidence = int(RepeatedAnswer) + 1
 )
 
 // String returns the name of the evidence in logs and counters.
 func (e Evidence) String() string {
-	return [NumberOfEvidence]string{"bytes_while_idle", "bytes_behind_answer", "second_answer", "bytes_before_answer", "unreadable_report"}[e]
+	return [NumberOfEvidence]string{"bytes_while_idle", "bytes_behind_answer", "second_answer", "bytes_before_answer", "unreadable_report",
+		"noise_behind_answer", "repeated_answer"}[e]
 }
 
 // Level is how much a backend is trusted to answer each request once.
@@ -58,7 +61,7 @@
 		level = SingleUse
 		b.orderLostAt = now
 	}
-	if evidence == BytesWhileIdle {
+	if evidence == BytesWhileIdle || evidence == RepeatedAnswer {
 		b.quietTime = max(b.quietTime, latenessFactor*(now-c.FreeAt))
 	}
 	result := Distrust{Level: level}
@@ -87,6 +90,8 @@
 		return p.followsWrongAnswer(now, key, c) || now-c.FreeAt > p.backends[key].requiredQuiet(now)
 	case BytesBehindAnswer:
 		return p.followsWrongAnswer(now, key, c)
+	case NoiseBehindAnswer, RepeatedAnswer:
+		return false
 	}
 	return true
 }
@@ -94,7 +99,7 @@
 // followsWrongAnswer reports whether the bytes behind an answer on a reused connection may be the real answer. That is unlikely the
 // first time, if the answer took as long as others.
 func (p *Policy[K]) followsWrongAnswer(now time.Duration, key K, c *Conn) bool {
-	if c.Answers <= 1 || c.wasNamed {
+	if c.Answers <= 1 || c.wasNamed || c.wasLong {
 		return false
 	}
 	times := p.timesOf(key)
--- a/reuse/reuse.go
+++ b/reuse/reuse.go
@@ -5,7 +5,8 @@
 // every later answer on that connection by one request. The package keeps the order in five ways:
 //
 //   - A connection carries another request only after it has been quiet for QuietTime.
-//   - Where the answers of a backend name their requests, each must name its own, and no quiet time is needed.
+//   - Where the answers of a backend name their requests, no quiet time is needed behind an answer that was short and did so. An answer
+//     that names an earlier request of its connection is not taken, and one that names none is held back if it is short.
 //   - At first, only one connection to a backend is reused at a time.
 //   - Surplus bytes are remembered. The later they come, the longer a backend must be quiet from then on. One whose surplus may
 //     reach requests nevertheless gets one request per connection. When several backends do, all of them are treated so.
@@ -15,7 +16,11 @@
 // The package doesn't detect surplus bytes. The owner of the connections reports them.
 package reuse
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 const (
 	// QuietTime is how long a connection must have been quiet before it carries another request. A second answer that is up to
@@ -48,8 +53,13 @@
 	FreeAt  time.Duration // when its last answer was whole
 
 	takenAt     time.Duration // when it was last taken for a request
+	unnamedAt   time.Duration // when its last answer was whole that was long or named no request
+	longAt      time.Duration // when its last answer was whole that was long and named no request; 0: none
+	remembered  []string      // ids of its last requests with answers that named them, the oldest at next
+	next        int
 	answerTime  time.Duration // of its last answer
 	wasNamed    bool          // its last answer named its request
+	wasLong     bool          // its last answer was long
 	unconfirmed bool          // nothing has confirmed yet that answerTime belongs to its own request
 	isForProbes bool          // it carries probes only
 }
@@ -60,11 +70,39 @@
 	IsProbe  bool          // it answers a probe
 	IsServed bool          // its backend has served the request
 	IsNamed  bool          // it contains the id of its request
+
+	RequestID    string // of its request; may be empty
+	NamesEarlier bool   // it contains the id of an earlier request of its connection (Conn.NamesEarlier), and not that of its own
+	IsLong       bool   // it was passed on before it was whole, since it is too long or too slow to be held
+	NeverRan     bool   // it says that its request has not run
+	EqualsHeld   bool   // what would be passed on of it equals the answer that was held back
 }
 
 // IsReused reports whether the connection has carried an answer before.
 func (c *Conn) IsReused() bool { return c.Answers > 0 }
 
+// maxRemembered is how many ids of earlier requests a connection remembers. In QuietTime it carries fewer, unless each takes under 5 ms.
+const maxRemembered = 32
+
+// remember stores the id of a request whose answer named it.
+func (c *Conn) remember(id string) {
+	id = strings.Clone(id) // it may be a part of a whole head
+	switch {
+	case id == "":
+		return
+	case len(c.remembered) < maxRemembered:
+		c.remembered = append(c.remembered, id)
+		return
+	}
+	c.remembered[c.next] = id
+	c.next = (c.next + 1) % maxRemembered
+}
+
+// NamesEarlier reports whether an answer contains the id of an earlier request of the connection.
+func (c *Conn) NamesEarlier(contains func(id string) bool) bool {
+	return slices.ContainsFunc(c.remembered, contains)
+}
+
 // Choice is what to do for a request: use the idle connection with this index after a wait, or dial if there is none.
 type Choice struct {
 	Index int // -1: dial
@@ -130,8 +168,8 @@
 	return n
 }
 
-// readyAt returns when a connection may carry a request. It reports false if it never may.
-func (p *Policy[K]) readyAt(now time.Duration, key K, c *Conn) (time.Duration, bool) {
+// readyAt returns when a connection may carry a request with this deadline. It reports false if it never may.
+func (p *Policy[K]) readyAt(now, deadline time.Duration, key K, c *Conn) (time.Duration, bool) {
 	switch {
 	case !c.IsReused():
 		return 0, true
@@ -142,13 +180,34 @@
 		return 0, false
 	}
 	b := p.backends[key]
-	switch {
-	case b == nil:
+	if b == nil {
 		return c.FreeAt + QuietTime, true
-	case b.namesRequests(now):
-		return c.FreeAt, true
 	}
-	return c.FreeAt + max(b.requiredQuiet(now)-b.times.bound(), minQuietTime), !b.hasTrial(now)
+	isFree := b.namesRequests(now) || !b.hasTrial(now)
+	quietAt := c.FreeAt + b.requiredQuiet(now)
+	earlyAt := b.earlyAt(now, c)
+	if earlyAt < quietAt && p.canJudgeEarly(key, c, max(earlyAt, now), deadline) {
+		return earlyAt, isFree
+	}
+	return quietAt, isFree
+}
+
+// earlyAt returns when a connection may carry a request before it has been quiet for the whole time: at once behind an answer that was short
+// and named its request, if those of its backend do, or when no answer of its backend can come before the connection has been quiet.
+func (b *backend) earlyAt(now time.Duration, c *Conn) time.Duration {
+	if b.namesRequests(now) {
+		return max(c.FreeAt, c.unnamedAt+b.requiredQuiet(now))
+	}
+	behindLong := time.Duration(0)
+	if c.longAt != 0 {
+		behindLong = c.longAt + b.requiredQuiet(now)
+	}
+	return max(c.FreeAt+max(b.requiredQuiet(now)-b.times.bound(), minQuietTime), behindLong)
+}
+
+// canJudgeEarly reports whether a request that is written at this time leaves time to hold back an answer that names no request.
+func (p *Policy[K]) canJudgeEarly(key K, c *Conn, writtenAt, deadline time.Duration) bool {
+	return p.ownAnswerBy(key, c, writtenAt) <= deadline-holdMargin
 }
 
 // namesRequests reports whether the backend's answers name their requests. Then each answer shows for itself whether it belongs to
@@ -174,9 +233,14 @@
 // that has carried an answer before, since a backend works on each new one, and among those the one used last. If none is quiet,
 // it chooses the one that is so first.
 func (p *Policy[K]) ChooseForRequest(now time.Duration, key K, idle []*Conn) Choice {
+	return p.ChooseWithDeadline(now, NoDeadline, key, idle)
+}
+
+// ChooseWithDeadline is like ChooseForRequest for a request that must be answered by a deadline.
+func (p *Policy[K]) ChooseWithDeadline(now, deadline time.Duration, key K, idle []*Conn) Choice {
 	best := Choice{Index: -1}
 	for i, c := range idle {
-		at, ok := p.readyAt(now, key, c)
+		at, ok := p.readyAt(now, deadline, key, c)
 		if !ok {
 			continue
 		}
@@ -248,8 +312,11 @@
 	}
 	isFirst := !c.IsReused()
 	c.Answers++
-	c.FreeAt, c.answerTime, c.wasNamed = now, answer.Elapsed, answer.IsNamed
+	c.FreeAt, c.answerTime, c.wasNamed, c.wasLong = now, answer.Elapsed, answer.IsNamed, answer.IsLong
 	c.unconfirmed = !answer.IsProbe && !isFirst
+	if !answer.IsProbe {
+		c.recordNaming(now, answer)
+	}
 	if answer.IsProbe {
 		return
 	}
@@ -259,12 +326,27 @@
 	}
 }
 
+// recordNaming records what a repeat of a whole answer on the connection would look like.
+func (c *Conn) recordNaming(now time.Duration, answer Answer) {
+	if !answer.IsNamed || answer.IsLong {
+		c.unnamedAt = now
+	}
+	switch {
+	case answer.IsNamed:
+		c.remember(answer.RequestID)
+	case answer.IsLong:
+		c.longAt = now
+	}
+}
+
 // countNamed records whether an answer named its request.
 func (b *backend) countNamed(now time.Duration, answer Answer) {
 	switch {
 	case answer.IsNamed:
 		b.namedInRow++
 		return
+	case answer.IsLong:
+		return // it shows nothing of the short ones
 	case answer.IsServed:
 		b.namedInRow = 0
 	}
