node: noise behind an answer no longer ends the request whose answer follows it

Callers got 502 for unsafe requests, and safe ones ran again, where a backend wrote some bytes too many behind a short answer that named its request. The connection was in use again at once, the bytes stood ahead of the next status line, and the request was ended although its answer followed them. All eight backends then had one request per connection for ten minutes.

On a connection whose last answer named its request, bytes that begin no answer are now discarded, 512 at most and 0.25 s for what follows. The answer behind them is taken if it contains the id of its request, since such bytes could also be the text of an answer. The backend becomes cautious, and the connection ends behind the exchange.

TestRareLongAnswersAmongNamedOnesComeWhole draws such noise, SIGHUP in series, a crowd of idle clients, and clients that use their connections until the end of the node.

--- a/cmd/glencart/long_answers_test.go
+++ b/cmd/glencart/long_answers_test.go
@@ -5,7 +5,8 @@
 // wrote the answer, and a safe one was sent again. And an answer that was made for another request was passed on.
 //
 // A run consists of one node, backends with ids in their short answers, and clients. Each seed draws the work of the backends, the answers
-// that are sent twice, and the plans of the few answers that are long, or short without an id.
+// that are sent twice, and the plans of the few answers that are long, or short without an id. Some runs have a crowd of idle clients. The
+// node gets SIGHUP again and again, and SIGTERM at the end; clients use their connections until it has ended.
 
 import (
 	"bufio"
@@ -15,8 +16,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -33,10 +34,11 @@
 	namedClients, namedGap     = 24, 50 * time.Millisecond
 	longClients, longGap       = 2, 800 * time.Millisecond
 	unnamedClients, unnamedGap = 1, 900 * time.Millisecond
-	// dueMargin is how long before the deadline of its request an answer must have begun to be due to the client. One with a stated length of
-	// at most maxWholeBytes must have ended by then, as the node passes it on whole or not at all.
-	dueMargin     = 100 * time.Millisecond
-	maxWholeBytes = 64 << 10
+	crowdClients               = 60 // idle connections
+	reloadInterval             = 1500 * time.Millisecond
+	// longestPlanned is how long a planned answer takes at most, from its request to its last byte. What is sent later than that before
+	// SIGTERM may be cut off by the end of the node.
+	longestPlanned = 2 * time.Second
 	// minNamedServed is how many requests of a run must be served for the run to count, in each second.
 	minNamedServed = 100
 )
@@ -48,20 +50,10 @@
 	recorder longanswers.Recorder
 	node     *pressureNode
 
-	mu        sync.Mutex
-	exchanges []*plannedExchange
-}
+	terminatedAt time.Time // when the node got SIGTERM
 
-// plannedExchange is one request and its final answer.
-type plannedExchange struct {
-	id, class string
-	budget    time.Duration
-	plan      *longanswers.Plan // nil: an ordinary request
-	sentAt    time.Time
-	status    int // 0: none
-	began     time.Duration
-	body      []byte
-	err       error
+	mu        sync.Mutex
+	exchanges []*longanswers.Exchange
 }
 
 // client sends requests in series, on one connection for as long as that is open.
@@ -86,13 +78,13 @@
 			}
 			in = bufio.NewReader(c)
 		}
-		e := &plannedExchange{id: fmt.Sprintf("%s-%06d", name, i), class: [...]string{"read", "order", "token"}[rng.IntN(3)], budget: safeBudget}
-		if e.class == "order" {
-			e.budget = unsafeBudget
+		e := &longanswers.Exchange{ID: fmt.Sprintf("%s-%06d", name, i), Class: [...]string{"read", "order", "token"}[rng.IntN(3)], Budget: safeBudget}
+		if e.Class == "order" {
+			e.Budget = unsafeBudget
 		}
 		if draw != nil {
 			plan := draw(rng)
-			e.plan = &plan
+			e.Plan = &plan
 		}
 		if !s.send(c, in, e) {
 			c.Close()
@@ -102,74 +94,38 @@
 }
 
 // send sends one request and reads its answer. It reports whether the connection can carry another.
-func (s *longAnswerRun) send(c net.Conn, in *bufio.Reader, e *plannedExchange) bool {
+func (s *longAnswerRun) send(c net.Conn, in *bufio.Reader, e *longanswers.Exchange) bool {
 	target, fields := "/api/x", "Content-Length: 0\r\n"
-	if e.plan != nil {
-		target = e.plan.Target()
+	if e.Plan != nil {
+		target = e.Plan.Target()
 	}
-	switch e.class {
+	switch e.Class {
 	case "read":
 		fields = ""
 	case "token":
-		fields += "Idempotency-Key: key-" + e.id + "\r\n"
+		fields += "Idempotency-Key: key-" + e.ID + "\r\n"
 	}
-	e.sentAt = time.Now()
-	if _, err := io.WriteString(c, pressureRequest(e.class, target, e.id, e.budget, fields)); err != nil {
+	e.SentAt = time.Now()
+	if _, err := io.WriteString(c, pressureRequest(e.Class, target, e.ID, e.Budget, fields)); err != nil {
 		return false
 	}
-	c.SetReadDeadline(e.sentAt.Add(20 * time.Second))
+	c.SetReadDeadline(e.SentAt.Add(20 * time.Second))
 	resp, err := http.ReadResponse(in, nil)
 	if err != nil {
-		e.err = err
+		e.Err = err
 	} else {
-		e.began, e.status = time.Since(e.sentAt), resp.StatusCode
-		e.body, e.err = io.ReadAll(resp.Body)
+		e.Began, e.Status = time.Since(e.SentAt), resp.StatusCode
+		e.Body, e.Err = io.ReadAll(resp.Body)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.exchanges = append(s.exchanges, e)
-	return e.err == nil && !resp.Close
-}
-
-// heldTime returns how long the node holds an answer after its head, because it is passed on whole.
-func (e *plannedExchange) heldTime() time.Duration {
-	if e.plan == nil || e.plan.Framing != longanswers.ByLength || e.plan.Size > maxWholeBytes {
-		return 0
-	}
-	return e.plan.BodyTime()
+	return e.Err == nil && !resp.Close
 }
 
-// problem returns what is wrong with an exchange, and of which kind it is. An empty kind means nothing.
-func (s *longAnswerRun) problem(e *plannedExchange) (kind, text string) {
-	want, isError := s.cfg.ShortBody(e.id), false
-	if e.plan != nil {
-		want, isError = e.plan.Body(e.id), e.plan.Status != http.StatusOK
-	}
-	runs := s.recorder.RunsOf(e.id)
-	isDue := slices.ContainsFunc(runs, func(r longanswers.Run) bool {
-		return !r.HeadAt.IsZero() && r.HeadAt.Add(e.heldTime()).Sub(e.sentAt) < e.budget-dueMargin
-	})
-	isRefusal := e.status == http.StatusServiceUnavailable || e.status == http.StatusTooManyRequests
-	switch {
-	case e.status == http.StatusOK && e.err == nil && string(e.body) != want:
-		return "foreign", fmt.Sprintf("got %d bytes that begin with %.60q", len(e.body), e.body)
-	case isError:
-		return "", ""
-	case isRefusal && e.class != "read" && len(runs) > 0:
-		return "refused", fmt.Sprintf("refused after %d runs", len(runs))
-	case isDue && (e.status != http.StatusOK || e.err != nil):
-		return "ended", fmt.Sprintf("answered %d after %v, %d bytes, %v", e.status, e.began, len(e.body), e.err)
-	case e.began > e.budget+maxLate:
-		return "late", fmt.Sprintf("begun after %v", e.began)
-	case e.status == 0 && len(runs) > 0:
-		return "lost", fmt.Sprintf("no answer: %v", e.err)
-	}
-	for i, run := range runs {
-		if i > 0 && !runs[i-1].HeadAt.IsZero() && runs[i-1].HeadAt.Before(run.BeganAt) {
-			return "repeated", fmt.Sprintf("ran %d times, again after its answer had begun", len(runs))
-		}
-	}
-	return "", ""
+// mayBeCut reports whether an exchange may have been cut off by the end of the node.
+func (s *longAnswerRun) mayBeCut(e *longanswers.Exchange) bool {
+	return e.Plan != nil && e.SentAt.After(s.terminatedAt.Add(-longestPlanned))
 }
 
 // check fails for each kind of problem.
@@ -178,20 +134,20 @@
 	var texts []string
 	long, served, statuses := 0, 0, map[int]int{}
 	for _, e := range s.exchanges {
-		if e.plan != nil {
+		if e.Plan != nil {
 			long++
 		}
-		statuses[e.status]++
-		kind, text := s.problem(e)
+		statuses[e.Status]++
+		kind, text := s.recorder.Problem(s.cfg, e, s.mayBeCut(e))
 		switch {
 		case kind != "":
 			counts[kind]++
 			plan := "ordinary"
-			if e.plan != nil {
-				plan = e.plan.String()
+			if e.Plan != nil {
+				plan = e.Plan.String()
 			}
-			texts = append(texts, fmt.Sprintf("%s: %s (%s; %s): %s", kind, e.id, e.class, plan, text))
-		case e.status == http.StatusOK:
+			texts = append(texts, fmt.Sprintf("%s: %s (%s; %s): %s", kind, e.ID, e.Class, plan, text))
+		case e.Status == http.StatusOK:
 			served++
 		}
 	}
@@ -208,6 +164,34 @@
 	}
 }
 
+// startCrowd opens connections that stay idle.
+func (s *longAnswerRun) startCrowd() {
+	for range crowdClients {
+		c, err := s.node.dialClient()
+		if err != nil {
+			s.t.Error(err)
+			return
+		}
+		s.t.Cleanup(func() { c.Close() })
+	}
+}
+
+// signal has the node reload its configuration until a run is over, and ends it then.
+func (s *longAnswerRun) signal(length time.Duration) {
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		time.Sleep(min(reloadInterval, time.Until(end)))
+		s.node.process.Signal(syscall.SIGHUP)
+	}
+	s.terminatedAt = time.Now()
+	s.node.process.Signal(syscall.SIGTERM)
+	select {
+	case <-s.node.ended:
+	case <-time.After(safeBudget + killAfter):
+		s.node.process.Kill()
+		s.t.Errorf("the node was still running %v after SIGTERM", safeBudget+killAfter)
+	}
+}
+
 func TestRareLongAnswersAmongNamedOnesComeWhole(t *testing.T) {
 	for i := range *longAnswerSeeds {
 		seed := *longAnswerFirst + uint64(i)
@@ -225,10 +209,13 @@
 					running.Go(func() { s.client(name, rng, gap, draw, stop) })
 				}
 			}
+			if rng.IntN(3) == 0 {
+				s.startCrowd()
+			}
 			start(namedClients, "named", namedGap, nil)
 			start(longClients, "long", longGap, longanswers.Draw)
 			start(unnamedClients, "short", unnamedGap, longanswers.DrawShort)
-			time.Sleep(*longAnswerTime)
+			s.signal(*longAnswerTime)
 			close(stop)
 			running.Wait()
 			s.check(*longAnswerTime)
--- a/cmd/glencart/pressure_setup_test.go
+++ b/cmd/glencart/pressure_setup_test.go
@@ -38,6 +38,7 @@
 type pressureNode struct {
 	listen, management string
 	process            *os.Process
+	ended              <-chan struct{} // closed when the process has ended
 	registry           *standin.Registry
 }
 
@@ -84,6 +85,7 @@
 	}
 	n.process = cmd.Process
 	ended := make(chan struct{})
+	n.ended = ended
 	go func() {
 		cmd.Wait()
 		close(ended)
--- a/internal/node/ownanswer.go
+++ b/internal/node/ownanswer.go
@@ -39,10 +39,15 @@
 // readOwnAnswer reads the answer to the request of an exchange, as readAnswer does.
 func (x *transport) readOwnAnswer(m *message, ex *exchange) (candidate, error) {
 	for range maxSkippedAnswers + 1 {
+		isBehindNoise, err := x.discardNoise(m, ex)
+		if err != nil {
+			return candidate{}, err
+		}
 		next, err := readCandidate(m, ex)
 		if err != nil {
 			return candidate{}, err
 		}
+		next.answer.IsBehindNoise = isBehindNoise
 		if m.probe {
 			x.checkReport(ex, next)
 			return next, nil
@@ -63,6 +68,19 @@
 	return candidate{}, errNotTaken
 }
 
+// discardNoise discards bytes ahead of the next answer that begin none. It does so behind an answer that named its request, since such bytes
+// arrive before the connection is used again otherwise.
+func (x *transport) discardNoise(m *message, ex *exchange) (bool, error) {
+	if m.probe || !ex.conn.State.WasNamed() {
+		return false, nil
+	}
+	discarded, err := ex.conn.DiscardNoise(ex.deadline)
+	if discarded > 0 && err == nil {
+		x.pool.ReportNoise(ex.conn)
+	}
+	return discarded > 0, err
+}
+
 // readBehind reads what arrives behind an answer that was held back, and returns the one that is taken.
 func (x *transport) readBehind(m *message, ex *exchange, first candidate) (candidate, error) {
 	for range maxSkippedAnswers + 1 {
--- a/internal/standin/longanswers/backend.go
+++ b/internal/standin/longanswers/backend.go
@@ -24,8 +24,12 @@
 	// DuplicateShare is the share of the short answers that are sent once more, up to MaxLate later. Only those with ids are.
 	DuplicateShare float64
 	MaxLate        time.Duration
+	NoiseShare     float64 // share of the short answers behind which bytes come that begin no answer, up to maxNoiseLate later
 }
 
+// maxNoiseLate is how late the noise behind a short answer comes at most.
+const maxNoiseLate = 20 * time.Millisecond
+
 // slowEvery is one part of the answers that take SlowWork.
 const slowEvery = 50
 
@@ -39,13 +43,16 @@
 	if rng.IntN(2) == 0 {
 		cfg.DuplicateShare = [...]float64{0.005, 0.05}[rng.IntN(2)]
 	}
+	if rng.IntN(4) == 0 {
+		cfg.NoiseShare = 0.01
+	}
 	return cfg
 }
 
 // String describes the configuration in a line.
 func (c Config) String() string {
-	return fmt.Sprintf("ids %t, work %v to %v, some %v, %.3f of the answers twice, up to %v late", c.HasIDs, c.MinWork, c.MaxWork, c.SlowWork,
-		c.DuplicateShare, c.MaxLate)
+	return fmt.Sprintf("ids %t, work %v to %v, some %v, %.3f of the answers twice, up to %v late, noise behind %.2f", c.HasIDs, c.MinWork, c.MaxWork,
+		c.SlowWork, c.DuplicateShare, c.MaxLate, c.NoiseShare)
 }
 
 // ShortBody returns the body of the answer to a request without a plan.
@@ -157,6 +164,9 @@
 	if s.cfg.HasIDs && s.rng.Float64() < s.cfg.DuplicateShare {
 		s.recorder.Duplicates.Add(1)
 		time.AfterFunc(time.Duration(s.rng.Int64N(int64(s.cfg.MaxLate))), func() { s.write(answer) })
+	} else if s.rng.Float64() < s.cfg.NoiseShare {
+		noise := strings.Repeat("#", 1+s.rng.IntN(maxNoiseBytes))
+		time.AfterFunc(time.Duration(s.rng.Int64N(int64(maxNoiseLate))), func() { s.write(noise) })
 	}
 	return true
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"cmp"
 	"crypto/tls"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -68,6 +69,39 @@
 	return strings.HasPrefix(answerStart, string(unread))
 }
 
+// maxNoiseBytes bounds the bytes ahead of an answer that are discarded, and noiseWait is how long the answer may follow behind them.
+const maxNoiseBytes, noiseWait = watchedBytes, 250 * time.Millisecond
+
+// DiscardNoise discards bytes ahead of the next answer that begin none, and returns how many. Without such bytes it only waits for the
+// answer. An error behind noise says that no answer followed.
+func (c *Conn) DiscardNoise(deadline time.Time) (discarded int, err error) {
+	c.Limit.N = watchedBytes + int64(len(answerStart))
+	for discarded < maxNoiseBytes {
+		unread, err := c.Reader.Peek(len(answerStart))
+		switch {
+		case string(unread) == answerStart:
+			c.SetReadDeadline(deadline)
+			return discarded, nil
+		case err != nil && discarded == 0:
+			return 0, nil // the caller's read gets the same error
+		case err != nil:
+			return discarded, fmt.Errorf("%d bytes that begin no answer: %v", discarded, err)
+		case discarded == 0:
+			c.SetReadDeadline(earlier(deadline, time.Now().Add(noiseWait)))
+		}
+		c.Reader.Discard(1)
+		discarded++
+	}
+	return discarded, fmt.Errorf("over %d bytes that begin no answer", maxNoiseBytes)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // socket returns the connection below TLS.
 func (c *Conn) socket() net.Conn {
 	if t, isTLS := c.Conn.(*tls.Conn); isTLS {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -267,3 +267,69 @@
 	standin.Receive(t, "Drop and another connection", dropped)
 	close(f.closing)
 }
+
+// A connection was reused before it had been quiet, since its backend never answered so fast, and an answer that came sooner nevertheless
+// was ended. A short one must be held until the right one would have come, and a long one taken at once.
+func TestSoundAnswerInQuietTimeIsNotEnded(t *testing.T) {
+	for _, isLong := range []bool{false, true} {
+		f := newFixture(t, 0)
+		for range 16 { // until the answer time of the backend is known
+			f.Put(f.get(t), reuse.Answer{Elapsed: 100 * time.Millisecond})
+			f.Drop(f.to)
+		}
+		c := f.get(t)
+		f.Put(c, reuse.Answer{Elapsed: 100 * time.Millisecond})
+		f.blocked.Store(true)
+		freeAt := time.Now()
+		if f.get(t) != c || time.Since(freeAt) >= reuse.QuietTime {
+			t.Fatal("the connection was not in use early")
+		}
+		if !f.AcceptsAnswer(c, reuse.Answer{Elapsed: time.Millisecond, IsLong: isLong}, time.Now().Add(time.Minute)) {
+			t.Errorf("long %t: the answer was ended", isLong)
+		}
+		if held := f.counter("answers_held"); held != 0 == isLong {
+			t.Errorf("long %t: %d answers held", isLong, held)
+		}
+	}
+}
+
+// A connection must not be in use early for a request whose deadline leaves no time to hold an answer back: a sound one would be ended.
+func TestRequestWithLittleTimeGetsQuietConnection(t *testing.T) {
+	f := newFixture(t, 0)
+	for range 16 { // until the answer time of the backend is known
+		f.Put(f.get(t), reuse.Answer{Elapsed: 100 * time.Millisecond})
+		f.Drop(f.to)
+	}
+	c := f.get(t)
+	f.Put(c, reuse.Answer{Elapsed: 100 * time.Millisecond})
+	f.blocked.Store(true)
+	freeAt := time.Now()
+	next, err := f.Get(t.Context(), f.to, Request{Deadline: freeAt.Add(reuse.QuietTime + 20*time.Millisecond)})
+	if err != nil || next != c || time.Since(freeAt) < reuse.QuietTime-time.Millisecond {
+		t.Errorf("same connection: %t, after %v, %v", next == c, time.Since(freeAt), err)
+	}
+}
+
+// Bytes that stood ahead of an answer ended the request whose answer followed them, and the reuse of all connections to that backend.
+func TestNoiseAheadOfAnswerIsDiscarded(t *testing.T) {
+	for text, want := range map[string]struct {
+		discarded int
+		rest      string // what can be read behind the noise; empty: an error
+	}{
+		"HTTP/1.1 200 OK\r\n":      {0, "HTTP/1.1 200 OK\r\n"},
+		"###HTTP/1.1 200 OK\r\n":   {3, "HTTP/1.1 200 OK\r\n"},
+		"HTT##HTTP/1.1 200 OK\r\n": {5, "HTTP/1.1 200 OK\r\n"},
+		"no answer at all":         {12, ""},
+	} {
+		f := newFixture(t, 0)
+		c := f.get(t)
+		backend := standin.Receive(t, "the connection", f.accepted)
+		io.WriteString(backend, text)
+		backend.Close()
+		discarded, err := c.DiscardNoise(time.Now().Add(time.Minute))
+		rest, _ := io.ReadAll(c.Reader)
+		if discarded != want.discarded || (err == nil) != (want.rest != "") || err == nil && string(rest) != want.rest {
+			t.Errorf("%q: %d bytes discarded, %v, rest %q", text, discarded, err, rest)
+		}
+	}
+}
--- a/internal/upstream/surplus.go
+++ b/internal/upstream/surplus.go
@@ -153,6 +153,9 @@
 		"address", c.To.Addr, "connection", c.Number, "answers", c.State.Answers, "elapsed", answer.Elapsed)
 }
 
+// ReportNoise records that bytes stood ahead of an answer that begin none. The connection is closed behind the current exchange.
+func (p *Pool) ReportNoise(c *Conn) { p.reportInUse(c, reuse.NoiseBehindAnswer) }
+
 // reportInUse reports surplus on a connection that stays in use until the end of its current exchange.
 func (p *Pool) reportInUse(c *Conn, evidence reuse.Evidence) {
 	c.hasSurplus = true
--- a/reuse/accept.go
+++ b/reuse/accept.go
@@ -35,14 +35,15 @@
 	SuspectNeverRan          // it says that its request has not run, and may belong to another
 	NoTimeToHold             // its request has no time left to see whether another answer follows
 	FollowedByAnother        // another answer came behind it while it was held back
+	BehindNoise              // bytes stood ahead of it that begin no answer, and it does not contain the id of its request
 	// NumberOfReasons is the number of reasons.
-	NumberOfReasons = int(FollowedByAnother) + 1
+	NumberOfReasons = int(BehindNoise) + 1
 )
 
 // String returns the name of the reason in logs and counters.
 func (r Reason) String() string {
 	return [NumberOfReasons]string{"none", "names_earlier_request", "may_repeat_long_answer", "suspect_never_ran", "no_time_to_hold",
-		"followed_by_another"}[r]
+		"followed_by_another", "behind_noise"}[r]
 }
 
 // Judgement is the decision about one answer.
@@ -68,6 +69,8 @@
 		return Judgement{Verdict: Accept}
 	case answer.NamesEarlier:
 		return Judgement{Verdict: Skip, Reason: NamesEarlier}
+	case answer.IsBehindNoise:
+		return Judgement{Verdict: Reject, Reason: BehindNoise}
 	case answer.IsLong:
 		return p.judgeLong(now, key, c)
 	}
--- a/reuse/reuse.go
+++ b/reuse/reuse.go
@@ -71,11 +71,12 @@
 	IsServed bool          // its backend has served the request
 	IsNamed  bool          // it contains the id of its request
 
-	RequestID    string // of its request; may be empty
-	NamesEarlier bool   // it contains the id of an earlier request of its connection (Conn.NamesEarlier), and not that of its own
-	IsLong       bool   // it was passed on before it was whole, since it is too long or too slow to be held
-	NeverRan     bool   // it says that its request has not run
-	EqualsHeld   bool   // what would be passed on of it equals the answer that was held back
+	RequestID     string // of its request; may be empty
+	NamesEarlier  bool   // it contains the id of an earlier request of its connection (Conn.NamesEarlier), and not that of its own
+	IsLong        bool   // it was passed on before it was whole, since it is too long or too slow to be held
+	NeverRan      bool   // it says that its request has not run
+	IsBehindNoise bool   // bytes stood ahead of it that begin no answer
+	EqualsHeld    bool   // what would be passed on of it equals the answer that was held back
 }
 
 // IsReused reports whether the connection has carried an answer before.
@@ -103,6 +104,9 @@
 	return slices.ContainsFunc(c.remembered, contains)
 }
 
+// WasNamed reports whether the last answer of the connection named its request.
+func (c *Conn) WasNamed() bool { return c.IsReused() && c.wasNamed }
+
 // Choice is what to do for a request: use the idle connection with this index after a wait, or dial if there is none.
 type Choice struct {
 	Index int // -1: dial
