reuse: a margin between the choice of a connection and its write

A request that was chosen an early connection with just enough time to judge its answer could have some milliseconds less when it was written, and a sound answer without an id would have been ended for want of time. The choice leaves 20 ms more. By reading; not seen in a run. Four tests of the pool shared the same lines, which are one function now; no check changed. go test ./reuse ./internal/upstream pass.

--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -79,6 +79,15 @@
 	return c
 }
 
+// learnAnswerTime has the backend answer until the pool knows that it takes 100 ms. No connection stays open.
+func (f *fixture) learnAnswerTime(t *testing.T) {
+	t.Helper()
+	for range 16 {
+		f.Put(f.get(t), reuse.Answer{Elapsed: 100 * time.Millisecond})
+		f.Drop(f.to)
+	}
+}
+
 // counter returns a counter of the pool.
 func (f *fixture) counter(name string) int64 {
 	for _, c := range f.Counters() {
@@ -110,10 +119,7 @@
 // that all backends looked slow and requests were rejected. A connection that was quiet already has no such delay.
 func TestOwnDelayCountsWaitAndHold(t *testing.T) {
 	f := newFixture(t, 1)
-	for range 16 { // until the answer time of the backend is known
-		f.Put(f.get(t), reuse.Answer{Elapsed: 100 * time.Millisecond})
-		f.Drop(f.to)
-	}
+	f.learnAnswerTime(t)
 	c := f.get(t)
 	f.Put(c, reuse.Answer{Elapsed: 100 * time.Millisecond})
 	began := time.Now()
@@ -212,10 +218,7 @@
 // accepted, because nothing shows that it is the right one.
 func TestEarlyAnswerIsNotAcceptedWithoutTimeToHoldIt(t *testing.T) {
 	f := newFixture(t, 0)
-	for range 16 { // until the answer time of the backend is known
-		f.Put(f.get(t), reuse.Answer{Elapsed: 100 * time.Millisecond})
-		f.Drop(f.to)
-	}
+	f.learnAnswerTime(t)
 	c := f.get(t)
 	f.Put(c, reuse.Answer{Elapsed: 100 * time.Millisecond})
 	time.Sleep(reuse.QuietTime)
@@ -273,10 +276,7 @@
 func TestSoundAnswerInQuietTimeIsNotEnded(t *testing.T) {
 	for _, isLong := range []bool{false, true} {
 		f := newFixture(t, 0)
-		for range 16 { // until the answer time of the backend is known
-			f.Put(f.get(t), reuse.Answer{Elapsed: 100 * time.Millisecond})
-			f.Drop(f.to)
-		}
+		f.learnAnswerTime(t)
 		c := f.get(t)
 		f.Put(c, reuse.Answer{Elapsed: 100 * time.Millisecond})
 		f.blocked.Store(true)
@@ -296,10 +296,7 @@
 // A connection must not be in use early for a request whose deadline leaves no time to hold an answer back: a sound one would be ended.
 func TestRequestWithLittleTimeGetsQuietConnection(t *testing.T) {
 	f := newFixture(t, 0)
-	for range 16 { // until the answer time of the backend is known
-		f.Put(f.get(t), reuse.Answer{Elapsed: 100 * time.Millisecond})
-		f.Drop(f.to)
-	}
+	f.learnAnswerTime(t)
 	c := f.get(t)
 	f.Put(c, reuse.Answer{Elapsed: 100 * time.Millisecond})
 	f.blocked.Store(true)
--- a/reuse/accept.go
+++ b/reuse/accept.go
@@ -58,6 +58,8 @@
 	NoDeadline time.Duration = math.MaxInt64
 	// holdMargin is how long before the deadline of its request an answer must have been held back.
 	holdMargin = 5 * time.Millisecond
+	// writeMargin is how long after the choice of its connection a request is written at most, unless the process is held up.
+	writeMargin = 20 * time.Millisecond
 	// maxLateness is how late a repeat of a long answer may come.
 	maxLateness = 2 * time.Second
 )
--- a/reuse/distrust.go
+++ b/reuse/distrust.go
@@ -47,8 +47,8 @@
 	All    bool          // all backends have the level SingleUse from now on
 }
 
-// Report records evidence that a connection to a backend carried more answers than requests. The caller closes that connection, and the
-// idle ones that carry no further request. An unreadable report changes only its connection, which stays open: the backend may have
+// Report records evidence that a connection to a backend carried more answers than requests. The caller closes that connection, at
+// once or behind its current exchange, and the idle ones that carry no further request. An unreadable report changes only its connection, which stays open: the backend may have
 // another form of reports, and if the report was another answer, the real one follows and is noticed.
 func (p *Policy[K]) Report(now time.Duration, key K, c *Conn, evidence Evidence) Distrust {
 	b := p.backend(now, key)
--- a/reuse/reuse.go
+++ b/reuse/reuse.go
@@ -211,7 +211,7 @@
 
 // canJudgeEarly reports whether a request that is written at this time leaves time to hold back an answer that names no request.
 func (p *Policy[K]) canJudgeEarly(key K, c *Conn, writtenAt, deadline time.Duration) bool {
-	return p.ownAnswerBy(key, c, writtenAt) <= deadline-holdMargin
+	return p.ownAnswerBy(key, c, writtenAt) <= deadline-holdMargin-writeMargin
 }
 
 // namesRequests reports whether the backend's answers name their requests. Then each answer shows for itself whether it belongs to
