node: a chunked upload that waits for its answer no longer gives way to others

Callers of chunked uploads that a backend read slowly got no answer: their connection was closed 0.25 s after the last byte. The framing of a client's connection doesn't determine the end of a chunked body, so a whole one counted as partial. When bodies were short of memory, CutSilentBody took its client for one that had stopped within its body.

A stream that ends before its last byte is logged with id, backend and cause, once a second at most.

--- a/internal/clients/framing.go
+++ b/internal/clients/framing.go
@@ -145,6 +145,14 @@
 	return count+1 > f.maxFields // Host is none of them
 }
 
+// MarkBodyWhole records that the handler has read a body to its end. The end of a chunked one isn't determined here. From then on the client
+// waits for its answer, and its silence means nothing.
+func (f *framing) MarkBodyWhole() {
+	if f.Chunked.Load() && f.partial.CompareAndSwap(true, false) {
+		f.unanswered.Add(1)
+	}
+}
+
 // markAnswered records that a request was markAnswered. It may run concurrently with reads.
 func (f *framing) markAnswered() {
 	if f.unanswered.Load() > 0 {
--- a/internal/node/bodies.go
+++ b/internal/node/bodies.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"glencart/balance"
+	"glencart/internal/clients"
 	"glencart/internal/engine"
 	"glencart/internal/upstream"
 	"glencart/reuse"
@@ -41,6 +43,7 @@
 type pacedReader struct {
 	body      io.Reader
 	rc        *http.ResponseController
+	client    *clients.Conn // nil: unknown
 	beganAt   time.Time
 	bytesRead int64
 }
@@ -56,6 +59,9 @@
 	p.bytesRead += int64(n)
 	if errors.Is(err, io.EOF) {
 		p.rc.SetReadDeadline(time.Time{}) // a deadline that passes later would look as if the client had left
+		if p.client != nil {
+			p.client.MarkBodyWhole()
+		}
 	}
 	return n, err
 }
@@ -71,7 +77,7 @@
 		return errTooLong
 	}
 	rc := http.NewResponseController(w)
-	from := &pacedReader{body: hr.Body, rc: rc, beganAt: time.Now()}
+	from := &pacedReader{body: hr.Body, rc: rc, client: m.client, beganAt: time.Now()}
 	m.bodyReservation.budget = &f.bodyBudget
 	total, isWhole, err := m.hold(from, hr.ContentLength, maxBytes)
 	switch {
@@ -231,15 +237,18 @@
 // writeStream writes a stream to its client as it arrives. If the stream breaks, the client's connection is
 // closed without the last chunk.
 func (f *front) writeStream(w http.ResponseWriter, s *stream, m *message) {
-	whole := false
-	defer func() {
-		s.end(whole)
-		if whole {
-			m.counters.served.Add(1)
-		} else {
-			m.counters.failed.Add(1)
-		}
-	}()
+	err := f.copyStream(w, s, m)
+	s.end(err == nil)
+	if err != nil {
+		m.counters.failed.Add(1)
+		f.cutLog.Info("answer cut off", "id", m.header.Get("X-Trace-Id"), "backend", s.cn.To.ID, "connection", s.cn.Number, "error", err)
+		panic(http.ErrAbortHandler)
+	}
+	m.counters.served.Add(1)
+}
+
+// copyStream writes a stream to its client up to its end or an error.
+func (f *front) copyStream(w http.ResponseWriter, s *stream, m *message) error {
 	if s.contentType != "" {
 		w.Header().Set("Content-Type", s.contentType)
 	} else {
@@ -251,8 +260,8 @@
 	w.WriteHeader(http.StatusOK)
 	write := f.beginAnswer(w)
 	defer f.endAnswer(write)
-	if f.writePart(w, write, s.body) != nil {
-		panic(http.ErrAbortHandler)
+	if err := f.writePart(w, write, s.body); err != nil {
+		return fmt.Errorf("write to client: %w", err)
 	}
 	s.body = nil
 	m.releaseAnswer()
@@ -261,16 +270,17 @@
 	for {
 		s.cn.SetReadDeadline(time.Now().Add(backendSilenceTimeout))
 		n, err := s.rest.Read(buf)
-		if n > 0 && f.writePart(w, write, buf[:n]) != nil {
-			panic(http.ErrAbortHandler)
+		if n > 0 {
+			if err := f.writePart(w, write, buf[:n]); err != nil {
+				return fmt.Errorf("write to client: %w", err)
+			}
 		}
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF):
 			s.cn.SetDeadline(time.Time{})
-			whole = true
-			return
-		}
-		if err != nil {
-			panic(http.ErrAbortHandler)
+			return nil
+		case err != nil:
+			return fmt.Errorf("read from backend: %w", err)
 		}
 	}
 }
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -51,10 +51,11 @@
 	uploads           atomic.Int64 // open requests whose bodies are still arriving
 	writes            answerWrites
 	roomLog           lograte.Limited
-	ownAnswers        clients.Pacer // of answers that no backend makes
-	silentBodiesCut   atomic.Int64  // clients that gave way because they stopped within a body
-	silentReadersCut  atomic.Int64  // clients that gave way because they did not read
-	maxBodyBytes      atomic.Int64  // longest body in bytes
+	cutLog            lograte.Limited // answers that ended before their last byte
+	ownAnswers        clients.Pacer   // of answers that no backend makes
+	silentBodiesCut   atomic.Int64    // clients that gave way because they stopped within a body
+	silentReadersCut  atomic.Int64    // clients that gave way because they did not read
+	maxBodyBytes      atomic.Int64    // longest body in bytes
 	log               *slog.Logger
 	maxInFlight       atomic.Int64 // limit on requests in flight
 	inFlight          atomic.Int64
@@ -71,7 +72,7 @@
 // newFront returns the client side of a node with these limits.
 func newFront(l *engine.Engine, names settings.Settings, limits bounds, counts *counters, log *slog.Logger) *front {
 	f := &front{loop: l, log: log, lateAnswers: lateAnswers{log: lograte.Limited{Log: log}}, roomLog: lograte.Limited{Log: log},
-		table: clients.NewTable(limits.clients, clients.PlatformThresholds)}
+		cutLog: lograte.Limited{Log: log}, table: clients.NewTable(limits.clients, clients.PlatformThresholds)}
 	f.settings.Store(newActiveSettings(names, counts))
 	f.maxBodyBytes.Store(maxUploadBytes)
 	f.setLimits(limits)
