node: the time for writing an answer no longer begins at the head of a long upload

Callers whose uploads took over 20 s got no answer: the connection was closed at the end of their time. The write deadline of the answer was set when the head was read, to the deadline at that time and 20 s, and nothing set it again where the body was passed on as it arrived, or could not be read to its end. The node had decided on a 503 in time, 0.61 s after the last byte of the client, 0.6 s allowed; net/http could not write it.

The deadline is set anew when such an answer is about to be written.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -205,6 +205,7 @@
 
 // answerUnreadable answers a request that could not be read.
 func (f *front) answerUnreadable(w http.ResponseWriter, hr *http.Request, status int, err error) {
+	extendWriteDeadline(w)
 	if clients.FromContext(hr.Context()).IsBodyCut() {
 		f.logGivenWay(hr, "stopped within its body")
 		w.Header().Set("Connection", "close")
@@ -218,6 +219,19 @@
 	}
 }
 
+// extendWriteDeadline gives a client time to read its answer from now on. Its body may have taken longer than the time that was set at the
+// head of the request, and an answer behind that deadline would not be written.
+func extendWriteDeadline(w http.ResponseWriter) {
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerReadTimeout))
+}
+
+// extendWriteDeadline does so for a message whose body was passed on as it arrived.
+func (m *message) extendWriteDeadline(w http.ResponseWriter) {
+	if m.upload != nil {
+		extendWriteDeadline(w)
+	}
+}
+
 // countOutcome counts how a received request ended.
 func (f *front) countOutcome(taken, answered bool) {
 	if !taken {
@@ -259,6 +273,7 @@
 		select {
 		case a := <-r.Reply:
 			f.lateAnswers.record(r, deadline, false)
+			m.extendWriteDeadline(w)
 			setConnectionClose(w, ctx, f.closesConnections.Load() || m.client.IsBodyCut())
 			if a.Kind == engine.Failed && replyOf(a.Body).neverRan {
 				a.Kind = engine.Refused // the only attempt broke before its last byte
@@ -270,6 +285,7 @@
 			m.counters.answered(a.Kind)
 			return
 		case s := <-m.streams:
+			m.extendWriteDeadline(w)
 			setConnectionClose(w, ctx, f.closesConnections.Load())
 			f.writeStream(w, s, m)
 			return
@@ -279,6 +295,7 @@
 				deadline = m.upload.updateDeadline()
 			}
 			if !deadline.IsZero() && time.Since(deadline) > overdueMargin && r.ClaimAnswer() {
+				m.extendWriteDeadline(w)
 				f.answerOverdue(w, r, deadline)
 				return
 			}
