reuse: a short answer without a name behind noise is held, not ended

Safe requests ran again where noise from a short answer stood ahead of their own short answer, and that named nobody. The first form of the noise rule took such an answer only by its name.

It is held now as an answer within the quiet time, with the same protection: the right answer would follow. A long one without a name is still not taken. The test also reports the node's processor time for each request, for comparisons.

--- a/cmd/glencart/long_answers_test.go
+++ b/cmd/glencart/long_answers_test.go
@@ -50,7 +50,8 @@
 	recorder longanswers.Recorder
 	node     *pressureNode
 
-	terminatedAt time.Time // when the node got SIGTERM
+	terminatedAt  time.Time     // when the node got SIGTERM
+	processorTime time.Duration // of the node until then
 
 	mu        sync.Mutex
 	exchanges []*longanswers.Exchange
@@ -151,8 +152,9 @@
 			served++
 		}
 	}
-	s.t.Logf("%v: %d requests, %d of them planned, %v, %d connections to backends, %d duplicates: %v", s.cfg, len(s.exchanges), long,
-		statuses, s.recorder.Accepted.Load(), s.recorder.Duplicates.Load(), counts)
+	s.t.Logf("%v: %d requests, %d of them planned, %v, %d connections to backends, %d duplicates, %v of processor time a request: %v", s.cfg, len(s.exchanges), long,
+		statuses, s.recorder.Accepted.Load(), s.recorder.Duplicates.Load(),
+		(s.processorTime / time.Duration(max(1, len(s.exchanges)))).Round(time.Microsecond), counts)
 	if served < int(minNamedServed*length.Seconds()) {
 		s.t.Errorf("%d served: too few for a valid run", served)
 	}
@@ -182,7 +184,7 @@
 		time.Sleep(min(reloadInterval, time.Until(end)))
 		s.node.process.Signal(syscall.SIGHUP)
 	}
-	s.terminatedAt = time.Now()
+	s.processorTime, s.terminatedAt = s.node.processorTime(), time.Now()
 	s.node.process.Signal(syscall.SIGTERM)
 	select {
 	case <-s.node.ended:
--- a/reuse/accept.go
+++ b/reuse/accept.go
@@ -35,7 +35,7 @@
 	SuspectNeverRan          // it says that its request has not run, and may belong to another
 	NoTimeToHold             // its request has no time left to see whether another answer follows
 	FollowedByAnother        // another answer came behind it while it was held back
-	BehindNoise              // bytes stood ahead of it that begin no answer, and it does not contain the id of its request
+	BehindNoise              // it is long, and bytes stood ahead of it that begin no answer
 	// NumberOfReasons is the number of reasons.
 	NumberOfReasons = int(BehindNoise) + 1
 )
@@ -71,12 +71,12 @@
 		return Judgement{Verdict: Accept}
 	case answer.NamesEarlier:
 		return Judgement{Verdict: Skip, Reason: NamesEarlier}
-	case answer.IsBehindNoise:
+	case answer.IsBehindNoise && answer.IsLong:
 		return Judgement{Verdict: Reject, Reason: BehindNoise}
 	case answer.IsLong:
 		return p.judgeLong(now, key, c)
 	}
-	isSuspect := !p.AcceptsAnswer(now, key, c, false)
+	isSuspect := answer.IsBehindNoise || !p.AcceptsAnswer(now, key, c, false)
 	if isSuspect && answer.NeverRan {
 		return Judgement{Verdict: Reject, Reason: SuspectNeverRan}
 	}
