--- a/cmd/glencart/drawn_uploads_test.go
+++ b/cmd/glencart/drawn_uploads_test.go
@@ -64,7 +64,7 @@
 	return u
 }
 
-// target returns a request target that tells the backend the plan.
+// target returns a request target that contains the plan.
 func (u drawnUpload) target() string {
 	return "/api/drawn?" + url.Values{"step": {strconv.Itoa(u.step)}, "pause": {u.pause.String()}, "end": {string(u.end)},
 		"after": {strconv.Itoa(u.endAfter)}}.Encode()
--- a/internal/front/http/long_answers_test.go
+++ b/internal/front/http/long_answers_test.go
@@ -68,7 +68,7 @@
 					mu.Lock()
 					counts[kind]++
 					mu.Unlock()
-					// Where answers are sent twice and name nobody for serve, one that is held and another can't be told apart.
+					// Where answers are sent twice and name nobody for serve, one that is held and another can't be distinguished.
 					if kind != "" && (cfg.DuplicateShare == 0 || kind != "ended") {
 						t.Errorf("%s: %s (%v): %s", kind, e.ID, e.Plan, text)
 					}
--- a/internal/upstream/surplus.go
+++ b/internal/upstream/surplus.go
@@ -140,7 +140,7 @@
 	return verdict
 }
 
-// RejectBoth closes a connection on which another answer, which can't be told apart, came behind one that was held back.
+// RejectBoth closes a connection on which another answer, which can't be distinguished, came behind one that was held back.
 func (p *Pool) RejectBoth(c *Conn, first reuse.Answer) {
 	p.recordNotTaken(c, first, reuse.FollowedByAnother)
 	p.DiscardSurplus(c, reuse.SecondAnswer)
--- a/reuse/accept.go
+++ b/reuse/accept.go
@@ -10,7 +10,7 @@
 //
 // On a connection in early use, every earlier answer of the last requiredQuiet was short and named its request. So a repeat of one of them
 // is short and names an earlier request. An answer that names no request is the answer to its own, or surplus that repeats nothing. If it
-// is long, it is accepted. If it is short, it is held until its own answer would have come. What can't be told apart is listed in
+// is long, it is accepted. If it is short, it is held until its own answer would have come. What can't be distinguished is listed in
 // docs/design/0014-connection-reuse.md.
 
 // Verdict is what to do with an answer.
--- a/reuse/orders_test.go
+++ b/reuse/orders_test.go
@@ -270,7 +270,7 @@
 }
 
 // repeats and others are orders in which the rule can keep both of its promises. Own answers come within the hold where the surplus repeats
-// nothing: what is slower can't be told apart.
+// nothing: what is slower can't be distinguished.
 var (
 	repeats = orders{works: []time.Duration{2 * ms, 40 * ms, 250 * ms}, lates: []time.Duration{0, ms, 50 * ms, 100 * ms}}
 	others  = orders{works: []time.Duration{2 * ms, 60 * ms}, lates: []time.Duration{0, ms, 50 * ms}, others: true}
@@ -325,7 +325,7 @@
 	}
 }
 
-// A repeat that names its request must reach no other one, however late it is. One that names none can't be told apart from the answer to
+// A repeat that names its request must reach no other one, however late it is. One that names none can't be distinguished from the answer to
 // the next request once its connection has been quiet: this is the list of what stays open.
 func TestOnlyLateRepeatsWithoutNameCannotBeToldApart(t *testing.T) {
 	late := repeats
